--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up its own virtual environment in $(VENV) on first use.
+VENV ?= .venv
+PYTHON ?= python3
+PY = $(VENV)/bin/python
+ARGS ?=
+BENCHES = packet steering control balance capacity
+
+.PHONY: demo test check format generate $(addprefix bench-,$(BENCHES))
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+test: $(VENV)/.ready
+	$(PY) -m pytest
+
+check: $(VENV)/.ready
+	$(PY) -m black --check -q .
+	$(PY) -m ruff check -q .
+	$(PY) -m mypy
+	$(PY) -m scripts.generate --check
+
+format: $(VENV)/.ready
+	$(PY) -m ruff check -q --fix .
+	$(PY) -m black -q .
+
+generate: $(VENV)/.ready
+	$(PY) -m scripts.generate
+
+demo: $(VENV)/.ready
+	$(PY) -m pearwell.standins.demo $(ARGS)
+
+# A bench prints one JSON line per scheme or measurement.
+bench-packet: $(VENV)/.ready
+	$(PY) -m bench.packet $(ARGS)
+bench-steering: $(VENV)/.ready
+	$(PY) -m bench.steering $(ARGS)
+bench-control: $(VENV)/.ready
+	$(PY) -m bench.control $(ARGS)
+bench-balance: $(VENV)/.ready
+	$(PY) -m bench.balance $(ARGS)
+bench-capacity: $(VENV)/.ready
+	$(PY) -m bench.capacity $(ARGS)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints JSON lines."""
--- /dev/null
+++ b/pearwell/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the daemons and tools."""
--- /dev/null
+++ b/pearwell/configuration.py
@@ -0,0 +1,32 @@
+"""Configuration: versioned services and groups as one instance holds them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from pearwell.group import GroupSpec
+from pearwell.service import ServiceSpec
+
+__all__ = ["Configuration", "Kind"]
+
+
+class Kind(StrEnum):
+    """Kinds of configuration objects."""
+
+    SERVICE = "service"
+    GROUP = "group"
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """An immutable snapshot of all services and groups.
+
+    Attributes:
+        services: Services by name.
+        groups: Target groups by name.
+        versions: Applied platform version of each object, by (kind, name).
+    """
+
+    services: Mapping[str, ServiceSpec] = field(default_factory=dict)
+    groups: Mapping[str, GroupSpec] = field(default_factory=dict)
+    versions: Mapping[tuple[Kind, str], int] = field(default_factory=dict)
--- /dev/null
+++ b/pearwell/kernel.py
@@ -0,0 +1,142 @@
+"""Micro-kernel: services that find each other by name and exchange messages."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+from typing import Any, Protocol, TypeVar
+
+from pearwell.messages import Message
+
+__all__ = ["Kernel", "KernelService", "QueuedService"]
+
+_S = TypeVar("_S")
+
+
+class KernelService(Protocol):
+    """A part of the daemon that the kernel starts, stops and delivers messages to.
+
+    Attributes:
+        name: Unique name by which other services find it.
+        accepts: Types of published messages that it takes.
+    """
+
+    name: str
+    accepts: tuple[type[Message], ...]
+
+    async def start(self, kernel: "Kernel") -> None:
+        """Starts the service; services added earlier have already started."""
+
+    async def stop(self) -> None:
+        """Stops the service and waits for its tasks to end."""
+
+    def deliver(self, message: Message) -> None:
+        """Takes a message; it must not block."""
+
+
+class Kernel:
+    """Holds the services of one daemon."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, KernelService] = {}
+        self._started: list[KernelService] = []
+
+    @property
+    def names(self) -> Iterable[str]:
+        """Names of all services, in starting order."""
+        return tuple(self._services)
+
+    def add(self, service: KernelService) -> None:
+        """Adds a service; its name must be new."""
+        if service.name in self._services:
+            raise ValueError(f"service {service.name!r} exists already")
+        self._services[service.name] = service
+
+    def find(self, name: str, kind: type[_S]) -> _S:
+        """Returns the service of a name.
+
+        Raises:
+            LookupError: There is no such service, or it is of another type.
+        """
+        service = self._services.get(name)
+        if not isinstance(service, kind):
+            raise LookupError(f"no service {name!r} of type {kind.__name__}")
+        return service
+
+    def post(self, name: str, message: Message) -> None:
+        """Delivers a message to one service; dropped if there is none of that name."""
+        service = self._services.get(name)
+        if service is not None:
+            service.deliver(message)
+
+    def publish(self, message: Message) -> None:
+        """Delivers a message to every service that accepts its type."""
+        for service in self._services.values():
+            if isinstance(message, service.accepts):
+                service.deliver(message)
+
+    async def start(self) -> None:
+        """Starts all services in the order they were added."""
+        for service in self._services.values():
+            await service.start(self)
+            self._started.append(service)
+
+    async def stop(self) -> None:
+        """Stops the started services in reverse order."""
+        while self._started:
+            await self._started.pop().stop()
+
+
+class QueuedService:
+    """Base of services whose one task owns their state and handles queued messages.
+
+    Subclasses set name and accepts, and override handle, and tick if interval_s is set.
+    """
+
+    name: str = ""
+    accepts: tuple[type[Message], ...] = ()
+    interval_s: float = 0.0
+
+    def __init__(self) -> None:
+        self._queue: asyncio.Queue[Message] = asyncio.Queue()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._kernel = Kernel()
+
+    @property
+    def kernel(self) -> Kernel:
+        """The kernel that started this service."""
+        return self._kernel
+
+    async def start(self, kernel: Kernel) -> None:
+        """Starts the task that handles messages, and the one that ticks."""
+        self._kernel = kernel
+        self._spawn(self._run())
+        if self.interval_s:
+            self._spawn(self._tick_forever())
+
+    async def stop(self) -> None:
+        """Cancels the tasks and waits for them."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def deliver(self, message: Message) -> None:
+        """Queues a message."""
+        self._queue.put_nowait(message)
+
+    async def handle(self, message: Message) -> None:
+        """Handles one message; overridden."""
+
+    async def tick(self) -> None:
+        """Does periodic work; overridden."""
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    async def _run(self) -> None:
+        while True:
+            await self.handle(await self._queue.get())
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self.interval_s)
+            await self.tick()
--- /dev/null
+++ b/pearwell/messages/local.py
@@ -0,0 +1,93 @@
+"""Messages between the services of one instance."""
+
+from pearwell.configuration import Configuration
+from pearwell.membership import View
+from pearwell.messages.base import Message
+from pearwell.placement import Placement, TargetState
+
+__all__ = [
+    "BucketsClear",
+    "ConfigurationChanged",
+    "FlowsStarted",
+    "PeerMessage",
+    "PlacementChanged",
+    "SynRepeated",
+    "TargetJudged",
+    "ViewChanged",
+    "ViewRenewed",
+    "WeightsChanged",
+]
+
+
+class ConfigurationChanged(Message, frozen=True):
+    """The applied configuration changed; from "configuration"."""
+
+    configuration: Configuration
+
+
+class ViewChanged(Message, frozen=True):
+    """The members of the zone changed; from "membership"."""
+
+    view: View
+
+
+class ViewRenewed(Message, frozen=True):
+    """The zone was heard from and the view is current; from "membership".
+
+    Attributes:
+        heard_at: Time of the latest proof in seconds of the instance's clock.
+    """
+
+    heard_at: float
+
+
+class PlacementChanged(Message, frozen=True):
+    """A placement of a higher generation is in force here; from "placement"."""
+
+    placement: Placement
+
+
+class BucketsClear(Message, frozen=True):
+    """No live flow is left off the current target of these buckets; from "packets"."""
+
+    group: str
+    buckets: tuple[int, ...]
+    generation: int
+
+
+class FlowsStarted(Message, frozen=True):
+    """Flow starts and ends seen since the last such message; from "packets"."""
+
+    group: str
+    started: tuple[tuple[str, int], ...]
+    ended: tuple[tuple[str, int], ...]
+
+
+class SynRepeated(Message, frozen=True):
+    """Repeated SYNs towards a target, a sign of its silence; from "packets"."""
+
+    group: str
+    target: str
+    count: int
+
+
+class TargetJudged(Message, frozen=True):
+    """The zone's verdict on a target changed; from "prober"."""
+
+    group: str
+    target: str
+    state: TargetState
+
+
+class WeightsChanged(Message, frozen=True):
+    """Wanted weights of a group's targets in this zone; from "balancer"."""
+
+    group: str
+    weights: tuple[tuple[str, int], ...]
+
+
+class PeerMessage(Message, frozen=True):
+    """A message that another instance sent; from "peers"."""
+
+    sender: str
+    message: Message
--- /dev/null
+++ b/pearwell/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: platform, fabric and targets."""
--- /dev/null
+++ b/pearwell/v1/__init__.py
@@ -0,0 +1,1 @@
+"""Generated gRPC code of the schema in proto/pearwell/v1."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Developer scripts."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each module of the package."""
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,30 @@
+"""Tests of pearwell.transport."""
+
+import pytest
+
+from pearwell.clock import ManualClock
+from pearwell.messages import Message, wire
+from pearwell.transport import MemoryNetwork
+
+
+@wire
+class Note(Message, frozen=True):
+    """A message for these tests."""
+
+    text: str
+
+
+@pytest.mark.parametrize(
+    ("delays", "expected"),
+    [((0.5,), ["a"]), ((), []), ((0.1, 0.2), ["a", "a"]), ((2.0,), [])],
+)
+def test_delivery_decides_copies_and_delays(delays, expected):
+    clock = ManualClock()
+    network = MemoryNetwork(clock, lambda sender, to, message: delays)
+    received = []
+    sender = network.attach("one", lambda *_: None)
+    network.attach("two", lambda origin, message: received.append(message.text))
+    sender.send("two", Note("a"))
+    network.run_until(1.0)
+    assert received == expected
+    assert clock.now() == 1.0
