--- a/pearwell/messages/__init__.py
+++ b/pearwell/messages/__init__.py
@@ -1,6 +1,7 @@
 """Typed messages: local ones between services, wire ones between instances."""
 
 from pearwell.messages.base import Message, decode, encode, wire
+from pearwell.messages.gossip import Digest, Entry, EntryVersion, Pull, Push
 from pearwell.messages.local import (
     BucketsClear,
     ConfigurationChanged,
@@ -17,10 +18,15 @@
 __all__ = [
     "BucketsClear",
     "ConfigurationChanged",
+    "Digest",
+    "Entry",
+    "EntryVersion",
     "FlowsStarted",
     "Message",
     "PeerMessage",
     "PlacementChanged",
+    "Pull",
+    "Push",
     "SynRepeated",
     "TargetJudged",
     "ViewChanged",
--- /dev/null
+++ b/pearwell/messages/gossip.py
@@ -0,0 +1,60 @@
+"""Messages of the gossip that spreads versioned entries over a zone."""
+
+import msgspec
+
+from pearwell.messages.base import Message, wire
+
+__all__ = ["Digest", "Entry", "EntryVersion", "Pull", "Push"]
+
+
+class EntryVersion(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Orders the values of one key; the higher one wins.
+
+    Attributes:
+        counter: A platform version, or a counter raised by the writer.
+        instance: The writer, to break ties; empty for platform versions.
+    """
+
+    counter: int
+    instance: str = ""
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """A versioned value that every instance of the zone should hold.
+
+    Attributes:
+        key: Name, with the owning service as its first path element.
+        version: Orders the values of this key.
+        payload: The encoded value.
+    """
+
+    key: str
+    version: EntryVersion
+    payload: bytes
+
+
+@wire
+class Push(Message, frozen=True):
+    """Entries that are news to the receiver, as far as the sender knows."""
+
+    entries: tuple[Entry, ...]
+
+
+@wire
+class Digest(Message, frozen=True):
+    """Versions that the sender holds; the receiver answers with Push and Pull.
+
+    Attributes:
+        checksum: Hash over all keys and versions; equal ones need no answer.
+        versions: Versions by key; empty while only checksums are compared.
+    """
+
+    checksum: int
+    versions: tuple[tuple[str, EntryVersion], ...] = ()
+
+
+@wire
+class Pull(Message, frozen=True):
+    """Asks for entries by key."""
+
+    keys: tuple[str, ...]
