--- a/pearwell/placement.py
+++ b/pearwell/placement.py
@@ -57,8 +57,9 @@
 class Placement(msgspec.Struct, frozen=True, array_like=True):
     """The placement of one group in one zone.
 
-    Bucket b is stable where base[b] == current[b] == upcoming[b], prepared where
-    upcoming[b] != current[b], and split where base[b] != current[b].
+    Bucket b is stable where base[b] == current[b] == upcoming[b] and b isn't in returned,
+    prepared where upcoming[b] != current[b], and split where base[b] != current[b] or b is in
+    returned.
 
     Attributes:
         group: Name of the group.
@@ -70,6 +71,8 @@
         current: Target index of new flows, per bucket.
         upcoming: Target index of new flows after activation, per bucket.
         seed: Seed of the flow hash.
+        returned: Buckets whose new flows went back to the base target after they went elsewhere;
+            recorded flows may be left elsewhere until the bucket is released.
     """
 
     group: str
@@ -81,3 +84,4 @@
     current: tuple[int, ...]
     upcoming: tuple[int, ...]
     seed: int = 0
+    returned: frozenset[int] = frozenset()
--- /dev/null
+++ b/pearwell/table.py
@@ -0,0 +1,109 @@
+"""Lookup tables: buckets assigned to weighted targets as a pure function of agreed inputs."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from xxhash import xxh3_64_intdigest
+
+__all__ = [
+    "BUCKETS_PER_TARGET",
+    "MAX_SIZE",
+    "MIN_SIZE",
+    "assign",
+    "quotas",
+    "table_size",
+]
+
+BUCKETS_PER_TARGET = 128
+MIN_SIZE = 256
+MAX_SIZE = 1 << 17
+
+
+def table_size(targets: int) -> int:
+    """Returns the number of buckets for a number of targets, a power of two."""
+    wanted = min(max(targets * BUCKETS_PER_TARGET, MIN_SIZE), MAX_SIZE)
+    return 1 << (wanted - 1).bit_length()
+
+
+def quotas(weights: Mapping[str, int], size: int) -> dict[str, int]:
+    """Splits a number of buckets by weight with the largest-remainder method.
+
+    Args:
+        weights: Positive weight of each target.
+        size: Number of buckets.
+
+    Returns:
+        Buckets of each target; at equal weights they differ by one at most.
+    """
+    total = sum(weights.values())
+    shares = {name: divmod(size * weight, total) for name, weight in weights.items()}
+    counts = {name: whole for name, (whole, _) in shares.items()}
+    left = size - sum(counts.values())
+    ranked = sorted(shares, key=lambda name: (-shares[name][1], name))
+    for name in ranked[:left]:
+        counts[name] += 1
+    return counts
+
+
+def assign(
+    weights: Mapping[str, int], size: int, previous: Sequence[str] | None = None
+) -> tuple[str, ...]:
+    """Assigns every bucket to a target.
+
+    Without a previous table, targets take buckets in turn along their own permutations, as in
+    Maglev. With one, each target keeps its buckets up to its quota, so that as few buckets move
+    as the quotas allow; the others are taken in turn.
+
+    Args:
+        weights: Positive weight of each target; at least one.
+        size: Number of buckets, a power of two.
+        previous: Target of each bucket so far; names without a weight lose their buckets.
+
+    Returns:
+        The target of each bucket, whatever the order of the weights.
+    """
+    wanted = quotas(weights, size)
+    table: list[str | None] = [None] * size
+    if previous is not None:
+        _keep(table, wanted, previous)
+    _fill(table, wanted)
+    return tuple(name or "" for name in table)
+
+
+def _keep(table: list[str | None], wanted: dict[str, int], previous: Sequence[str]) -> None:
+    """Leaves buckets with their targets and lowers the wanted counts by them."""
+    held: dict[str, list[int]] = {}
+    for bucket, name in enumerate(previous):
+        if name in wanted:
+            held.setdefault(name, []).append(bucket)
+    for name, buckets in held.items():
+        for bucket in _retained(name, buckets, wanted[name]):
+            table[bucket] = name
+            wanted[name] -= 1
+
+
+def _retained(name: str, buckets: list[int], quota: int) -> Iterable[int]:
+    if len(buckets) <= quota:
+        return buckets
+    return sorted(buckets, key=lambda b: xxh3_64_intdigest(f"{b}\0{name}".encode()))[:quota]
+
+
+def _fill(table: list[str | None], wanted: dict[str, int]) -> None:
+    """Lets the targets take free buckets in turn until each has its wanted count."""
+    size = len(table)
+    probes = {name: _permutation(name, size) for name in sorted(wanted) if wanted[name]}
+    while probes:
+        for name in list(probes):
+            offset, skip = probes[name]
+            while table[offset] is not None:
+                offset = (offset + skip) % size
+            table[offset] = name
+            probes[name] = (offset + skip) % size, skip
+            wanted[name] -= 1
+            if not wanted[name]:
+                del probes[name]
+
+
+def _permutation(name: str, size: int) -> tuple[int, int]:
+    """Returns the start and the odd step with which a target visits all buckets."""
+    digest = xxh3_64_intdigest(name.encode())
+    return digest % size, (digest >> 32) % size | 1
