Admit new flows by service, caller prefix and target

Cause: an overload must neither starve accepted flows nor let a refused flow run. Change: limits are shared among the live instances; the hash of a flow decides as far as possible, a token bucket keeps the rate, recent answers are remembered in bounded memory, and prefixes have a fixed number of cells.

--- /dev/null
+++ b/pearwell/admission.py
@@ -0,0 +1,255 @@
+"""Admission of new flows: limits by service, caller prefix and target.
+
+The limits of a zone are shared out evenly among its live instances. For a limited service the
+packets of new flows go to the owner of their bucket, which remembers its recent answers; so a
+repeated SYN gets the answer of the first one, whichever instance the fabric hands it to. Where the
+memory was lost with an owner, the answer still follows from the flow's hash (`rate_limit`).
+"""
+
+import random
+from collections.abc import Mapping
+
+from xxhash import xxh3_64_intdigest
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.errors import Code, InvariantError
+from pearwell.rate_limit import OpenFlowLimit, RateLimit, RecentAnswers
+from pearwell.service import FlowLimits
+
+__all__ = ["Admission"]
+
+PREFIX_ROWS = 2
+PREFIX_CELLS_PER_ROW = 2048
+_HASH_RANGE = float(1 << 64)
+
+
+class Admission:
+    """Decides on flow starts at one instance.
+
+    Args:
+        clock: Source of monotonic time.
+        rng: Source of the salt that keeps prefix cells unpredictable.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._salt = rng.getrandbits(64)
+        self._live_instances = 1
+        self._services: dict[str, _ServiceLimits] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Applies the limits of all services; unchanged ones keep their state."""
+        known = self._services
+        self._services = {}
+        for name, service in configuration.services.items():
+            if service.limits == FlowLimits():
+                continue
+            held = known.get(name)
+            if held is None or held.limits != service.limits:
+                held = _ServiceLimits(name, service.limits, self._salt, self._clock.now())
+                held.share(self._live_instances)
+            group = configuration.groups.get(service.group)
+            held.keep_targets({target.name for target in group.targets} if group else set())
+            self._services[name] = held
+
+    def set_share(self, live_instances: int) -> None:
+        """Shares every limit among a number of live instances of the zone."""
+        self._live_instances = max(1, live_instances)
+        for limits in self._services.values():
+            limits.share(self._live_instances)
+
+    def limited(self, service: str) -> bool:
+        """Whether a service has any limit, so that its flow starts go to their owner."""
+        return service in self._services
+
+    def admit(self, service: str, caller_prefix: bytes, target: str, flow_hash: int) -> Code:
+        """Decides on a flow start; a repeated one gets the answer it got before.
+
+        Args:
+            service: Name of the service.
+            caller_prefix: Network prefix of the caller.
+            target: Name of the target that would take the flow; empty if there is none.
+            flow_hash: Hash of the 5-tuple.
+
+        Returns:
+            OK, or the code of the limit that refuses the flow.
+        """
+        limits = self._services.get(service)
+        if limits is None:
+            return Code.OK if target else Code.REFUSED_NO_TARGET
+        now = self._clock.now()
+        answer = limits.answers.find(flow_hash, now)
+        if answer is None:
+            answer = limits.decide(caller_prefix, target, flow_hash, now)
+            limits.answers.remember(flow_hash, answer, now)
+        return answer
+
+    def ended(self, service: str, target: str) -> None:
+        """Counts the end of a flow."""
+        limits = self._services.get(service)
+        if limits is not None:
+            limits.ended(target)
+
+    def report_open_flows(self, service: str, open_flows: Mapping[str, int]) -> None:
+        """Takes the open flows of a service in the zone, by target."""
+        limits = self._services.get(service)
+        if limits is not None:
+            limits.report(open_flows)
+
+    def check_forwarded(self, service: str, flow_hash: int) -> None:
+        """Asserts that a flow whose packet goes to a target wasn't refused.
+
+        Raises:
+            InvariantError: INVARIANT_VIOLATED if this instance refused the flow.
+        """
+        limits = self._services.get(service)
+        answer = limits.answers.find(flow_hash, self._clock.now()) if limits else None
+        if answer is not None and answer is not Code.OK:
+            detail = f"a refused flow of {service} reaches a target"
+            raise InvariantError(Code.INVARIANT_VIOLATED, detail)
+
+
+class _ServiceLimits:
+    """The limits of one service and the answers given under them."""
+
+    def __init__(self, name: str, limits: FlowLimits, salt: int, now: float) -> None:
+        self.limits = limits
+        self.answers = RecentAnswers()
+        self._seed = xxh3_64_intdigest(name.encode())
+        self._live = 1
+        self._rate = _optional_rate(limits.new_flows_per_s, now)
+        self._open = _optional_open(limits.open_flows)
+        self._prefixes = _PrefixLimits(limits.prefix_new_flows_per_s, salt)
+        self._target_rates: dict[str, RateLimit] = {}
+        self._target_open: dict[str, OpenFlowLimit] = {}
+
+    def share(self, live_instances: int) -> None:
+        self._live = live_instances
+        if self._rate is not None:
+            self._rate.set_rate(self.limits.new_flows_per_s / live_instances)
+        self._prefixes.share(live_instances)
+        for rate in self._target_rates.values():
+            rate.set_rate(self.limits.target_new_flows_per_s / live_instances)
+
+    def keep_targets(self, names: set[str]) -> None:
+        self._target_rates = {n: r for n, r in self._target_rates.items() if n in names}
+        self._target_open = {n: o for n, o in self._target_open.items() if n in names}
+
+    def decide(self, prefix: bytes, target: str, flow_hash: int, now: float) -> Code:
+        """Asks the narrowest limit first, so that what it refuses doesn't load the wider ones."""
+        if not target:
+            return Code.REFUSED_NO_TARGET
+        key = flow_hash.to_bytes(8, "big")
+        passed: list[RateLimit] = []
+        if not self._prefixes.offer(prefix, self._position(key, 1), now, passed):
+            return Code.REFUSED_PREFIX_RATE
+        code = self._decide_target(target, key, now, passed)
+        if code is Code.OK:
+            code = self._decide_service(key, now, passed)
+        if code is Code.OK:
+            self._admit(target, passed)
+        return code
+
+    def ended(self, target: str) -> None:
+        if self._open is not None:
+            self._open.ended()
+        if self.limits.target_open_flows:
+            self._open_on(target).ended()
+
+    def report(self, open_flows: Mapping[str, int]) -> None:
+        if self._open is not None:
+            self._open.report(sum(open_flows.values()))
+        if self.limits.target_open_flows:
+            for target, count in open_flows.items():
+                self._open_on(target).report(count)
+
+    def _decide_target(self, target: str, key: bytes, now: float, passed: list[RateLimit]) -> Code:
+        if self.limits.target_new_flows_per_s:
+            rate = self._rate_of(target, now)
+            passed.append(rate)
+            if not rate.offer(self._position(key, 2), now):
+                return Code.REFUSED_TARGET_RATE
+        if not self.limits.target_open_flows:
+            return Code.OK
+        if self._open_on(target).admits(self._position(key, 3), self._live):
+            return Code.OK
+        return Code.REFUSED_TARGET_OPEN_FLOWS
+
+    def _decide_service(self, key: bytes, now: float, passed: list[RateLimit]) -> Code:
+        if self._rate is not None:
+            passed.append(self._rate)
+            if not self._rate.offer(self._position(key, 4), now):
+                return Code.REFUSED_SERVICE_RATE
+        if self._open is not None and not self._open.admits(self._position(key, 5), self._live):
+            return Code.REFUSED_SERVICE_OPEN_FLOWS
+        return Code.OK
+
+    def _admit(self, target: str, passed: list[RateLimit]) -> None:
+        for rate in passed:
+            rate.take()
+        if self._open is not None:
+            self._open.started()
+        if self.limits.target_open_flows:
+            self._open_on(target).started()
+
+    def _position(self, key: bytes, salt: int) -> float:
+        return xxh3_64_intdigest(key, self._seed ^ salt) / _HASH_RANGE
+
+    def _rate_of(self, target: str, now: float) -> RateLimit:
+        rate = self._target_rates.get(target)
+        if rate is None:
+            share = self.limits.target_new_flows_per_s / self._live
+            rate = self._target_rates[target] = RateLimit(share, now)
+        return rate
+
+    def _open_on(self, target: str) -> OpenFlowLimit:
+        held = self._target_open.get(target)
+        if held is None:
+            held = self._target_open[target] = OpenFlowLimit(self.limits.target_open_flows)
+        return held
+
+
+class _PrefixLimits:
+    """Limits by caller prefix in a fixed number of cells.
+
+    A prefix has one cell in each row and is refused only if all of them refuse it, so that a
+    flooding prefix harms only those few that share all of its cells.
+    """
+
+    def __init__(self, limit: int, salt: int) -> None:
+        self._limit = limit
+        self._live = 1
+        self._salt = salt
+        self._cells: dict[tuple[int, int], RateLimit] = {}
+
+    def share(self, live_instances: int) -> None:
+        self._live = live_instances
+        for cell in self._cells.values():
+            cell.set_rate(self._limit / live_instances)
+
+    def offer(self, prefix: bytes, position: float, now: float, passed: list[RateLimit]) -> bool:
+        if not self._limit:
+            return True
+        digest = xxh3_64_intdigest(prefix, self._salt)
+        admits = False
+        for row in range(PREFIX_ROWS):
+            cell = self._cell(row, digest >> (row * 32) & (PREFIX_CELLS_PER_ROW - 1), now)
+            if cell.offer(position, now):
+                passed.append(cell)
+                admits = True
+        return admits
+
+    def _cell(self, row: int, column: int, now: float) -> RateLimit:
+        cell = self._cells.get((row, column))
+        if cell is None:
+            cell = self._cells[row, column] = RateLimit(self._limit / self._live, now)
+        return cell
+
+
+def _optional_rate(limit: int, now: float) -> RateLimit | None:
+    return RateLimit(limit, now) if limit else None
+
+
+def _optional_open(limit: int) -> OpenFlowLimit | None:
+    return OpenFlowLimit(limit) if limit else None
