--- /dev/null
+++ b/pearwell/spill.py
@@ -0,0 +1,110 @@
+"""Spill-over: new flows go to named other zones while the own zone has no working target."""
+
+from collections.abc import Mapping
+from enum import Enum, auto
+
+from pearwell.clock import Clock
+from pearwell.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.placement import TargetState
+
+__all__ = ["SpillOver", "SpillState", "candidates"]
+
+SPILL_AFTER_S = 2.0
+RETURN_AFTER_S = 15.0
+
+
+class SpillState(Enum):
+    """Whether new flows stay in the zone, spill over, or are about to change."""
+
+    OWN = auto()
+    FAILING = auto()
+    SPILLED = auto()
+    RETURNING = auto()
+
+
+_STEPS: Mapping[tuple[SpillState, bool], SpillState] = {
+    (SpillState.OWN, True): SpillState.OWN,
+    (SpillState.OWN, False): SpillState.FAILING,
+    (SpillState.FAILING, True): SpillState.OWN,
+    (SpillState.FAILING, False): SpillState.FAILING,
+    (SpillState.SPILLED, True): SpillState.RETURNING,
+    (SpillState.SPILLED, False): SpillState.SPILLED,
+    (SpillState.RETURNING, True): SpillState.RETURNING,
+    (SpillState.RETURNING, False): SpillState.SPILLED,
+}
+
+_WAITS: Mapping[SpillState, tuple[float, SpillState]] = {
+    SpillState.FAILING: (SPILL_AFTER_S, SpillState.SPILLED),
+    SpillState.RETURNING: (RETURN_AFTER_S, SpillState.OWN),
+}
+
+
+def candidates(group: GroupSpec, zone: str, spill_zones: tuple[str, ...]) -> list[TargetSpec]:
+    """Returns the targets that a zone may ever use, which are those it has to probe."""
+    zones = (zone, *spill_zones)
+    return [target for target in group.targets if target.zone in zones]
+
+
+class SpillOver:
+    """Decides which targets of a group take the new flows of one zone.
+
+    It only chooses where new flows go. Flows that spilled over stay with their targets after the
+    return, as with any planned change of placement.
+
+    Args:
+        zone: The own availability zone.
+        spill_zones: Zones that may take new flows, in order of preference; empty turns it off.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, zone: str, spill_zones: tuple[str, ...], clock: Clock) -> None:
+        self._zone = zone
+        self._spill_zones = spill_zones
+        self._clock = clock
+        self._state = SpillState.OWN
+        self._entered_at = clock.now()
+
+    @property
+    def state(self) -> SpillState:
+        """The current state."""
+        return self._state
+
+    def choose(self, group: GroupSpec, states: Mapping[str, TargetState]) -> tuple[TargetSpec, ...]:
+        """Returns the targets that take new flows.
+
+        Args:
+            group: The group.
+            states: States by target name, as the evidence says; unknown ones count as working.
+        """
+        own = _working(group, self._zone, states)
+        if not self._spill_zones:
+            return own
+        self._enter(_STEPS[self._state, bool(own)])
+        wait = _WAITS.get(self._state)
+        if wait is not None and self._clock.now() - self._entered_at >= wait[0]:
+            self._enter(wait[1])
+        spilled = self._state in (SpillState.SPILLED, SpillState.RETURNING)
+        return self._nearest(group, states) or own if spilled else own
+
+    def _nearest(
+        self, group: GroupSpec, states: Mapping[str, TargetState]
+    ) -> tuple[TargetSpec, ...]:
+        choices = (_working(group, zone, states) for zone in self._spill_zones)
+        return next((targets for targets in choices if targets), ())
+
+    def _enter(self, state: SpillState) -> None:
+        if state is not self._state:
+            self._state = state
+            self._entered_at = self._clock.now()
+
+
+def _working(
+    group: GroupSpec, zone: str, states: Mapping[str, TargetState]
+) -> tuple[TargetSpec, ...]:
+    return tuple(
+        target
+        for target in group.targets
+        if target.zone == zone
+        and target.intent is TargetIntent.SERVING
+        and states.get(target.name, TargetState.WORKING) is TargetState.WORKING
+    )
