Add the object store: conditional updates, retries, faults

Adds the ObjectStore protocol, an in-memory variant with fault switches, and a wrapper that retries with jittered backoff under a budget and a deadline. A write whose answer was lost is settled by reading back.

--- /dev/null
+++ b/pearwell/object_store/__init__.py
@@ -0,0 +1,34 @@
+"""Object store: the platform's object API, its in-memory variant and the retries around it."""
+
+from pearwell.object_store.base import (
+    MAX_VALUE_BYTES,
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    Value,
+    WatchEvent,
+    WatchEventType,
+    check_size,
+    copy_value,
+)
+from pearwell.object_store.memory import Fault, FaultSwitches, MemoryObjectStore, Sleep
+from pearwell.object_store.retrying import RetryBudget, RetryingObjectStore, RetryPolicy
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "Fault",
+    "FaultSwitches",
+    "MemoryObjectStore",
+    "ObjectList",
+    "ObjectStore",
+    "RetryBudget",
+    "RetryPolicy",
+    "RetryingObjectStore",
+    "Sleep",
+    "StoredObject",
+    "Value",
+    "WatchEvent",
+    "WatchEventType",
+    "check_size",
+    "copy_value",
+]
--- /dev/null
+++ b/pearwell/object_store/base.py
@@ -0,0 +1,131 @@
+"""Object store: versioned objects with conditional updates and watches."""
+
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+import msgspec
+
+from pearwell.errors import Code, PlatformError
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "ObjectList",
+    "ObjectStore",
+    "StoredObject",
+    "Value",
+    "WatchEvent",
+    "WatchEventType",
+    "check_size",
+    "copy_value",
+]
+
+# Largest encoded value that the platform holds.
+MAX_VALUE_BYTES = 1_000_000
+
+Value = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object as the platform holds it.
+
+    Attributes:
+        kind: Kind in lower case, such as "service".
+        name: Unique name within the kind.
+        version: Platform version of its latest write; all kinds share one increasing order.
+        value: The JSON value.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: Value
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectList:
+    """Objects of one kind.
+
+    Attributes:
+        items: The objects in order of name.
+        version: Platform version that the list shows, to start a watch from.
+        next_token: Where the next page starts; empty on the last page.
+    """
+
+    items: tuple[StoredObject, ...]
+    version: int
+    next_token: str = ""
+
+
+class WatchEventType(StrEnum):
+    """Kinds of watch events."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+    BOOKMARK = "BOOKMARK"
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """One event of a watch.
+
+    Attributes:
+        type: What happened; a bookmark only carries a version.
+        stored: The object after the event; of a bookmark only the version counts.
+    """
+
+    type: WatchEventType
+    stored: StoredObject
+
+
+class ObjectStore(Protocol):
+    """The platform's object API.
+
+    Every method raises PlatformError; PLATFORM_UNAVAILABLE and PLATFORM_TIMEOUT leave open
+    whether a write took effect.
+    """
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Returns an object; raises PLATFORM_NOT_FOUND if there is none."""
+
+    async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
+        """Returns the objects of a kind.
+
+        Args:
+            kind: Kind in lower case.
+            limit: Most objects in the page; 0 for all of them.
+            token: next_token of the page before.
+        """
+
+    async def create(self, kind: str, name: str, value: Value) -> StoredObject:
+        """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is one."""
+
+    async def update(
+        self, kind: str, name: str, value: Value, expected_version: int
+    ) -> StoredObject:
+        """Replaces an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Removes an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+
+    def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
+        """Yields the events after a version until the platform ends the watch.
+
+        Raises:
+            PlatformError: PLATFORM_WATCH_EXPIRED if the version is too old to resume from.
+        """
+
+
+def copy_value(value: Value) -> dict[str, Any]:
+    """Returns an independent copy of a JSON value."""
+    return msgspec.json.decode(msgspec.json.encode(value))
+
+
+def check_size(kind: str, name: str, value: Value) -> None:
+    """Raises PLATFORM_TOO_LARGE if the platform wouldn't hold a value."""
+    size = len(msgspec.json.encode(value))
+    if size > MAX_VALUE_BYTES:
+        raise PlatformError(Code.PLATFORM_TOO_LARGE, f"{kind}/{name} takes {size} bytes")
--- /dev/null
+++ b/pearwell/object_store/memory.py
@@ -0,0 +1,257 @@
+"""In-memory object store with fault switches, for tests and the platform stand-in."""
+
+import asyncio
+from collections import Counter, deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TypeVar
+
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store.base import (
+    ObjectList,
+    StoredObject,
+    Value,
+    WatchEvent,
+    WatchEventType,
+    check_size,
+    copy_value,
+)
+
+__all__ = ["Fault", "FaultSwitches", "MemoryObjectStore", "Sleep"]
+
+_T = TypeVar("_T")
+_Objects = dict[tuple[str, str], StoredObject]
+
+Sleep = Callable[[float], Awaitable[None]]
+
+# Events that a watch can still resume from.
+HISTORY_EVENTS = 10_000
+
+
+class Fault(StrEnum):
+    """What can go wrong with one call."""
+
+    NONE = "none"
+    OUTAGE = "outage"
+    LOST_REQUEST = "lost_request"
+    LOST_ANSWER = "lost_answer"
+    STALE = "stale"
+    SLOW = "slow"
+
+
+@dataclass(slots=True)
+class FaultSwitches:
+    """Faults of the store; all are off at first.
+
+    Attributes:
+        outage: Every call fails and every watch ends.
+        stale: Reads answer from the state at the latest freeze.
+        delay_s: Time that every call takes.
+        slow_s: Time that a call with Fault.SLOW takes.
+        lose_requests: Number of next calls that get no answer and take no effect.
+        lose_answers: Number of next writes that take effect but get no answer.
+        duplicate_events: Every watch event comes twice.
+        repeat_old_events: Every watch event is followed by the one before it.
+        event_delay_s: Time by which watch events are late.
+        plan: Faults of the next calls, one for each call, before the switches apply.
+    """
+
+    outage: bool = False
+    stale: bool = False
+    delay_s: float = 0.0
+    slow_s: float = 5.0
+    lose_requests: int = 0
+    lose_answers: int = 0
+    duplicate_events: bool = False
+    repeat_old_events: bool = False
+    event_delay_s: float = 0.0
+    plan: deque[Fault] = field(default_factory=deque)
+
+
+class MemoryObjectStore:
+    """Holds objects in memory and behaves like the platform, faults included.
+
+    Args:
+        sleep: Waits a number of seconds; replaced for virtual time.
+        history: Number of events that a watch can resume from.
+    """
+
+    def __init__(self, sleep: Sleep = asyncio.sleep, history: int = HISTORY_EVENTS) -> None:
+        self.faults = FaultSwitches()
+        self._sleep = sleep
+        self._objects: _Objects = {}
+        self._frozen: tuple[int, _Objects] = (0, {})
+        self._version = 0
+        self._history: deque[WatchEvent] = deque(maxlen=history)
+        self._changed = asyncio.Event()
+        self._calls: Counter[str] = Counter()
+
+    @property
+    def version(self) -> int:
+        """Version of the latest write of any object."""
+        return self._version
+
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls so far by operation; a waiting watch counts as one."""
+        return dict(self._calls)
+
+    def latest(self, kind: str) -> int:
+        """Returns the version of the latest event of a kind that a watch could still show."""
+        events = (event.stored for event in reversed(self._history))
+        return next((stored.version for stored in events if stored.kind == kind), 0)
+
+    def freeze(self) -> None:
+        """Remembers the present state as the one that stale reads answer from."""
+        self._frozen = (self._version, dict(self._objects))
+
+    def interrupt(self) -> None:
+        """Wakes waiting watches, so that changed switches apply to them."""
+        self._notify()
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Returns an object; raises PLATFORM_NOT_FOUND if there is none."""
+        stale = await self._enter("get")
+        _, objects = self._state(stale)
+        return _copy(_find(objects, kind, name))
+
+    async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
+        """Returns the objects of a kind in order of name."""
+        stale = await self._enter("list")
+        version, objects = self._state(stale)
+        names = sorted(name for k, name in objects if k == kind and name > token)
+        page = names[:limit] if limit else names
+        items = tuple(_copy(objects[kind, name]) for name in page)
+        return ObjectList(items, version, page[-1] if len(page) < len(names) else "")
+
+    async def create(self, kind: str, name: str, value: Value) -> StoredObject:
+        """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is one."""
+
+        def apply() -> StoredObject:
+            if (kind, name) in self._objects:
+                raise PlatformError(Code.PLATFORM_ALREADY_EXISTS, f"{kind}/{name}")
+            return self._put(WatchEventType.ADDED, kind, name, value)
+
+        return await self._write("create", apply)
+
+    async def update(
+        self, kind: str, name: str, value: Value, expected_version: int
+    ) -> StoredObject:
+        """Replaces an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+
+        def apply() -> StoredObject:
+            _check_version(_find(self._objects, kind, name), expected_version)
+            return self._put(WatchEventType.MODIFIED, kind, name, value)
+
+        return await self._write("update", apply)
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Removes an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+
+        def apply() -> None:
+            stored = _find(self._objects, kind, name)
+            _check_version(stored, expected_version)
+            self._put(WatchEventType.DELETED, kind, name, stored.value)
+            del self._objects[kind, name]
+
+        await self._write("delete", apply)
+
+    async def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
+        """Yields the events after a version until an outage ends the watch."""
+        await self._enter("watch")
+        self._check_resumable(version)
+        earlier: WatchEvent | None = None
+        while True:
+            changed = self._changed
+            for event in self._events(kind, version):
+                if self.faults.event_delay_s:
+                    await self._sleep(self.faults.event_delay_s)
+                self._check_reachable()
+                for copy in self._repeated(event, earlier):
+                    yield copy
+                earlier, version = event, event.stored.version
+            self._check_reachable()
+            await changed.wait()
+
+    def _events(self, kind: str, version: int) -> tuple[WatchEvent, ...]:
+        newer = (event for event in self._history if event.stored.version > version)
+        return tuple(event for event in newer if event.stored.kind == kind)
+
+    def _repeated(self, event: WatchEvent, earlier: WatchEvent | None) -> tuple[WatchEvent, ...]:
+        copies = (event,) * (2 if self.faults.duplicate_events else 1)
+        if earlier is None or not self.faults.repeat_old_events:
+            return copies
+        return (*copies, earlier)
+
+    async def _write(self, operation: str, apply: Callable[[], _T]) -> _T:
+        fault = await self._enter(operation)
+        result = apply()
+        if fault is Fault.LOST_ANSWER:
+            raise PlatformError(Code.PLATFORM_TIMEOUT, f"{operation}: no answer")
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise PlatformError(Code.PLATFORM_TIMEOUT, f"{operation}: no answer")
+        return result
+
+    async def _enter(self, operation: str) -> Fault:
+        self._calls[operation] += 1
+        fault = self.faults.plan.popleft() if self.faults.plan else Fault.NONE
+        delay = self.faults.slow_s if fault is Fault.SLOW else self.faults.delay_s
+        if delay:
+            await self._sleep(delay)
+        if fault is Fault.OUTAGE:
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, operation)
+        self._check_reachable()
+        lost_answer_of_read = fault is Fault.LOST_ANSWER and operation in ("get", "list", "watch")
+        if fault is Fault.LOST_REQUEST or lost_answer_of_read:
+            raise PlatformError(Code.PLATFORM_TIMEOUT, f"{operation}: no answer")
+        if self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            raise PlatformError(Code.PLATFORM_TIMEOUT, f"{operation}: no answer")
+        return fault
+
+    def _check_reachable(self) -> None:
+        if self.faults.outage:
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, "outage")
+
+    def _check_resumable(self, version: int) -> None:
+        if len(self._history) == self._history.maxlen:
+            oldest = self._history[0].stored.version
+            if version < oldest - 1:
+                raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, f"{version} is too old")
+
+    def _state(self, fault: Fault) -> tuple[int, _Objects]:
+        if fault is Fault.STALE or self.faults.stale:
+            return self._frozen
+        return self._version, self._objects
+
+    def _put(self, type_: WatchEventType, kind: str, name: str, value: Value) -> StoredObject:
+        check_size(kind, name, value)
+        self._version += 1
+        stored = StoredObject(kind, name, self._version, copy_value(value))
+        self._objects[kind, name] = stored
+        self._history.append(WatchEvent(type_, stored))
+        self._notify()
+        return _copy(stored)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _find(objects: _Objects, kind: str, name: str) -> StoredObject:
+    stored = objects.get((kind, name))
+    if stored is None:
+        raise PlatformError(Code.PLATFORM_NOT_FOUND, f"{kind}/{name}")
+    return stored
+
+
+def _check_version(stored: StoredObject, expected_version: int) -> None:
+    if stored.version != expected_version:
+        detail = f"{stored.kind}/{stored.name} has version {stored.version}"
+        raise PlatformError(Code.PLATFORM_CONFLICT, f"{detail}, not {expected_version}")
+
+
+def _copy(stored: StoredObject) -> StoredObject:
+    return StoredObject(stored.kind, stored.name, stored.version, copy_value(stored.value))
--- /dev/null
+++ b/pearwell/object_store/retrying.py
@@ -0,0 +1,198 @@
+"""Retries around an object store: backoff, budget, deadline, and settling of lost answers."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from pearwell.clock import Clock
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store.base import ObjectList, ObjectStore, StoredObject, Value, WatchEvent
+from pearwell.object_store.base import copy_value as _copy_value
+
+__all__ = ["RetryBudget", "RetryPolicy", "RetryingObjectStore"]
+
+_T = TypeVar("_T")
+
+_RETRYABLE = frozenset({Code.PLATFORM_UNAVAILABLE, Code.PLATFORM_TIMEOUT})
+# Refusals that an earlier attempt of the same write may itself have caused.
+_SELF_INFLICTED = frozenset(
+    {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """Bounds of one call with its retries; each inner timeout is shorter than the outer one.
+
+    Attributes:
+        attempt_timeout_s: Time until an attempt is given up.
+        deadline_s: Time until the whole call is given up.
+        first_backoff_s: Upper bound of the first pause.
+        max_backoff_s: Upper bound of all pauses; they double from the first one.
+    """
+
+    attempt_timeout_s: float = 1.5
+    deadline_s: float = 6.0
+    first_backoff_s: float = 0.05
+    max_backoff_s: float = 1.0
+
+    def __post_init__(self) -> None:
+        if not 0 < self.attempt_timeout_s < self.deadline_s:
+            raise ValueError("attempt_timeout_s must be positive and below deadline_s")
+
+    def backoff_s(self, retry: int, rng: random.Random) -> float:
+        """Returns a pause in seconds before a retry, counted from 0, with full jitter."""
+        bound = min(self.max_backoff_s, self.first_backoff_s * 2 ** min(retry, 30))
+        return rng.uniform(0, bound)
+
+
+class RetryBudget:
+    """Limits retries to a share of calls, so that an outage isn't followed by a surge.
+
+    Args:
+        reserve: Retries allowed before any call succeeded; also the most that is saved up.
+        share: Retries earned by one successful call.
+    """
+
+    def __init__(self, reserve: float = 20.0, share: float = 0.2) -> None:
+        self._reserve = reserve
+        self._share = share
+        self._tokens = reserve
+
+    @property
+    def tokens(self) -> float:
+        """Retries left."""
+        return self._tokens
+
+    def deposit(self) -> None:
+        """Adds what a successful call earns."""
+        self._tokens = min(self._reserve, self._tokens + self._share)
+
+    def withdraw(self) -> bool:
+        """Takes one retry; returns False if none is left."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class RetryingObjectStore:
+    """An object store that retries and settles lost answers by reading back.
+
+    A write whose answer was lost may have taken effect, so its retry may be refused because of
+    itself. The object is then read: if it holds the written value, the write succeeded. A value
+    must therefore be unique to its write, for which it carries an idempotency key.
+
+    Args:
+        inner: The store that is called.
+        clock: Clock for the deadline.
+        rng: Random source for the jitter.
+        policy: Timeouts and pauses.
+        budget: Retries left, shared by all calls.
+    """
+
+    def __init__(
+        self,
+        inner: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        policy: RetryPolicy | None = None,
+        budget: RetryBudget | None = None,
+    ) -> None:
+        self._inner = inner
+        self._clock = clock
+        self._rng = rng
+        self._policy = policy or RetryPolicy()
+        self._budget = budget or RetryBudget()
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Returns an object; raises PLATFORM_NOT_FOUND if there is none."""
+        return await self._call(lambda: self._inner.get(kind, name))
+
+    async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
+        """Returns the objects of a kind, or a page of them."""
+        return await self._call(lambda: self._inner.list(kind, limit=limit, token=token))
+
+    async def create(self, kind: str, name: str, value: Value) -> StoredObject:
+        """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is another one."""
+        return await self._call(
+            lambda: self._inner.create(kind, name, value),
+            lambda error: self._read_back(kind, name, value, error),
+        )
+
+    async def update(
+        self, kind: str, name: str, value: Value, expected_version: int
+    ) -> StoredObject:
+        """Replaces an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+        return await self._call(
+            lambda: self._inner.update(kind, name, value, expected_version),
+            lambda error: self._read_back(kind, name, value, error),
+        )
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Removes an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+        await self._call(
+            lambda: self._inner.delete(kind, name, expected_version),
+            self._settle_delete,
+        )
+
+    def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
+        """Yields events; the reader resumes a watch that ends."""
+        return self._inner.watch(kind, version)
+
+    async def _call(
+        self,
+        operation: Callable[[], Awaitable[_T]],
+        settle: Callable[[PlatformError], Awaitable[_T]] | None = None,
+    ) -> _T:
+        deadline = self._clock.now() + self._policy.deadline_s
+        retry = 0
+        while True:
+            try:
+                result = await self._attempt(operation, deadline)
+            except PlatformError as error:
+                if error.code in _RETRYABLE:
+                    await self._pause(error, retry, deadline)
+                elif retry and settle is not None and error.code in _SELF_INFLICTED:
+                    return await settle(error)
+                else:
+                    raise
+            else:
+                self._budget.deposit()
+                return result
+            retry += 1
+
+    async def _attempt(self, operation: Callable[[], Awaitable[_T]], deadline: float) -> _T:
+        left = max(0.0, deadline - self._clock.now())
+        try:
+            async with asyncio.timeout(min(self._policy.attempt_timeout_s, left)):
+                return await operation()
+        except TimeoutError as error:
+            raise PlatformError(Code.PLATFORM_TIMEOUT, "no answer in time") from error
+
+    async def _pause(self, error: PlatformError, retry: int, deadline: float) -> None:
+        pause = self._policy.backoff_s(retry, self._rng)
+        if self._clock.now() + pause >= deadline:
+            raise error
+        if not self._budget.withdraw():
+            raise PlatformError(Code.PLATFORM_RETRY_BUDGET, error.detail) from error
+        await asyncio.sleep(pause)
+
+    async def _read_back(
+        self, kind: str, name: str, value: Value, error: PlatformError
+    ) -> StoredObject:
+        try:
+            stored = await self.get(kind, name)
+        except PlatformError as reading:
+            if reading.code is Code.PLATFORM_NOT_FOUND:
+                raise error from reading
+            raise
+        if stored.value == _copy_value(value):
+            return stored
+        raise error
+
+    async def _settle_delete(self, error: PlatformError) -> None:
+        if error.code is not Code.PLATFORM_NOT_FOUND:
+            raise error
