--- /dev/null
+++ b/pearwell/platform_client.py
@@ -0,0 +1,277 @@
+"""Client of the platform: custom resources over HTTP by the Kubernetes API conventions."""
+
+from collections import Counter
+from collections.abc import AsyncIterator, Mapping
+from types import TracebackType
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store import (
+    ObjectList,
+    StoredObject,
+    Value,
+    WatchEvent,
+    WatchEventType,
+    check_size,
+)
+
+__all__ = ["API_GROUP", "API_VERSION", "PlatformClient", "collection_path", "to_resource"]
+
+API_GROUP = "pearwell.io"
+API_VERSION = "v1"
+NAMESPACE = "pearwell"
+
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 5.0
+# The platform ends a watch after this time; the client then resumes it.
+WATCH_DURATION_S = 60
+# Silence after which a watch counts as lost; bookmarks come more often.
+WATCH_IDLE_TIMEOUT_S = 15.0
+# Longest line of a watch: an object of the largest size with its metadata.
+MAX_LINE_BYTES = 4_000_000
+# Objects in one page of a list without a limit.
+PAGE_SIZE = 500
+
+_GONE = 410
+
+_BY_REASON: Mapping[str, Code] = {
+    "AlreadyExists": Code.PLATFORM_ALREADY_EXISTS,
+    "Conflict": Code.PLATFORM_CONFLICT,
+    "Expired": Code.PLATFORM_WATCH_EXPIRED,
+    "Gone": Code.PLATFORM_WATCH_EXPIRED,
+    "NotFound": Code.PLATFORM_NOT_FOUND,
+    "RequestEntityTooLarge": Code.PLATFORM_TOO_LARGE,
+    "TooManyRequests": Code.PLATFORM_UNAVAILABLE,
+    "Timeout": Code.PLATFORM_TIMEOUT,
+}
+
+_BY_STATUS: Mapping[int, Code] = {
+    404: Code.PLATFORM_NOT_FOUND,
+    409: Code.PLATFORM_CONFLICT,
+    410: Code.PLATFORM_WATCH_EXPIRED,
+    413: Code.PLATFORM_TOO_LARGE,
+    429: Code.PLATFORM_UNAVAILABLE,
+    500: Code.PLATFORM_UNAVAILABLE,
+    502: Code.PLATFORM_UNAVAILABLE,
+    503: Code.PLATFORM_UNAVAILABLE,
+    504: Code.PLATFORM_TIMEOUT,
+}
+
+
+class PlatformClient:
+    """An ObjectStore over HTTP; one attempt for each call, see RetryingObjectStore.
+
+    Args:
+        base_url: Scheme, address and port, such as "http://127.0.0.1:8001".
+        headers: Sent with each request, such as an authorization.
+    """
+
+    def __init__(self, base_url: str, headers: Mapping[str, str] | None = None) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._headers = dict(headers or {})
+        self._session: aiohttp.ClientSession | None = None
+        self._calls: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls so far by operation; a waiting watch counts as one."""
+        return dict(self._calls)
+
+    async def __aenter__(self) -> "PlatformClient":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Returns an object; raises PLATFORM_NOT_FOUND if there is none."""
+        return _from_resource(kind, await self._request("get", "GET", _path(kind, name)))
+
+    async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
+        """Returns the objects of a kind, fetched in pages unless one page is asked for."""
+        page = await self._page(kind, limit or PAGE_SIZE, token)
+        if limit:
+            return page
+        items = list(page.items)
+        version = page.version
+        while page.next_token:
+            page = await self._page(kind, PAGE_SIZE, page.next_token)
+            items.extend(page.items)
+            # A watch from the earliest page's version misses no change between the pages.
+            version = min(version, page.version)
+        return ObjectList(tuple(items), version)
+
+    async def create(self, kind: str, name: str, value: Value) -> StoredObject:
+        """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is one."""
+        check_size(kind, name, value)
+        body = to_resource(StoredObject(kind, name, 0, value))
+        path = collection_path(kind)
+        return _from_resource(kind, await self._request("create", "POST", path, body))
+
+    async def update(
+        self, kind: str, name: str, value: Value, expected_version: int
+    ) -> StoredObject:
+        """Replaces an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+        check_size(kind, name, value)
+        body = to_resource(StoredObject(kind, name, expected_version, value))
+        path = _path(kind, name)
+        return _from_resource(kind, await self._request("update", "PUT", path, body))
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Removes an object; raises PLATFORM_CONFLICT unless it has the expected version."""
+        precondition = {"resourceVersion": str(expected_version)}
+        body = {"kind": "DeleteOptions", "apiVersion": "v1", "preconditions": precondition}
+        await self._request("delete", "DELETE", _path(kind, name), body)
+
+    async def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
+        """Yields the events after a version until the platform ends the watch.
+
+        Raises:
+            PlatformError: PLATFORM_WATCH_EXPIRED if the version is too old to resume from.
+        """
+        self._calls["watch"] += 1
+        parameters = {
+            "watch": "1",
+            "resourceVersion": str(version),
+            "allowWatchBookmarks": "true",
+            "timeoutSeconds": str(WATCH_DURATION_S),
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=WATCH_IDLE_TIMEOUT_S
+        )
+        url = self._base_url + collection_path(kind)
+        try:
+            async with self._open().get(url, params=parameters, timeout=timeout) as response:
+                if response.status != 200:
+                    raise _error(response.status, await response.read())
+                while line := await response.content.readline():
+                    yield _event(kind, line)
+        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+            raise _transport_error("watch", error) from error
+
+    async def _page(self, kind: str, limit: int, token: str) -> ObjectList:
+        parameters = {"limit": str(limit)} | ({"continue": token} if token else {})
+        answer = await self._request("list", "GET", collection_path(kind), params=parameters)
+        try:
+            metadata = answer["metadata"]
+            items = tuple(_from_resource(kind, item) for item in answer["items"])
+            return ObjectList(
+                items, int(metadata["resourceVersion"]), str(metadata.get("continue", ""))
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"list: {error!r}") from error
+
+    async def _request(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        params: Mapping[str, str] | None = None,
+    ) -> Any:
+        self._calls[operation] += 1
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with self._open().request(
+                method, self._base_url + path, data=data, params=params
+            ) as response:
+                answer = await response.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise _transport_error(operation, error) from error
+        if response.status >= 300:
+            raise _error(response.status, answer)
+        return _decode(answer)
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                headers={"Content-Type": "application/json", **self._headers},
+                timeout=aiohttp.ClientTimeout(
+                    total=REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+                ),
+                read_bufsize=MAX_LINE_BYTES,
+            )
+        return self._session
+
+
+def collection_path(kind: str) -> str:
+    """Returns the path of all objects of a kind."""
+    return f"/apis/{API_GROUP}/{API_VERSION}/namespaces/{NAMESPACE}/{kind}s"
+
+
+def to_resource(stored: StoredObject) -> dict[str, Any]:
+    """Returns the custom resource of an object; version 0 is left out."""
+    metadata: dict[str, Any] = {"name": stored.name, "namespace": NAMESPACE}
+    if stored.version:
+        metadata["resourceVersion"] = str(stored.version)
+    return {
+        "apiVersion": f"{API_GROUP}/{API_VERSION}",
+        "kind": stored.kind.capitalize(),
+        "metadata": metadata,
+        "spec": stored.value,
+    }
+
+
+def _path(kind: str, name: str) -> str:
+    return f"{collection_path(kind)}/{name}"
+
+
+def _from_resource(kind: str, resource: Any) -> StoredObject:
+    try:
+        metadata = resource["metadata"]
+        version = int(metadata["resourceVersion"])
+        return StoredObject(kind, metadata.get("name", ""), version, resource.get("spec", {}))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{kind}: {error!r}") from error
+
+
+def _event(kind: str, line: bytes) -> WatchEvent:
+    event = _decode(line)
+    try:
+        name, resource = event["type"], event["object"]
+    except (KeyError, TypeError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"watch event: {error!r}") from error
+    if name == "ERROR":
+        raise _error(int(resource.get("code", _GONE)), msgspec.json.encode(resource))
+    if name not in WatchEventType.__members__:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"watch event of type {name!r}")
+    return WatchEvent(WatchEventType(name), _from_resource(kind, resource))
+
+
+def _decode(payload: bytes) -> Any:
+    try:
+        return msgspec.json.decode(payload)
+    except msgspec.DecodeError as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
+
+
+def _error(status: int, answer: bytes) -> PlatformError:
+    try:
+        body = msgspec.json.decode(answer)
+        reason, message = str(body.get("reason", "")), str(body.get("message", ""))
+    except (msgspec.DecodeError, AttributeError):
+        reason, message = "", answer[:200].decode(errors="replace")
+    code = _BY_REASON.get(reason) or _BY_STATUS.get(status, Code.PLATFORM_BAD_ANSWER)
+    return PlatformError(code, f"HTTP status {status}: {message}")
+
+
+def _transport_error(operation: str, error: Exception) -> PlatformError:
+    if isinstance(error, TimeoutError):
+        return PlatformError(Code.PLATFORM_TIMEOUT, f"{operation}: no answer in time")
+    if isinstance(error, aiohttp.ClientError):
+        return PlatformError(Code.PLATFORM_UNAVAILABLE, f"{operation}: {error}")
+    return PlatformError(Code.PLATFORM_BAD_ANSWER, f"{operation}: {error}")
