--- /dev/null
+++ b/pearwell/schema.py
@@ -0,0 +1,216 @@
+"""Validated models of services and groups: their JSON form at the border and in the platform."""
+
+import ipaddress
+import re
+from collections.abc import Mapping
+from typing import Annotated, Any
+
+import pydantic
+
+from pearwell.configuration import Kind
+from pearwell.errors import Code, ConfigurationError
+from pearwell.group import (
+    DEFAULT_ENCAPSULATION_PORT,
+    DEFAULT_WEIGHT,
+    MAX_WEIGHT,
+    MIN_WEIGHT,
+    GroupSpec,
+    HealthCheck,
+    TargetIntent,
+    TargetSpec,
+)
+from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
+
+__all__ = [
+    "GroupModel",
+    "ServiceModel",
+    "Spec",
+    "check_name",
+    "from_document",
+    "to_document",
+]
+
+Spec = ServiceSpec | GroupSpec
+
+MAX_NAME_CHARACTERS = 63
+MAX_SEED = 2**64 - 1
+MAX_SECONDS = 7 * 24 * 3600.0
+MAX_FLOWS = 2**31 - 1
+MAX_TARGETS = 4096
+
+# A DNS label, as names of custom resources have to be.
+_NAME = re.compile(r"[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?")
+
+# Codes of invalid fields, by the last name in the field's path; others are CONFIG_INVALID.
+_CODES: Mapping[str, Code] = {
+    "name": Code.CONFIG_BAD_NAME,
+    "weight": Code.CONFIG_WEIGHT_RANGE,
+}
+
+
+def check_name(name: str) -> str:
+    """Returns a name.
+
+    Raises:
+        ValueError: It isn't a DNS label of at most 63 characters.
+    """
+    if not _NAME.fullmatch(name):
+        raise ValueError("must be a DNS label: a-z, 0-9 and -, at most 63 characters")
+    return name
+
+
+def _check_address(address: str) -> str:
+    parsed = ipaddress.ip_address(address)
+    if parsed.is_multicast or parsed.is_unspecified:
+        raise ValueError("must be a unicast address")
+    return str(parsed)
+
+
+def _lower_name(value: Any) -> Any:
+    # Takes the schema's enum names, such as TRANSPORT_PROTOCOL_TCP, as well as "tcp".
+    return value.rsplit("_", 1)[-1].lower() if isinstance(value, str) else value
+
+
+def _protocol(value: Any) -> Any:
+    names = {member.name.lower(): member for member in TransportProtocol}
+    return names.get(_lower_name(value), value)
+
+
+_Name = Annotated[str, pydantic.AfterValidator(check_name)]
+_Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+_Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+_OptionalPort = Annotated[int, pydantic.Field(ge=0, le=65535)]
+_Flows = Annotated[int, pydantic.Field(ge=0, le=MAX_FLOWS)]
+_Seconds = Annotated[float, pydantic.Field(gt=0, le=MAX_SECONDS)]
+_OptionalSeconds = Annotated[float, pydantic.Field(ge=0, le=MAX_SECONDS)]
+_Protocol = Annotated[
+    TransportProtocol,
+    pydantic.BeforeValidator(_protocol),
+    pydantic.PlainSerializer(lambda protocol: protocol.name.lower(), return_type=str),
+]
+_Preference = Annotated[Preference, pydantic.BeforeValidator(_lower_name)]
+_Intent = Annotated[TargetIntent, pydantic.BeforeValidator(_lower_name)]
+
+
+class _Model(pydantic.BaseModel):
+    # Fields of later releases are ignored, so that releases can run side by side.
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True, from_attributes=True)
+
+
+class HealthCheckModel(_Model):
+    """How targets are probed; see HealthCheck."""
+
+    port: _OptionalPort = 0
+    path: str = pydantic.Field(default="/healthz", pattern="^/", max_length=256)
+    load_path: str = pydantic.Field(default="/load", pattern="^(/|$)", max_length=256)
+    interval_s: float = pydantic.Field(default=1.0, ge=0.1, le=60)
+    timeout_s: float = pydantic.Field(default=0.5, ge=0.01, le=60)
+    failures: int = pydantic.Field(default=3, ge=1, le=100)
+    successes: int = pydantic.Field(default=2, ge=1, le=100)
+
+    def to_spec(self) -> HealthCheck:
+        """Returns the data class."""
+        return HealthCheck(**dict(self))
+
+
+class TargetModel(_Model):
+    """One target; see TargetSpec."""
+
+    name: _Name
+    address: _Address
+    zone: _Name
+    port: _Port = DEFAULT_ENCAPSULATION_PORT
+    weight: int = pydantic.Field(default=DEFAULT_WEIGHT, ge=MIN_WEIGHT, le=MAX_WEIGHT)
+    slots: int = pydantic.Field(default=0, ge=0, le=1_000_000)
+    intent: _Intent = TargetIntent.SERVING
+    drain_deadline_s: _OptionalSeconds = 0.0
+
+    def to_spec(self) -> TargetSpec:
+        """Returns the data class."""
+        return TargetSpec(**dict(self))
+
+
+class GroupModel(_Model):
+    """A target group; see GroupSpec."""
+
+    name: _Name
+    targets: tuple[TargetModel, ...] = pydantic.Field(default=(), max_length=MAX_TARGETS)
+    health: HealthCheckModel = HealthCheckModel()
+    seed: int = pydantic.Field(default=0, ge=0, le=MAX_SEED)
+
+    def to_spec(self) -> GroupSpec:
+        """Returns the data class."""
+        targets = tuple(target.to_spec() for target in self.targets)
+        return GroupSpec(self.name, targets, self.health.to_spec(), self.seed)
+
+
+class FlowLimitsModel(_Model):
+    """Admission limits; see FlowLimits."""
+
+    new_flows_per_s: _Flows = 0
+    open_flows: _Flows = 0
+    prefix_new_flows_per_s: _Flows = 0
+    target_new_flows_per_s: _Flows = 0
+    target_open_flows: _Flows = 0
+
+    def to_spec(self) -> FlowLimits:
+        """Returns the data class."""
+        return FlowLimits(**dict(self))
+
+
+class ServiceModel(_Model):
+    """A service; see ServiceSpec."""
+
+    name: _Name
+    address: _Address
+    port: _Port
+    protocol: _Protocol
+    group: Annotated[str, pydantic.AfterValidator(check_name)]
+    idle_timeout_s: _Seconds = 3600.0
+    learning_time_s: _OptionalSeconds = 2.0
+    preference: _Preference = Preference.UNBROKEN
+    limits: FlowLimitsModel = FlowLimitsModel()
+    spill_zones: tuple[_Name, ...] = ()
+
+    def to_spec(self) -> ServiceSpec:
+        """Returns the data class."""
+        return ServiceSpec(**(dict(self) | {"limits": self.limits.to_spec()}))
+
+
+_MODELS: Mapping[Kind, type[ServiceModel] | type[GroupModel]] = {
+    Kind.SERVICE: ServiceModel,
+    Kind.GROUP: GroupModel,
+}
+
+
+def from_document(kind: Kind, document: Any) -> Spec:
+    """Validates the JSON form of a service or group.
+
+    Args:
+        kind: What it is.
+        document: Field values by name; fields with defaults may be missing.
+
+    Returns:
+        The data class.
+
+    Raises:
+        ConfigurationError: CONFIG_INVALID, CONFIG_BAD_NAME or CONFIG_WEIGHT_RANGE; the detail
+            names the field.
+    """
+    try:
+        return _MODELS[kind].model_validate(document).to_spec()
+    except pydantic.ValidationError as error:
+        raise _invalid(kind, error) from error
+
+
+def to_document(kind: Kind, spec: Spec) -> dict[str, Any]:
+    """Returns the JSON form of a service or group."""
+    return _MODELS[kind].model_validate(spec).model_dump(mode="json")
+
+
+def _invalid(kind: Kind, error: pydantic.ValidationError) -> ConfigurationError:
+    first = error.errors()[0]
+    names = [str(part) for part in first["loc"]]
+    last = next((name for name in reversed(names) if not name.isdecimal()), "")
+    code = _CODES.get(last, Code.CONFIG_INVALID)
+    return ConfigurationError(code, f"{kind}.{'.'.join(names)}: {first['msg']}")
