--- /dev/null
+++ b/pearwell/lease.py
@@ -0,0 +1,151 @@
+"""The view lease: how long an instance may trust its view and placements without news."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from pearwell.clock import Clock
+from pearwell.messages import Message
+from pearwell.messages.steering import PlacementQuery, PlacementState
+from pearwell.placement import Generation
+from pearwell.transport import Transport
+
+__all__ = ["VIEW_LEASE_S", "ViewLease"]
+
+VIEW_LEASE_S = 1.0
+# Peers that are asked at once after a lapse.
+URGENT_PEERS = 3
+
+_NEVER = float("-inf")
+
+
+class ViewLease:
+    """Holds while membership hears the zone and a peer confirms the placements.
+
+    Membership alone doesn't tell that no placement was missed, so a random peer is asked with
+    each tick whether it knows a higher generation.
+
+    Args:
+        transport: Carries messages to other instances.
+        clock: Source of time.
+        rng: Chooses the peers to ask.
+        lease_s: Seconds that the lease holds after the latest news.
+        generations: Returns the own generation by group.
+        renewed: Called whenever the lease holds after news.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+        lease_s: float,
+        generations: Callable[[], dict[str, Generation]],
+        renewed: Callable[[], None],
+    ) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._lease_s = lease_s
+        self._generations = generations
+        self._renewed = renewed
+        self._peers: list[str] = []
+        self._heard_at = _NEVER
+        self._confirmed_at = _NEVER
+        self._number = 0
+        self._asked_at: dict[int, float] = {}
+        self._missing: dict[str, Generation] = {}
+        self._missing_at = _NEVER
+
+    @property
+    def valid(self) -> bool:
+        """Whether the lease holds now."""
+        latest = min(self._heard_at, self._confirmed_at)
+        return self._clock.now() - latest <= self._lease_s
+
+    def set_peers(self, peers: Iterable[str]) -> None:
+        """Sets whom to ask."""
+        self._peers = sorted(peers)
+
+    def hear(self, heard_at: float) -> None:
+        """Notes that membership heard the zone at a time in seconds."""
+        self._heard_at = max(self._heard_at, heard_at)
+        self._announce()
+
+    def ask(self) -> None:
+        """Asks a few peers at once, to end a lapse soon."""
+        for peer in self._rng.sample(self._peers, min(URGENT_PEERS, len(self._peers))):
+            self._query(peer)
+
+    def tick(self) -> None:
+        """Asks one peer, or a few while the lease doesn't hold."""
+        if not self.valid:
+            self.ask()
+        elif self._peers:
+            self._query(self._rng.choice(self._peers))
+
+    def check_caught_up(self) -> None:
+        """Renews the lease if the placements that were missing have arrived."""
+        own = self._generations()
+        if self._missing and not _newer(self._missing, own):
+            self._confirm(self._missing_at)
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handles a message; returns False if it is none of the lease."""
+        if isinstance(message, PlacementQuery):
+            self._answer(sender, message)
+            return True
+        if isinstance(message, PlacementState):
+            self._on_state(message)
+            return True
+        return False
+
+    def _query(self, peer: str) -> None:
+        now = self._clock.now()
+        self._asked_at = {n: at for n, at in self._asked_at.items() if now - at < self._lease_s}
+        self._number += 1
+        self._asked_at[self._number] = now
+        self._transport.send(peer, PlacementQuery(self._number, _checksum(self._generations())))
+
+    def _answer(self, sender: str, message: PlacementQuery) -> None:
+        own = self._generations()
+        differs = message.checksum != _checksum(own)
+        known = tuple(own.items()) if differs else ()
+        self._transport.send(sender, PlacementState(message.number, known))
+
+    def _on_state(self, message: PlacementState) -> None:
+        asked_at = self._asked_at.pop(message.number, _NEVER)
+        own = self._generations()
+        newer = _newer(dict(message.generations), own)
+        if not own:
+            return
+        if newer:
+            self._missing, self._missing_at = newer, asked_at
+        else:
+            self._confirm(asked_at)
+
+    def _confirm(self, at: float) -> None:
+        self._missing = {}
+        self._confirmed_at = max(self._confirmed_at, at)
+        self._announce()
+
+    def _announce(self) -> None:
+        if self.valid:
+            self._renewed()
+
+
+def _newer(theirs: dict[str, Generation], own: dict[str, Generation]) -> dict[str, Generation]:
+    """Returns the generations above the own ones; groups unknown here don't matter."""
+    return {
+        name: generation
+        for name, generation in theirs.items()
+        if name in own and generation > own[name]
+    }
+
+
+def _checksum(generations: dict[str, Generation]) -> int:
+    """Returns a 32-bit hash over generations in order of group."""
+    ordered = sorted(generations.items())
+    text = "\0".join(f"{name}\0{g.counter}\0{g.instance}" for name, g in ordered)
+    return xxh3_64_intdigest(text.encode()) & 0xFFFFFFFF
--- /dev/null
+++ b/pearwell/owner.py
@@ -0,0 +1,214 @@
+"""Decisions of an owner on the flows of moving buckets."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from pearwell.clock import Clock
+from pearwell.errors import Code
+from pearwell.invariants import Invariant, Invariants
+from pearwell.membership import Member
+from pearwell.ownership import Ownership
+from pearwell.placement import TargetState
+from pearwell.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
+from pearwell.replication import Replicator
+from pearwell.steered_group import SteeredGroup
+from pearwell.verdict import Action, FlowEvent, Verdict
+
+__all__ = ["Owner"]
+
+# A start whose backup stays silent for so long goes on without it.
+HOLD_LIMIT_S = 0.5
+COPY_FRESH_S = 3.0
+
+_DROP = Verdict(Action.DROP)
+_NO_TARGET = Verdict(Action.REFUSE, code=Code.REFUSED_NO_TARGET)
+_FINISHED = RecordFlag.ENDED | RecordFlag.RESET
+
+
+class _PacketKind(Enum):
+    """What a packet can be for a decision."""
+
+    START = 0
+    DATAGRAM = 1
+    OTHER = 2
+
+
+def _kind_of(event: FlowEvent) -> _PacketKind:
+    if event & FlowEvent.START:
+        return _PacketKind.START
+    return _PacketKind.DATAGRAM if event & FlowEvent.DATAGRAM else _PacketKind.OTHER
+
+
+def _flags_of_event(event: FlowEvent) -> RecordFlag:
+    ended = RecordFlag.ENDED if event & FlowEvent.END else RecordFlag.NONE
+    reset = RecordFlag.RESET if event & FlowEvent.RESET else RecordFlag.NONE
+    return ended | reset
+
+
+class Owner:
+    """Decides on packets of moving buckets that this instance owns or backs up.
+
+    Args:
+        clock: Source of time.
+        ownership: Roles of this instance.
+        replicator: Copies records to backups.
+        invariants: Checks what must always hold.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        ownership: Ownership,
+        replicator: Replicator,
+        invariants: Invariants,
+    ) -> None:
+        self._clock = clock
+        self._ownership = ownership
+        self._replicator = replicator
+        self._invariants = invariants
+        self._unrecorded: dict[
+            _PacketKind, Callable[[SteeredGroup, int, int, FlowEvent], Verdict]
+        ] = {
+            _PacketKind.START: self._start,
+            _PacketKind.DATAGRAM: self._first_datagram,
+            _PacketKind.OTHER: self._base_packet,
+        }
+
+    def decide(self, group: SteeredGroup, flow_hash: int, event: FlowEvent) -> Verdict:
+        """Decides on a packet as the server of its shard.
+
+        Args:
+            group: Group of the packet.
+            flow_hash: Hash of its flow.
+            event: What it says about its flow.
+        """
+        value = group.records.find(flow_hash)
+        if value is not None:
+            return self._recorded(group, flow_hash, value, event)
+        if group.behind:
+            return _DROP
+        bucket = flow_hash & group.table.mask
+        return self._unrecorded[_kind_of(event)](group, flow_hash, bucket, event)
+
+    def decide_as_backup(
+        self, group: SteeredGroup, flow_hash: int, event: FlowEvent, from_peer: bool
+    ) -> Verdict | None:
+        """Decides on a packet by copied records, where they suffice.
+
+        The primary passes a flow's first packet on by the backup, so that the target gets it only
+        after both owners have the record. The backup of a lost primary may decide on everything
+        but new flows before it serves.
+
+        Args:
+            group: Group of the packet.
+            flow_hash: Hash of its flow.
+            event: What it says about its flow.
+            from_peer: Whether it came from another instance.
+
+        Returns:
+            A verdict, or None if the packet is for the server of its shard.
+        """
+        kind = _kind_of(event)
+        value = group.records.find(flow_hash)
+        if kind is _PacketKind.START:
+            fresh = value is not None and self._is_fresh(group, value)
+            return group.record_verdict(value) if from_peer and fresh and value else None
+        if not self._ownership.trusted(flow_hash % SHARDS):
+            return None
+        if value is not None:
+            return group.record_verdict(value)
+        if kind is _PacketKind.DATAGRAM or group.behind:
+            return None
+        return group.base_verdict(flow_hash & group.table.mask)
+
+    def _is_fresh(self, group: SteeredGroup, value: int) -> bool:
+        return (group.records.stamp - stamp_of(value)) * STAMP_S <= COPY_FRESH_S
+
+    def _recorded(
+        self, group: SteeredGroup, flow_hash: int, value: int, event: FlowEvent
+    ) -> Verdict:
+        started = event & FlowEvent.START
+        verdict = group.record_verdict(value)
+        over = flags_of(value) & _FINISHED or verdict.action is Action.REFUSE
+        if started and over:
+            return self._restart(group, flow_hash, value)
+        group.records.touch(flow_hash, value, _flags_of_event(event))
+        if started and verdict.action is Action.FORWARD:
+            return self._held(flow_hash, verdict)
+        return verdict
+
+    def _held(self, flow_hash: int, verdict: Verdict) -> Verdict:
+        """Sends a start by the backup until that has acknowledged the record."""
+        since = self._replicator.pending_since(flow_hash)
+        if since is None or self._clock.now() - since >= HOLD_LIMIT_S:
+            return verdict
+        return self._by_backup(flow_hash, verdict)
+
+    def _by_backup(self, flow_hash: int, verdict: Verdict) -> Verdict:
+        backup = self._ownership.backup(flow_hash % SHARDS)
+        return verdict if backup is None else _pass_to(backup)
+
+    def _restart(self, group: SteeredGroup, flow_hash: int, value: int) -> Verdict:
+        """Assigns a new flow that has the 5-tuple of an ended one.
+
+        If its target differs, its first packet is dropped and repeated by the caller: the backup
+        can't tell the old record from the new one.
+        """
+        bucket = flow_hash & group.table.mask
+        target = group.start_target(bucket)
+        verdict = self._assign(group, flow_hash, target)
+        moved = index_of(value) != group.record_index(target)
+        backup = self._ownership.backup(flow_hash % SHARDS)
+        return _DROP if moved and backup is not None else verdict
+
+    def _start(self, group: SteeredGroup, flow_hash: int, bucket: int, event: FlowEvent) -> Verdict:
+        return self._assign(group, flow_hash, group.start_target(bucket))
+
+    def _assign(self, group: SteeredGroup, flow_hash: int, target: int) -> Verdict:
+        """Records a new flow; its first packet goes on by the backup."""
+        if group.placement.targets[target].state is TargetState.DEAD:
+            return _NO_TARGET
+        self._record(group, flow_hash, target)
+        return self._by_backup(flow_hash, group.table.verdicts[target])
+
+    def _first_datagram(
+        self, group: SteeredGroup, flow_hash: int, bucket: int, event: FlowEvent
+    ) -> Verdict:
+        """Records a UDP flow; while the bucket is being learned, it counts as an old one."""
+        target = group.start_target(bucket, group.learning_time_s)
+        if bucket in group.cleared:
+            target = group.placement.current[bucket]
+        if group.placement.targets[target].state is TargetState.DEAD:
+            return group.table.verdicts[target]
+        self._record(group, flow_hash, target)
+        return group.table.verdicts[target]
+
+    def _record(self, group: SteeredGroup, flow_hash: int, target: int) -> None:
+        group.records.put(flow_hash, group.record_index(target), RecordFlag.NONE)
+        backup = self._ownership.backup(flow_hash % SHARDS)
+        if backup is not None:
+            self._replicator.replicate(backup.instance, group.records, flow_hash)
+
+    def _base_packet(
+        self, group: SteeredGroup, flow_hash: int, bucket: int, event: FlowEvent
+    ) -> Verdict:
+        """Forwards a packet of a flow without a record to the base target.
+
+        The flow is recorded here only: without a record it belongs to the same target anyway.
+        """
+        verdict = group.base_verdict(bucket)
+        if group.is_split(bucket) and verdict.action is Action.FORWARD:
+            target = group.unrecorded_target(bucket)
+            flags = RecordFlag.LEARNED | _flags_of_event(event)
+            group.records.put(flow_hash, group.record_index(target), flags)
+        self._check_own(group, verdict)
+        return verdict
+
+    def _check_own(self, group: SteeredGroup, verdict: Verdict) -> None:
+        own = verdict.address is None or verdict.address in group.table.names
+        detail = f"group {group.table.group}: {verdict.address}"
+        self._invariants.require(own, Invariant.TARGET_OF_OWN_SERVICE, detail)
+
+
+def _pass_to(member: Member) -> Verdict:
+    return Verdict(Action.PASS, (member.address, member.peer_port))
--- /dev/null
+++ b/pearwell/ownership.py
@@ -0,0 +1,393 @@
+"""Ownership of shards: which instance decides for the moving buckets, and its hand-over."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from functools import lru_cache
+from heapq import nlargest
+from typing import Protocol
+
+from xxhash import xxh3_64_intdigest
+
+from pearwell.clock import Clock
+from pearwell.membership import Member, MemberState, View
+from pearwell.messages import Message
+from pearwell.messages.steering import (
+    OwnershipAnswer,
+    OwnershipGrant,
+    OwnershipOffer,
+    OwnershipPull,
+    ShardState,
+)
+from pearwell.record import SHARDS
+from pearwell.transport import Transport
+
+__all__ = ["Ownership", "Role", "ShardKeeper", "owners_of"]
+
+PULL_TIMEOUT_S = 3.0
+SERVER_TIMEOUT_S = 1.0
+RETRY_S = 0.3
+LOSS_WINDOW_S = 5.0
+
+_RANKED = 3
+
+
+class Role(IntEnum):
+    """What an instance does for a shard."""
+
+    NONE = 0
+    PULLING = 1
+    SERVING = 2
+
+
+class ShardKeeper(Protocol):
+    """Holds the state of shards that moves between owners."""
+
+    def export(self, shard: int, serving: bool) -> tuple[ShardState, ...]:
+        """Returns what is known of a shard; as its server, or as a holder of copies."""
+
+    def adopt(self, shard: int, groups: Iterable[ShardState], authoritative: bool) -> None:
+        """Merges what another instance knows of a shard; authoritative state replaces."""
+
+    def begin(self, shard: int, granted: bool) -> None:
+        """Notes that this instance decides for a shard; granted by its server, or alone."""
+
+    def protect(self, shard: int) -> None:
+        """Copies the records of a shard to its new backup."""
+
+    def orphaned(self, shard: int) -> None:
+        """Notes that both owners of a shard were lost at once."""
+
+
+@dataclass(slots=True)
+class _Pull:
+    """An attempt to become the server of a shard."""
+
+    round: int
+    started_at: float
+    sent_at: float
+    waiting: set[str]
+    not_before: float = 0.0
+    server: str = ""
+    server_heard_at: float = 0.0
+
+
+@dataclass(slots=True)
+class _Claims:
+    """Who asked for a shard last, and to whom this instance granted it."""
+
+    claimed: dict[int, str] = field(default_factory=dict)
+    granted: dict[int, tuple[str, int]] = field(default_factory=dict)
+
+    def drop(self, instance: str) -> None:
+        """Forgets an instance that left the zone."""
+        self.claimed = {s: name for s, name in self.claimed.items() if name != instance}
+        self.granted = {s: grant for s, grant in self.granted.items() if grant[0] != instance}
+
+
+@lru_cache(maxsize=4096)
+def _scores(instance: str) -> tuple[int, ...]:
+    """Returns the rendezvous score of an instance for every shard."""
+    return tuple(xxh3_64_intdigest(f"{shard}\0{instance}".encode()) for shard in range(SHARDS))
+
+
+def owners_of(shard: int, instances: Iterable[str]) -> tuple[str, ...]:
+    """Ranks instances for a shard by rendezvous hash: primary, backup, and one more."""
+    return tuple(nlargest(_RANKED, instances, key=lambda name: (_scores(name)[shard], name)))
+
+
+class Ownership:
+    """The roles of one instance for all shards.
+
+    A shard has one server. The primary by an instance's view becomes it after the earlier server
+    granted the shard, or after every other member said that it isn't serving it.
+
+    Args:
+        instance: Own instance id.
+        transport: Carries messages to other instances.
+        clock: Source of time.
+        lease_s: Seconds after which a lost server has stopped to decide.
+        keeper: Holds the state of shards.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        transport: Transport,
+        clock: Clock,
+        lease_s: float,
+        keeper: ShardKeeper,
+    ) -> None:
+        self._instance = instance
+        self._transport = transport
+        self._clock = clock
+        self._lease_s = lease_s
+        self._keeper = keeper
+        self._roles = [Role.NONE] * SHARDS
+        self._trusted = [False] * SHARDS
+        self._owners: list[tuple[str, ...]] = [()] * SHARDS
+        self._members: dict[str, Member] = {}
+        self._dropped: set[str] = set()
+        self._pulls: dict[int, _Pull] = {}
+        self._claims = _Claims()
+        self._accepted: dict[int, int] = {}
+        self._lost_at: dict[int, float] = {}
+        self._round = 0
+        self._suspended = False
+        self._handlers: dict[type[Message], Callable[[str, Message], None]] = {
+            OwnershipPull: self._on_pull,
+            OwnershipAnswer: self._on_answer,
+            OwnershipGrant: self._on_grant,
+            OwnershipOffer: self._on_offer,
+        }
+
+    @property
+    def others(self) -> list[str]:
+        """Instance ids of the other members."""
+        return [name for name in self._members if name != self._instance]
+
+    @property
+    def served(self) -> list[int]:
+        """Shards that this instance decides for."""
+        return [shard for shard in range(SHARDS) if self._roles[shard] is Role.SERVING]
+
+    def serves(self, shard: int) -> bool:
+        """Tells whether this instance decides for a shard."""
+        return self._roles[shard] is Role.SERVING
+
+    def trusted(self, shard: int) -> bool:
+        """Tells whether this instance was the backup of a server that was lost."""
+        return self._trusted[shard]
+
+    def holder(self, shard: int) -> Member | None:
+        """Returns the member to pass a shard's packets to, or None if none is known."""
+        pull = self._pulls.get(shard)
+        if pull is None:
+            name = next((n for n in self._owners[shard] if n != self._instance), "")
+            return self._members.get(name)
+        if pull.server:
+            return self._members.get(pull.server)
+        ranked = (name for name in self._owners[shard] if name in pull.waiting)
+        return self._members.get(next(ranked, ""))
+
+    def backup(self, shard: int) -> Member | None:
+        """Returns the member that holds copies for this instance, or None if it is alone."""
+        name = next((n for n in self._owners[shard] if n != self._instance), "")
+        return self._members.get(name)
+
+    def apply_view(self, view: View) -> None:
+        """Takes over the members of the zone and starts to pull shards that are due here."""
+        before = self._members
+        self._members = {member.instance: member for member in view.members}
+        dropped = set(before) - set(self._members)
+        self._dropped = (self._dropped | dropped) - set(self._members)
+        for instance in dropped:
+            self._claims.drop(instance)
+        ranked = [m.instance for m in view.members if m.state is not MemberState.LEAVING]
+        candidates = ranked or list(self._members)
+        earlier = self._owners
+        backups = {shard: self.backup(shard) for shard in self.served}
+        self._owners = [owners_of(shard, candidates) for shard in range(SHARDS)]
+        self._round += 1
+        for shard in range(SHARDS):
+            self._follow(shard, earlier[shard], dropped)
+        for shard, backup in backups.items():
+            if self.backup(shard) != backup:
+                self._keeper.protect(shard)
+        self._ask(dropped)
+        self._complete()
+
+    def suspend(self) -> None:
+        """Gives all shards up, as the view is out of date."""
+        self._suspended = True
+        self._pulls.clear()
+        for shard in range(SHARDS):
+            self._roles[shard] = Role.NONE
+            self._trusted[shard] = False
+
+    def resume(self) -> None:
+        """Asks for the shards that are due here, as the view is up to date again."""
+        self._suspended = False
+        self._round += 1
+        for shard in range(SHARDS):
+            self._follow(shard, (), set())
+        self._ask()
+        self._complete()
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handles a message; returns False if it is none of ownership."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+        return handler is not None
+
+    def tick(self) -> None:
+        """Asks again, gives up on silent members, and offers shards that are due elsewhere."""
+        now = self._clock.now()
+        for pull in self._pulls.values():
+            if now - pull.started_at >= PULL_TIMEOUT_S:
+                heard = now - pull.server_heard_at < SERVER_TIMEOUT_S
+                pull.waiting = {pull.server} if pull.server and heard else set()
+        self._ask()
+        self._complete()
+        self._offer()
+
+    def _primary(self, shard: int) -> str:
+        owners = self._owners[shard]
+        return owners[0] if owners else ""
+
+    def _follow(self, shard: int, earlier: tuple[str, ...], dropped: set[str]) -> None:
+        """Starts, updates or cancels the pull of a shard after a change of view."""
+        lost = bool(dropped.intersection(earlier[:1]))
+        lost_before = lost and self._note_loss(shard)
+        lost_twice = lost and (lost_before or bool(dropped.intersection(earlier[1:2])))
+        if self._suspended or self._roles[shard] is Role.SERVING:
+            return
+        if self._primary(shard) != self._instance:
+            self._pulls.pop(shard, None)
+            self._roles[shard] = Role.NONE
+            return
+        pull = self._pulls.get(shard) or self._start(shard)
+        pull.waiting -= dropped
+        if lost:
+            pull.not_before = self._clock.now() + self._lease_s
+            self._trusted[shard] = earlier[1:2] == (self._instance,) and not lost_twice
+        if lost_twice:
+            self._keeper.orphaned(shard)
+
+    def _note_loss(self, shard: int) -> bool:
+        """Notes that a shard lost its primary; tells whether the one before was lost lately."""
+        now = self._clock.now()
+        before = self._lost_at.get(shard, -LOSS_WINDOW_S)
+        self._lost_at[shard] = now
+        return now - before < LOSS_WINDOW_S
+
+    def _start(self, shard: int) -> _Pull:
+        pull = _Pull(self._round, self._clock.now(), -RETRY_S, set(self.others))
+        self._pulls[shard] = pull
+        self._roles[shard] = Role.PULLING
+        return pull
+
+    def _ask(self, also: Iterable[str] = ()) -> None:
+        """Sends due pulls, one message for each member and round."""
+        now = self._clock.now()
+        due = {s: p for s, p in self._pulls.items() if now - p.sent_at >= RETRY_S and p.waiting}
+        asked: dict[tuple[str, int], list[int]] = {}
+        for shard, pull in due.items():
+            pull.sent_at = now
+            for instance in (*pull.waiting, *also):
+                asked.setdefault((instance, pull.round), []).append(shard)
+        for (instance, number), shards in asked.items():
+            self._transport.send(instance, OwnershipPull(number, bytes(shards)))
+
+    def _complete(self) -> None:
+        """Serves every shard that nobody else serves."""
+        now = self._clock.now()
+        for shard, pull in list(self._pulls.items()):
+            if not pull.waiting and now >= pull.not_before:
+                self._serve(shard)
+
+    def _serve(self, shard: int, granted_by: str = "") -> None:
+        self._pulls.pop(shard, None)
+        self._roles[shard] = Role.SERVING
+        self._trusted[shard] = False
+        self._claims.granted.pop(shard, None)
+        self._keeper.begin(shard, bool(granted_by))
+        backup = self.backup(shard)
+        if backup is not None and backup.instance != granted_by:
+            self._keeper.protect(shard)
+
+    def _offer(self) -> None:
+        """Tells primaries of shards that this instance still serves for them."""
+        offers: dict[str, list[int]] = {}
+        for shard in self.served:
+            primary = self._primary(shard)
+            if primary not in ("", self._instance):
+                offers.setdefault(primary, []).append(shard)
+        for primary, shards in offers.items():
+            self._transport.send(primary, OwnershipOffer(bytes(shards)))
+
+    def _on_offer(self, sender: str, message: Message) -> None:
+        assert isinstance(message, OwnershipOffer)
+        mine = [shard for shard in message.shards if self._primary(shard) == self._instance]
+        merged = bytes(shard for shard in mine if self._roles[shard] is Role.SERVING)
+        if merged and not self._suspended:
+            self._round += 1
+            self._transport.send(sender, OwnershipPull(self._round, merged))
+
+    def _on_pull(self, sender: str, message: Message) -> None:
+        assert isinstance(message, OwnershipPull)
+        idle: list[int] = []
+        serving: list[int] = []
+        for shard in message.shards:
+            if self._roles[shard] is Role.SERVING:
+                if self._primary(shard) == sender:
+                    self._grant(sender, message.round, shard)
+                else:
+                    serving.append(shard)
+            elif self._roles[shard] is Role.PULLING and self._outranks(sender, shard):
+                continue
+            elif self._claims.granted.get(shard) == (sender, message.round):
+                self._grant(sender, message.round, shard)
+            else:
+                idle.append(shard)
+        self._answer(sender, message.round, idle, serving)
+
+    def _outranks(self, other: str, shard: int) -> bool:
+        mine = (_scores(self._instance)[shard], self._instance)
+        return (_scores(other)[shard], other) > mine
+
+    def _grant(self, to: str, number: int, shard: int) -> None:
+        self._roles[shard] = Role.NONE
+        self._claims.granted[shard] = (to, number)
+        self._claims.claimed[shard] = to
+        self._transport.send(to, OwnershipGrant(number, shard, self._keeper.export(shard, True)))
+
+    def _answer(self, to: str, number: int, idle: list[int], serving: list[int]) -> None:
+        claimed = self._claims.claimed
+        hints = tuple((s, claimed[s]) for s in idle if claimed.get(s, to) != to)
+        copies = {shard: self._keeper.export(shard, False) for shard in idle}
+        for shard in idle:
+            claimed[shard] = to
+            if copies[shard]:
+                hint = tuple(hint for hint in hints if hint[0] == shard)
+                answer = OwnershipAnswer(
+                    number, bytes((shard,)), hints=hint, copies=((shard, copies[shard]),)
+                )
+                self._transport.send(to, answer)
+        plain = bytes(shard for shard in idle if not copies[shard])
+        if plain or serving:
+            self._transport.send(to, OwnershipAnswer(number, plain, bytes(serving), hints))
+
+    def _on_answer(self, sender: str, message: Message) -> None:
+        assert isinstance(message, OwnershipAnswer)
+        now = self._clock.now()
+        for shard, groups in message.copies:
+            if self._roles[shard] is Role.PULLING:
+                self._keeper.adopt(shard, groups, False)
+        for shard in message.idle:
+            pull = self._pulls.get(shard)
+            if pull is not None and pull.round == message.round:
+                pull.waiting.discard(sender)
+        for shard, instance in message.hints:
+            pull = self._pulls.get(shard)
+            if pull is not None and instance not in (self._instance, *self._dropped):
+                pull.waiting.add(instance)
+        for shard in message.serving:
+            pull = self._pulls.get(shard)
+            if pull is not None:
+                pull.server = sender
+                pull.server_heard_at = now
+                pull.waiting.add(sender)
+        self._complete()
+
+    def _on_grant(self, sender: str, message: Message) -> None:
+        assert isinstance(message, OwnershipGrant)
+        shard = message.shard
+        if message.round <= self._accepted.get(shard, 0):
+            return
+        self._accepted[shard] = message.round
+        serving = self._roles[shard] is Role.SERVING
+        self._keeper.adopt(shard, message.groups, not serving)
+        if not serving and not self._suspended:
+            self._serve(shard, sender)
--- /dev/null
+++ b/pearwell/record.py
@@ -0,0 +1,175 @@
+"""Flow records: which target a flow of a moving bucket belongs to."""
+
+import sys
+from collections.abc import Iterator
+from enum import IntFlag
+
+from xxhash import xxh3_64_intdigest
+
+__all__ = [
+    "RECORD_BYTES",
+    "SHARDS",
+    "SHARD_BITS",
+    "FlowRecords",
+    "RecordFlag",
+    "flags_of",
+    "index_of",
+    "stamp_of",
+    "target_tag",
+    "unpack",
+]
+
+SHARD_BITS = 8
+SHARDS = 1 << SHARD_BITS
+RECORD_BYTES = 14
+STAMP_S = 1.0
+
+_SHARD_MASK = SHARDS - 1
+_FLAG_BITS = 4
+_FLAG_MASK = (1 << _FLAG_BITS) - 1
+_INDEX_BITS = 16
+_INDEX_MASK = (1 << _INDEX_BITS) - 1
+_STAMP_SHIFT = _FLAG_BITS + _INDEX_BITS
+_TAG_MASK = (1 << 44) - 1
+_HASH_BITS = 64
+_HASH_MASK = (1 << _HASH_BITS) - 1
+# A key of 56 bits is an int object of 32 bytes.
+_KEY_BYTES = 32
+
+
+class RecordFlag(IntFlag):
+    """What is known of a recorded flow."""
+
+    NONE = 0
+    ENDED = 1
+    RESET = 2
+    LEARNED = 4
+
+
+def target_tag(group: str, target: str) -> int:
+    """Returns the 44-bit number that names a target between instances."""
+    return xxh3_64_intdigest(f"{group}\0{target}".encode()) & _TAG_MASK
+
+
+def index_of(value: int) -> int:
+    """Returns the target index of a record's value."""
+    return value >> _FLAG_BITS & _INDEX_MASK
+
+
+def flags_of(value: int) -> int:
+    """Returns the flags of a record's value."""
+    return value & _FLAG_MASK
+
+
+def stamp_of(value: int) -> int:
+    """Returns the time of the latest packet in units of STAMP_S."""
+    return value >> _STAMP_SHIFT
+
+
+def unpack(records: bytes) -> Iterator[tuple[int, int, int]]:
+    """Yields the flow hash, target tag and flags of packed records."""
+    for start in range(0, len(records), RECORD_BYTES):
+        packed = int.from_bytes(records[start : start + RECORD_BYTES], "little")
+        rest = packed >> _HASH_BITS
+        yield packed & _HASH_MASK, rest >> _FLAG_BITS, rest & _FLAG_MASK
+
+
+class FlowRecords:
+    """The flow records of one group at one instance.
+
+    A record is a dictionary entry from the upper 56 bits of the flow hash to an integer of
+    time stamp, target index and flags. Equal values share one integer object.
+
+    Args:
+        group: Name of the group.
+    """
+
+    def __init__(self, group: str) -> None:
+        self._group = group
+        self._shards: dict[int, dict[int, int]] = {}
+        self._tags: list[int] = []
+        self._indices: dict[int, int] = {}
+        self._stamp = 0
+        self._values: dict[int, int] = {}
+
+    @property
+    def group(self) -> str:
+        """Name of the group."""
+        return self._group
+
+    @property
+    def stamp(self) -> int:
+        """Present time in units of STAMP_S."""
+        return self._stamp
+
+    @property
+    def size(self) -> int:
+        """Number of records."""
+        return sum(len(shard) for shard in self._shards.values())
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the records in bytes, with the interpreter's overhead."""
+        tables = sum(sys.getsizeof(shard) for shard in self._shards.values())
+        values = {id(value): value for shard in self._shards.values() for value in shard.values()}
+        shared = sum(sys.getsizeof(value) for value in values.values())
+        return tables + shared + self.size * _KEY_BYTES
+
+    def advance(self, now: float) -> None:
+        """Sets the present time in seconds."""
+        stamp = int(now / STAMP_S)
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self._values.clear()
+
+    def intern(self, tag: int) -> int:
+        """Returns the index of a target tag at this instance."""
+        index = self._indices.get(tag)
+        if index is None:
+            index = self._indices[tag] = len(self._tags)
+            self._tags.append(tag)
+        return index
+
+    def find(self, flow_hash: int) -> int | None:
+        """Returns the value of a flow's record, or None."""
+        shard = self._shards.get(flow_hash & _SHARD_MASK)
+        return None if shard is None else shard.get(flow_hash >> SHARD_BITS)
+
+    def put(self, flow_hash: int, index: int, flags: int) -> None:
+        """Records a flow, or replaces its record."""
+        shard = self._shards.setdefault(flow_hash & _SHARD_MASK, {})
+        shard[flow_hash >> SHARD_BITS] = self._value(index, flags)
+
+    def touch(self, flow_hash: int, value: int, flags: int) -> None:
+        """Notes a packet of a recorded flow and adds flags."""
+        fresh = self._value(index_of(value), flags_of(value) | flags)
+        if fresh is not value:
+            self._shards[flow_hash & _SHARD_MASK][flow_hash >> SHARD_BITS] = fresh
+
+    def discard(self, flow_hash: int) -> None:
+        """Forgets a flow; without effect if it has no record."""
+        number = flow_hash & _SHARD_MASK
+        shard = self._shards.get(number)
+        if shard is None:
+            return
+        shard.pop(flow_hash >> SHARD_BITS, None)
+        if not shard:
+            del self._shards[number]
+
+    def items(self, shard: int) -> list[tuple[int, int]]:
+        """Returns flow hashes and values of one shard."""
+        entries = self._shards.get(shard, {}).items()
+        return [(key << SHARD_BITS | shard, value) for key, value in entries]
+
+    def shards(self) -> list[int]:
+        """Returns the shards that have records."""
+        return list(self._shards)
+
+    def pack(self, flow_hash: int, value: int) -> bytes:
+        """Packs one record for another instance."""
+        rest = self._tags[index_of(value)] << _FLAG_BITS | flags_of(value)
+        return (rest << _HASH_BITS | flow_hash).to_bytes(RECORD_BYTES, "little")
+
+    def _value(self, index: int, flags: int) -> int:
+        value = self._stamp << _STAMP_SHIFT | index << _FLAG_BITS | flags
+        return self._values.setdefault(value, value)
--- /dev/null
+++ b/pearwell/release.py
@@ -0,0 +1,166 @@
+"""Release of buckets: forgets ended flows and proves that a bucket has no flow elsewhere."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pearwell.clock import Clock
+from pearwell.messages import BucketsClear, Message
+from pearwell.ownership import Ownership
+from pearwell.placement import TargetState
+from pearwell.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
+from pearwell.replication import Replicator
+from pearwell.steered_group import SteeredGroup
+from pearwell.verdict import Action
+
+__all__ = ["Releaser"]
+
+ENDED_LINGER_S = 120.0
+RESET_LINGER_S = 2.0
+DEAD_LINGER_S = 10.0
+PUBLISH_INTERVAL_S = 1.0
+SCAN_PARTS = 4
+
+
+@dataclass(slots=True)
+class _Marks:
+    """Proofs sent to backups for one generation: bucket to peer and sequence number."""
+
+    counter: int = 0
+    sent: dict[int, tuple[str, int]] = field(default_factory=dict)
+
+
+class Releaser:
+    """Ages records and publishes BucketsClear for the buckets that this instance serves.
+
+    Args:
+        clock: Source of time.
+        ownership: Roles of this instance.
+        replicator: Copies proofs to backups.
+        publish: Takes BucketsClear messages.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        ownership: Ownership,
+        replicator: Replicator,
+        publish: Callable[[Message], None],
+    ) -> None:
+        self._clock = clock
+        self._ownership = ownership
+        self._replicator = replicator
+        self._publish = publish
+        self._part = 0
+        self._published_at: dict[str, float] = {}
+        self._marks: dict[str, _Marks] = {}
+
+    def tick(self, groups: list[SteeredGroup]) -> None:
+        """Scans a part of the shards, then publishes what is proven."""
+        self._part = (self._part + 1) % SCAN_PARTS
+        for group in groups:
+            group.records.advance(self._clock.now())
+            for shard in {*group.records.shards(), *group.moving_shards}:
+                if shard % SCAN_PARTS == self._part:
+                    self._scan(group, shard)
+            self._publish_clear(group)
+
+    def _scan(self, group: SteeredGroup, shard: int) -> None:
+        serving = self._ownership.serves(shard)
+        if serving:
+            self._expire(group, shard)
+            self._prove(group, shard)
+        else:
+            self._purge(group, shard)
+
+    def _expire(self, group: SteeredGroup, shard: int) -> None:
+        """Forgets the flows that ended or were idle for too long."""
+        backup = self._ownership.backup(shard)
+        for flow_hash, value in group.records.items(shard):
+            if not self._is_over(group, value):
+                continue
+            group.records.discard(flow_hash)
+            if backup is not None and not flags_of(value) & RecordFlag.LEARNED:
+                self._replicator.ended(backup.instance, group.table.group, flow_hash)
+
+    def _is_over(self, group: SteeredGroup, value: int) -> bool:
+        flags = flags_of(value)
+        limit = group.idle_timeout_s
+        if flags & RecordFlag.ENDED:
+            limit = min(limit, ENDED_LINGER_S)
+        if flags & RecordFlag.RESET:
+            limit = min(limit, RESET_LINGER_S)
+        idle = (group.records.stamp - stamp_of(value) - 1) * STAMP_S
+        return idle >= limit
+
+    def _purge(self, group: SteeredGroup, shard: int) -> None:
+        """Forgets copies of buckets that have been stable for a while."""
+        for flow_hash, value in group.records.items(shard):
+            stable = flow_hash & group.table.mask not in group.table.moving
+            old = (group.records.stamp - stamp_of(value)) * STAMP_S >= DEAD_LINGER_S
+            if stable and old:
+                group.records.discard(flow_hash)
+
+    def _prove(self, group: SteeredGroup, shard: int) -> None:
+        """Marks the buckets of a shard that have no live flow off their current target."""
+        split = [bucket for bucket in group.moving_in(shard) if group.is_split(bucket)]
+        if not split or group.behind:
+            return
+        elsewhere = self._buckets_elsewhere(group, shard)
+        now = self._clock.now()
+        for bucket in split:
+            since = group.watched_since.setdefault(bucket, now)
+            if bucket not in elsewhere and now - since >= self._watch_time(group, bucket):
+                group.cleared[bucket] = group.placement.current[bucket]
+
+    def _watch_time(self, group: SteeredGroup, bucket: int) -> float:
+        base = group.placement.targets[group.placement.base[bucket]]
+        if base.state is TargetState.DEAD:
+            return min(group.idle_timeout_s, DEAD_LINGER_S)
+        return group.idle_timeout_s + STAMP_S
+
+    def _buckets_elsewhere(self, group: SteeredGroup, shard: int) -> set[int]:
+        """Returns the buckets that have a flow off their current target."""
+        mask = group.table.mask
+        current = group.placement.current
+        return {
+            flow_hash & mask
+            for flow_hash, value in group.records.items(shard)
+            if index_of(value) != group.record_index(current[flow_hash & mask])
+            and group.record_verdict(value).action is Action.FORWARD
+        }
+
+    def _publish_clear(self, group: SteeredGroup) -> None:
+        """Publishes the served buckets whose proof the backup has."""
+        name = group.table.group
+        now = self._clock.now()
+        if not group.cleared or now - self._published_at.get(name, 0.0) < PUBLISH_INTERVAL_S:
+            return
+        self._published_at[name] = now
+        served = [b for b in group.cleared if self._ownership.serves(b % SHARDS)]
+        self._mark(group, served)
+        clear = tuple(bucket for bucket in served if self._is_marked(group, bucket))
+        if clear:
+            self._publish(BucketsClear(name, clear, group.placement.generation.counter))
+
+    def _mark(self, group: SteeredGroup, buckets: list[int]) -> None:
+        """Sends the proofs to the backups, once for each generation and backup."""
+        marks = self._marks.setdefault(group.table.group, _Marks())
+        generation = group.placement.generation
+        if marks.counter != generation.counter:
+            marks.counter = generation.counter
+            marks.sent.clear()
+        due: dict[str, list[int]] = {}
+        for bucket in buckets:
+            backup = self._ownership.backup(bucket % SHARDS)
+            if backup is not None and marks.sent.get(bucket, ("", 0))[0] != backup.instance:
+                due.setdefault(backup.instance, []).append(bucket)
+        for peer, marked in due.items():
+            sequence = self._replicator.mark_clear(peer, group.table.group, generation, marked)
+            marks.sent.update(dict.fromkeys(marked, (peer, sequence)))
+
+    def _is_marked(self, group: SteeredGroup, bucket: int) -> bool:
+        backup = self._ownership.backup(bucket % SHARDS)
+        sent = self._marks[group.table.group].sent.get(bucket)
+        if backup is None:
+            return True
+        return sent is not None and self._replicator.acknowledged(*sent)
--- /dev/null
+++ b/pearwell/replication.py
@@ -0,0 +1,226 @@
+"""Replication of flow records from the primary of a bucket to its backup."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from pearwell.clock import Clock
+from pearwell.messages import Message
+from pearwell.messages.steering import ClearMark, Forget, Replicate, ReplicateAck
+from pearwell.placement import Generation
+from pearwell.record import FlowRecords, RecordFlag, flags_of
+from pearwell.transport import Transport
+
+__all__ = ["Replicator"]
+
+RESEND_S = 0.6
+FORGET_INTERVAL_S = 2.0
+SNAPSHOT_BATCH = 256
+SNAPSHOT_BATCHES_PER_TICK = 8
+
+_FLOW_BYTES = 8
+
+
+@dataclass(slots=True)
+class _Batch:
+    """One unacknowledged message."""
+
+    sent_at: float
+    flows: tuple[tuple[FlowRecords, int], ...] = ()
+    mark: ClearMark | None = None
+
+
+@dataclass(slots=True)
+class _Channel:
+    """State of replication to and from one peer."""
+
+    sequence: int = 0
+    unacknowledged: dict[int, _Batch] = field(default_factory=dict)
+    snapshot: list[tuple[FlowRecords, int]] = field(default_factory=list)
+    ended: dict[str, list[int]] = field(default_factory=dict)
+    received: list[int] = field(default_factory=list)
+    highest: int = 0
+
+
+class Replicator:
+    """Sends records to backups until they acknowledge them, and acknowledges those of others.
+
+    Args:
+        transport: Carries messages to other instances.
+        clock: Source of time.
+        store: Takes the packed records of a sender; the flag tells whether they may replace
+            others. Returns False if a target isn't known yet.
+        mark: Takes a sender's proof that buckets are clear.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        store: Callable[[bytes, bool], bool],
+        mark: Callable[[ClearMark], bool],
+    ) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._store = store
+        self._mark = mark
+        self._channels: dict[str, _Channel] = {}
+        self._pending: dict[int, float] = {}
+        self._forget_at = 0.0
+        self._handlers: dict[type[Message], Callable[[str, Message], None]] = {
+            Replicate: self._on_replicate,
+            ClearMark: self._on_mark,
+            ReplicateAck: self._on_acknowledgement,
+            Forget: self._on_forget,
+        }
+        self._forgotten: Callable[[str, int], None] = lambda group, flow_hash: None
+
+    def on_forget(self, forgotten: Callable[[str, int], None]) -> None:
+        """Sets what takes the group and hash of flows that ended at their primary."""
+        self._forgotten = forgotten
+
+    def pending_since(self, flow_hash: int) -> float | None:
+        """Returns when a flow's record was sent, or None if its backup has it."""
+        return self._pending.get(flow_hash)
+
+    def replicate(self, peer: str, records: FlowRecords, flow_hash: int) -> None:
+        """Sends a new record to the backup at once."""
+        self._pending[flow_hash] = self._clock.now()
+        self._send_flows(peer, ((records, flow_hash),))
+
+    def snapshot(self, peer: str, records: FlowRecords, shard: int) -> None:
+        """Queues all records of a shard for a new backup."""
+        flows = [
+            (records, flow_hash)
+            for flow_hash, value in records.items(shard)
+            if not flags_of(value) & RecordFlag.LEARNED
+        ]
+        self._channel(peer).snapshot.extend(flows)
+
+    def ended(self, peer: str, group: str, flow_hash: int) -> None:
+        """Notes for the backup that a flow ended."""
+        self._channel(peer).ended.setdefault(group, []).append(flow_hash)
+
+    def mark_clear(
+        self, peer: str, group: str, generation: Generation, buckets: Iterable[int]
+    ) -> int:
+        """Sends a proof that buckets are clear and returns its sequence number."""
+        channel = self._channel(peer)
+        channel.sequence += 1
+        message = ClearMark(channel.sequence, group, generation, tuple(buckets))
+        channel.unacknowledged[channel.sequence] = _Batch(self._clock.now(), mark=message)
+        self._transport.send(peer, message)
+        return channel.sequence
+
+    def acknowledged(self, peer: str, sequence: int) -> bool:
+        """Tells whether a peer acknowledged a sequence number."""
+        return sequence not in self._channel(peer).unacknowledged
+
+    def drop(self, peer: str) -> None:
+        """Forgets a peer that left the zone."""
+        channel = self._channels.pop(peer, None)
+        if channel is None:
+            return
+        for batch in channel.unacknowledged.values():
+            self._settle(batch)
+
+    def handle(self, sender: str, message: Message) -> bool:
+        """Handles a message; returns False if it is none of replication."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+        return handler is not None
+
+    def tick(self) -> None:
+        """Sends acknowledgements, snapshots, ended flows, and unacknowledged messages again."""
+        now = self._clock.now()
+        flush = now >= self._forget_at
+        if flush:
+            self._forget_at = now + FORGET_INTERVAL_S
+        for peer, channel in self._channels.items():
+            self._acknowledge(peer, channel)
+            self._resend(peer, channel, now)
+            self._send_snapshot(peer, channel)
+            if flush:
+                self._send_ended(peer, channel)
+
+    def _channel(self, peer: str) -> _Channel:
+        channel = self._channels.get(peer)
+        if channel is None:
+            channel = self._channels[peer] = _Channel()
+        return channel
+
+    def _send_flows(self, peer: str, flows: tuple[tuple[FlowRecords, int], ...]) -> None:
+        channel = self._channel(peer)
+        channel.sequence += 1
+        channel.unacknowledged[channel.sequence] = _Batch(self._clock.now(), flows)
+        self._transport.send(peer, Replicate(channel.sequence, _pack(flows)))
+
+    def _resend(self, peer: str, channel: _Channel, now: float) -> None:
+        for sequence, batch in list(channel.unacknowledged.items()):
+            if now - batch.sent_at < RESEND_S:
+                continue
+            batch.sent_at = now
+            if batch.mark is not None:
+                self._transport.send(peer, batch.mark)
+            else:
+                self._transport.send(peer, Replicate(sequence, _pack(batch.flows)))
+
+    def _send_snapshot(self, peer: str, channel: _Channel) -> None:
+        for _ in range(SNAPSHOT_BATCHES_PER_TICK):
+            if not channel.snapshot:
+                return
+            flows = tuple(channel.snapshot[-SNAPSHOT_BATCH:])
+            del channel.snapshot[-SNAPSHOT_BATCH:]
+            self._send_flows(peer, flows)
+
+    def _send_ended(self, peer: str, channel: _Channel) -> None:
+        for group, flows in channel.ended.items():
+            packed = b"".join(flow.to_bytes(_FLOW_BYTES, "little") for flow in flows)
+            self._transport.send(peer, Forget(channel.sequence, group, packed))
+        channel.ended.clear()
+
+    def _acknowledge(self, peer: str, channel: _Channel) -> None:
+        if channel.received:
+            self._transport.send(peer, ReplicateAck(tuple(channel.received)))
+            channel.received.clear()
+
+    def _settle(self, batch: _Batch) -> None:
+        for _, flow_hash in batch.flows:
+            self._pending.pop(flow_hash, None)
+
+    def _on_replicate(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Replicate)
+        channel = self._channel(sender)
+        latest = message.sequence >= channel.highest
+        if self._store(message.records, latest):
+            channel.received.append(message.sequence)
+            channel.highest = max(channel.highest, message.sequence)
+
+    def _on_mark(self, sender: str, message: Message) -> None:
+        assert isinstance(message, ClearMark)
+        if self._mark(message):
+            self._channel(sender).received.append(message.sequence)
+
+    def _on_acknowledgement(self, sender: str, message: Message) -> None:
+        assert isinstance(message, ReplicateAck)
+        channel = self._channel(sender)
+        for sequence in message.sequences:
+            batch = channel.unacknowledged.pop(sequence, None)
+            if batch is not None:
+                self._settle(batch)
+
+    def _on_forget(self, sender: str, message: Message) -> None:
+        assert isinstance(message, Forget)
+        if self._channel(sender).highest > message.after:
+            return
+        for start in range(0, len(message.flows), _FLOW_BYTES):
+            flow = message.flows[start : start + _FLOW_BYTES]
+            self._forgotten(message.group, int.from_bytes(flow, "little"))
+
+
+def _pack(flows: Iterable[tuple[FlowRecords, int]]) -> bytes:
+    """Packs the records as they are now; flows that ended meanwhile are left out."""
+    found = ((records, flow, records.find(flow)) for records, flow in flows)
+    return b"".join(
+        records.pack(flow, value) for records, flow, value in found if value is not None
+    )
--- /dev/null
+++ b/pearwell/shard_state.py
@@ -0,0 +1,124 @@
+"""Moves the state of shards between the groups of one instance and other instances."""
+
+from collections import Counter
+from collections.abc import Iterable
+from enum import StrEnum
+
+from pearwell.messages.steering import ClearMark, ShardState
+from pearwell.ownership import Ownership
+from pearwell.record import SHARDS, target_tag, unpack
+from pearwell.replication import Replicator
+from pearwell.steered_group import SteeredGroup
+
+__all__ = ["SteeredGroups", "SteeringCount"]
+
+
+class SteeringCount(StrEnum):
+    """What steering counts."""
+
+    PASSED = "passed"
+    LEASE_LAPSED = "lease_lapsed"
+    SHARDS_GRANTED = "shards_granted"
+    SHARDS_TAKEN = "shards_taken"
+    BUCKETS_ORPHANED = "buckets_orphaned"
+    PACKETS_UNDECIDED = "packets_undecided"
+
+
+class SteeredGroups:
+    """All groups of one instance, as the owners' hand-over and replication see them.
+
+    Args:
+        counts: Counters to raise.
+    """
+
+    def __init__(self, counts: Counter[SteeringCount]) -> None:
+        self._counts = counts
+        self._groups: dict[str, SteeredGroup] = {}
+        self._by_tag: dict[int, SteeredGroup] = {}
+        self._ownership: Ownership | None = None
+        self._replicator: Replicator | None = None
+
+    def connect(self, ownership: Ownership, replicator: Replicator) -> None:
+        """Sets the collaborators that this object serves and is served by."""
+        self._ownership = ownership
+        self._replicator = replicator
+
+    def all(self) -> list[SteeredGroup]:
+        """Returns all groups."""
+        return list(self._groups.values())
+
+    def find(self, name: str) -> SteeredGroup | None:
+        """Returns the group of a name, or None."""
+        return self._groups.get(name)
+
+    def put(self, name: str, group: SteeredGroup) -> None:
+        """Adds a group, or learns the targets of its new placement."""
+        self._groups[name] = group
+        for target in group.placement.targets:
+            self._by_tag[target_tag(name, target.name)] = group
+
+    def store(self, records: bytes, replacing: bool) -> bool:
+        """Stores copies; returns False, with nothing stored, if a target isn't known yet."""
+        unpacked = [
+            (self._by_tag.get(tag), flow, tag, flags) for flow, tag, flags in unpack(records)
+        ]
+        if any(group is None for group, _, _, _ in unpacked):
+            return False
+        for group, flow, tag, flags in unpacked:
+            if group is not None and (replacing or group.records.find(flow) is None):
+                group.records.put(flow, group.records.intern(tag), flags)
+        return True
+
+    def forget(self, name: str, flow_hash: int) -> None:
+        """Drops the copy of a flow that ended, unless this instance decides for it now."""
+        group = self._groups.get(name)
+        serves = self._ownership is not None and self._ownership.serves(flow_hash % SHARDS)
+        if group is not None and not serves:
+            group.records.discard(flow_hash)
+
+    def mark(self, message: ClearMark) -> bool:
+        """Stores a proof; returns False if its placement hasn't arrived yet."""
+        group = self._groups.get(message.group)
+        if group is None or message.generation > group.placement.generation:
+            return False
+        group.mark_cleared(message.buckets, message.generation)
+        return True
+
+    def export(self, shard: int, serving: bool) -> tuple[ShardState, ...]:
+        """Returns what is known of a shard; as its server, or as a holder of copies."""
+        if serving:
+            self._counts[SteeringCount.SHARDS_GRANTED] += 1
+        states = (group.export(shard, serving) for group in self._groups.values())
+        return tuple(state for state in states if state is not None)
+
+    def adopt(self, shard: int, groups: Iterable[ShardState], authoritative: bool) -> None:
+        """Merges what another instance knows of a shard; authoritative state replaces."""
+        for state in groups:
+            group = self._groups.get(state.group)
+            if group is not None:
+                group.adopt(state, authoritative)
+
+    def begin(self, shard: int, granted: bool) -> None:
+        """Notes that this instance decides for a shard; granted by its server, or alone."""
+        self._counts[SteeringCount.SHARDS_TAKEN] += 1
+        if not granted:
+            for group in self._groups.values():
+                group.begin(shard)
+
+    def protect(self, shard: int) -> None:
+        """Copies the records of a shard to its new backup."""
+        assert self._ownership is not None and self._replicator is not None
+        backup = self._ownership.backup(shard)
+        if backup is None:
+            return
+        for group in self._groups.values():
+            self._replicator.snapshot(backup.instance, group.records, shard)
+
+    def orphaned(self, shard: int) -> None:
+        """Counts the split buckets of a shard that lost both owners at once."""
+        split = sum(
+            group.is_split(bucket)
+            for group in self._groups.values()
+            for bucket in group.moving_in(shard)
+        )
+        self._counts[SteeringCount.BUCKETS_ORPHANED] += split
--- /dev/null
+++ b/pearwell/steered_group.py
@@ -0,0 +1,245 @@
+"""What one instance knows of one group: its table, records and the progress of its buckets."""
+
+from collections.abc import Iterable
+
+from pearwell.clock import Clock
+from pearwell.invariants import Invariant, Invariants
+from pearwell.messages.steering import ShardState
+from pearwell.placement import Generation, Placement, TargetState
+from pearwell.record import (
+    SHARDS,
+    FlowRecords,
+    RecordFlag,
+    flags_of,
+    index_of,
+    target_tag,
+    unpack,
+)
+from pearwell.steering_table import SteeringTable
+from pearwell.verdict import Action, Verdict
+
+__all__ = ["SteeredGroup"]
+
+DEFAULT_IDLE_TIMEOUT_S = 3600.0
+DEFAULT_LEARNING_TIME_S = 2.0
+SYN_SETTLE_S = 1.5
+RECENT_S = 10.0
+
+_UNKNOWN = Verdict(Action.DROP)
+_NO_GENERATION = Generation(0, "")
+
+
+class SteeredGroup:
+    """State of one group at one instance.
+
+    Args:
+        placement: The first placement.
+        clock: Source of time.
+        invariants: Checks what must always hold.
+
+    Attributes:
+        table: The lookup table.
+        records: The flow records.
+        idle_timeout_s: Time without a packet after which a flow counts as ended.
+        learning_time_s: Time for which an unknown UDP flow on a moving bucket counts as old.
+        moving_since: When a bucket was first seen to move, or its owners' time for it.
+        watched_since: When the owners began to see every packet of a split bucket.
+        cleared: Target index of buckets proven to have no flow elsewhere.
+    """
+
+    def __init__(self, placement: Placement, clock: Clock, invariants: Invariants) -> None:
+        self.table = SteeringTable(placement)
+        self.records = FlowRecords(placement.group)
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self.learning_time_s = DEFAULT_LEARNING_TIME_S
+        self.moving_since: dict[int, float] = {}
+        self.watched_since: dict[int, float] = {}
+        self.cleared: dict[int, int] = {}
+        self._clock = clock
+        self._invariants = invariants
+        self._floor = _NO_GENERATION
+        self._changed_at = clock.now()
+        self._record_of: tuple[int, ...] = ()
+        self._verdicts: dict[int, Verdict] = {}
+        self._moving_by_shard: dict[int, list[int]] = {}
+        self.records.advance(clock.now())
+        self._refresh()
+
+    @property
+    def placement(self) -> Placement:
+        """The placement in force here."""
+        return self.table.placement
+
+    @property
+    def behind(self) -> bool:
+        """Whether an earlier owner knew a placement that hasn't arrived here."""
+        return self._floor > self.placement.generation
+
+    @property
+    def moving_shards(self) -> Iterable[int]:
+        """Shards that have moving buckets."""
+        return self._moving_by_shard.keys()
+
+    def moving_in(self, shard: int) -> list[int]:
+        """Returns the moving buckets of a shard."""
+        return self._moving_by_shard.get(shard, [])
+
+    def is_split(self, bucket: int) -> bool:
+        """Tells whether a bucket may have flows off its current target."""
+        placement = self.placement
+        return placement.base[bucket] != placement.current[bucket] or bucket in placement.returned
+
+    def base_verdict(self, bucket: int) -> Verdict:
+        """Returns the verdict for a flow of a bucket that has no record."""
+        index = self.cleared.get(bucket)
+        return self.table.verdicts[self.placement.base[bucket] if index is None else index]
+
+    def record_verdict(self, value: int) -> Verdict:
+        """Returns the verdict for a recorded flow."""
+        return self._verdicts.get(index_of(value), _UNKNOWN)
+
+    def record_index(self, target: int) -> int:
+        """Returns the index in records of a target of the placement."""
+        return self._record_of[target]
+
+    def unrecorded_target(self, bucket: int) -> int:
+        """Returns the target of a flow that has no record."""
+        return self.cleared.get(bucket, self.placement.base[bucket])
+
+    def start_target(self, bucket: int, settle_s: float = SYN_SETTLE_S) -> int:
+        """Returns the target of a new flow.
+
+        For a while after a bucket began to move, its base target still gets new flows: a SYN may
+        be the repetition of one that the target had before.
+        """
+        placement = self.placement
+        base = placement.base[bucket]
+        since = self.moving_since.get(bucket, 0.0)
+        settled = self._clock.now() - since >= settle_s
+        if settled or placement.targets[base].state is TargetState.DEAD:
+            return placement.current[bucket]
+        return base
+
+    def apply(self, placement: Placement, served: Iterable[int]) -> None:
+        """Takes over a placement of a higher generation.
+
+        Args:
+            placement: The placement.
+            served: Shards for whose flows this instance decides.
+        """
+        before, moved = self.placement, self.table.moving
+        self._changed_at = self._clock.now()
+        self._invariants.check_step(before, placement)
+        self._spread(len(before.base), len(placement.base))
+        copies = len(placement.base) // max(len(before.base), 1)
+        spread = {b + len(before.base) * copy for b in moved for copy in range(copies)}
+        self.table.update(placement)
+        self._refresh()
+        self._forget_settled(spread - self.table.moving, frozenset(served))
+        self._forget_changed(before)
+
+    def export(self, shard: int, serving: bool) -> ShardState | None:
+        """Returns what the next owner of a shard needs; None if there is nothing.
+
+        Args:
+            shard: The shard.
+            serving: Whether this instance decided for it, so that its times count.
+        """
+        now = self._clock.now()
+        moving = self.moving_in(shard)
+        recent = serving and now - self._changed_at < RECENT_S
+        cleared = tuple(bucket for bucket in moving if bucket in self.cleared)
+        packed = b"".join(self.records.pack(*item) for item in self.records.items(shard))
+        if not (packed or cleared or recent or (serving and moving)):
+            return None
+        watched = {b: int(now - self.watched_since[b]) for b in moving if b in self.watched_since}
+        times = tuple(watched.items()) if serving else ()
+        return ShardState(self.table.group, self.placement.generation, times, cleared, packed)
+
+    def begin(self, shard: int) -> None:
+        """Starts to watch a shard's buckets anew, as nobody handed over what was seen before."""
+        for bucket in self.moving_in(shard):
+            self.watched_since.pop(bucket, None)
+
+    def adopt(self, state: ShardState, authoritative: bool) -> None:
+        """Merges the state of another owner.
+
+        Args:
+            state: What it knows.
+            authoritative: Whether it decided last, so that its records replace others and the
+                time for which it watched the buckets counts.
+        """
+        for flow_hash, tag, flags in unpack(state.records):
+            if authoritative or self.records.find(flow_hash) is None:
+                self.records.put(flow_hash, self.records.intern(tag), flags)
+        self.mark_cleared(state.cleared, state.generation)
+        if not authoritative:
+            return
+        self._floor = max(self._floor, state.generation)
+        now = self._clock.now()
+        for bucket, age in state.watched:
+            if bucket in self.table.moving:
+                self.watched_since[bucket] = now - age
+                known = self.moving_since.get(bucket, now)
+                self.moving_since[bucket] = min(known, now - age)
+
+    def mark_cleared(self, buckets: Iterable[int], generation: Generation) -> None:
+        """Notes buckets proven clear, if the proof is for the placement in force here."""
+        if generation != self.placement.generation:
+            return
+        for bucket in buckets:
+            if bucket in self.table.moving:
+                self.cleared[bucket] = self.placement.current[bucket]
+
+    def _refresh(self) -> None:
+        """Derives from the placement what is looked up for each packet."""
+        now = self._clock.now()
+        placement = self.placement
+        tags = (target_tag(placement.group, target.name) for target in placement.targets)
+        self._record_of = tuple(self.records.intern(tag) for tag in tags)
+        self._verdicts = dict(zip(self._record_of, self.table.verdicts, strict=True))
+        moving = self.table.moving
+        self.moving_since = {bucket: self.moving_since.get(bucket, now) for bucket in moving}
+        self.watched_since = {
+            bucket: since for bucket, since in self.watched_since.items() if self.is_split(bucket)
+        }
+        self._moving_by_shard = {}
+        for bucket in sorted(moving):
+            self._moving_by_shard.setdefault(bucket % SHARDS, []).append(bucket)
+
+    def _spread(self, old_size: int, new_size: int) -> None:
+        """Carries the progress of buckets over to a larger table."""
+        for offset in range(old_size, new_size, old_size):
+            for progress in (self.moving_since, self.watched_since):
+                progress.update({b + offset: t for b, t in progress.items() if b < old_size})
+            grown = {b + offset: index for b, index in self.cleared.items() if b < old_size}
+            self.cleared.update(grown)
+
+    def _forget_settled(self, settled: set[int], served: frozenset[int]) -> None:
+        """Drops the records of buckets that became stable."""
+        for shard in {bucket % SHARDS for bucket in settled}:
+            for flow_hash, value in self.records.items(shard):
+                bucket = flow_hash & self.table.mask
+                if bucket in settled:
+                    self._check_kept(shard in served, bucket, value)
+                    self.records.discard(flow_hash)
+
+    def _check_kept(self, served: bool, bucket: int, value: int) -> None:
+        live = not flags_of(value) & (RecordFlag.ENDED | RecordFlag.RESET)
+        stable = self._record_of[self.placement.base[bucket]]
+        alive = self.record_verdict(value).action is Action.FORWARD
+        self._invariants.require(
+            not (served and live and alive) or index_of(value) == stable,
+            Invariant.BASE_PROVEN,
+            f"group {self.table.group} bucket {bucket} became stable with a flow elsewhere",
+        )
+
+    def _forget_changed(self, before: Placement) -> None:
+        """Drops proofs that don't hold for the new tables."""
+        current = self.placement.current
+        old = before.current * (len(current) // len(before.current))
+        self.cleared = {
+            bucket: index
+            for bucket, index in self.cleared.items()
+            if bucket in self.table.moving and current[bucket] == index == old[bucket]
+        }
--- a/pearwell/steering.py
+++ b/pearwell/steering.py
@@ -1,20 +1,37 @@
 """Steering: decides where each packet goes, at one instance."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 
+import structlog
+
 from pearwell.clock import Clock
 from pearwell.configuration import Configuration
+from pearwell.invariants import Invariants
+from pearwell.lease import VIEW_LEASE_S, ViewLease
 from pearwell.membership import View
 from pearwell.messages import Message
-from pearwell.placement import Placement
+from pearwell.owner import Owner
+from pearwell.ownership import Ownership
+from pearwell.placement import Generation, Placement
+from pearwell.record import SHARDS
+from pearwell.release import Releaser
+from pearwell.replication import Replicator
+from pearwell.shard_state import SteeredGroups, SteeringCount
+from pearwell.steered_group import SteeredGroup
 from pearwell.steering_table import SteeringTable
 from pearwell.transport import Transport
 from pearwell.verdict import Action, FlowEvent, Verdict
 
-__all__ = ["Steering", "SteeringTable"]
+__all__ = ["Steering", "SteeringCount", "SteeringTable"]
+
+# An instance that was awake for so long without news serves from what it has.
+ISOLATION_S = 3.0
+MAX_TICK_S = 0.5
 
-VIEW_LEASE_S = 1.0
+_log = structlog.get_logger(__name__)
+_DROP = Verdict(Action.DROP)
 
 
 class Steering:
@@ -28,6 +45,7 @@
         rng: Source of randomness.
         view_lease_s: Seconds without news of the zone after which the view is out of date.
         publish: Takes messages for other services of the daemon.
+        invariants: Checks what must always hold; counts violations by default.
     """
 
     def __init__(
@@ -40,19 +58,63 @@
         *,
         view_lease_s: float = VIEW_LEASE_S,
         publish: Callable[[Message], None],
+        invariants: Invariants | None = None,
     ) -> None:
         self._instance = instance
         self._zone = zone
-        self._transport = transport
         self._clock = clock
-        self._rng = rng
-        self._view_lease_s = view_lease_s
-        self._publish = publish
-        self._tables: dict[str, SteeringTable] = {}
+        self._invariants = invariants or Invariants()
+        self._counts: Counter[SteeringCount] = Counter()
+        self._groups = SteeredGroups(self._counts)
+        self._ownership = Ownership(instance, transport, clock, view_lease_s, self._groups)
+        self._replicator = Replicator(transport, clock, self._groups.store, self._groups.mark)
+        self._replicator.on_forget(self._groups.forget)
+        self._groups.connect(self._ownership, self._replicator)
+        self._owner = Owner(clock, self._ownership, self._replicator, self._invariants)
+        self._releaser = Releaser(clock, self._ownership, self._replicator, publish)
+        self._lease = ViewLease(
+            transport, clock, rng, view_lease_s, self._generations, self._renewed
+        )
+        self._configuration = Configuration()
+        self._lapsed = False
+        self._isolated = False
+        self._lapsed_awake_s = 0.0
+        self._ticked_at = clock.now()
+
+    @property
+    def invariants(self) -> Invariants:
+        """What must always hold, with the violations seen."""
+        return self._invariants
+
+    @property
+    def counts(self) -> dict[SteeringCount, int]:
+        """Counters since the start."""
+        return dict(self._counts)
+
+    @property
+    def records(self) -> int:
+        """Number of flow records held, copies included."""
+        return sum(group.records.size for group in self._groups.all())
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of all flow records in bytes."""
+        return sum(group.records.state_bytes for group in self._groups.all())
+
+    @property
+    def shards_served(self) -> int:
+        """Number of shards that this instance decides for; 0 once it has handed over."""
+        return len(self._ownership.served)
+
+    @property
+    def lapsed(self) -> bool:
+        """Whether the view lease has lapsed, so that every packet goes to the owners."""
+        return self._lapsed
 
     def table(self, group: str) -> SteeringTable | None:
         """Returns the table of a group; the object stays the same while it is updated."""
-        return self._tables.get(group)
+        found = self._groups.find(group)
+        return None if found is None else found.table
 
     def decide(
         self,
@@ -73,33 +135,145 @@
             has_payload: Whether it carries data.
         """
         bucket = flow_hash & table.mask
-        address = table.slots[bucket]
-        if address is not None:
-            return Verdict(Action.FORWARD, address, table.names[address])
-        return table.verdicts[table.placement.base[bucket]]
+        if table.slots[bucket] is not None:
+            return table.verdicts[table.placement.base[bucket]]
+        return self._decide_unsettled(table, flow_hash, event, from_peer)
 
     def check_lease(self) -> None:
         """Checks the view lease; called on each wake-up before any queued packet."""
+        if self._lapsed or self._isolated or not self._ownership.others:
+            return
+        if not self._lease.valid:
+            self._lapse()
 
     def configure(self, configuration: Configuration) -> None:
-        """Takes over idle timeouts and learning times."""
+        """Takes over idle timeouts and learning times of the services, by group."""
+        self._configuration = configuration
+        for group in self._groups.all():
+            self._configure_group(group)
 
     def apply_placement(self, placement: Placement) -> None:
         """Takes over a placement; one of no higher generation is ignored."""
-        table = self._tables.get(placement.group)
-        if table is None:
-            self._tables[placement.group] = SteeringTable(placement)
-        elif placement.generation > table.placement.generation:
-            table.update(placement)
+        group = self._groups.find(placement.group)
+        if group is None:
+            group = SteeredGroup(placement, self._clock, self._invariants)
+            self._configure_group(group)
+            self._isolated = False
+        elif placement.generation > group.placement.generation:
+            group.apply(placement, self._ownership.served)
+        else:
+            return
+        self._groups.put(placement.group, group)
+        if self._lapsed:
+            group.table.close()
+        self._lease.check_caught_up()
 
     def apply_view(self, view: View) -> None:
         """Takes over the members of the zone."""
+        before = set(self._ownership.others)
+        self._ownership.apply_view(view)
+        self._lease.set_peers(self._ownership.others)
+        for instance in before - set(self._ownership.others):
+            self._replicator.drop(instance)
+        if self._lapsed and not self._ownership.others:
+            self._recover()
+        self.check_lease()
 
     def renew_view(self, heard_at: float) -> None:
         """Renews the view lease from a time in seconds of the instance's clock."""
+        self._lease.hear(heard_at)
 
     def handle(self, sender: str, message: Message) -> None:
-        """Handles a message of another instance."""
+        """Handles a message of another instance; one of another part is ignored."""
+        self.check_lease()
+        parts = (self._lease, self._replicator, self._ownership)
+        any(part.handle(sender, message) for part in parts)
 
     def tick(self) -> None:
         """Does periodic work, a few times a second."""
+        self.check_lease()
+        self._lease.tick()
+        self._watch_isolation()
+        if not self._lapsed:
+            self._ownership.tick()
+        self._replicator.tick()
+        self._releaser.tick(self._groups.all())
+
+    def _decide_unsettled(
+        self, table: SteeringTable, flow_hash: int, event: FlowEvent, from_peer: bool
+    ) -> Verdict:
+        """Decides on a packet whose bucket isn't stable on a working target."""
+        if self._lapsed:
+            return self._undecided() if from_peer else self._pass_on(flow_hash)
+        group = self._groups.find(table.group)
+        assert group is not None
+        bucket = flow_hash & table.mask
+        if bucket not in table.moving:
+            return group.base_verdict(bucket)
+        if self._ownership.serves(flow_hash % SHARDS):
+            return self._owner.decide(group, flow_hash, event)
+        verdict = self._owner.decide_as_backup(group, flow_hash, event, from_peer)
+        return verdict or self._pass_on(flow_hash)
+
+    def _pass_on(self, flow_hash: int) -> Verdict:
+        """Passes a packet to the instance that decides for it."""
+        member = self._ownership.holder(flow_hash % SHARDS)
+        if member is None:
+            return self._undecided()
+        self._counts[SteeringCount.PASSED] += 1
+        return Verdict(Action.PASS, (member.address, member.peer_port))
+
+    def _undecided(self) -> Verdict:
+        """Drops a packet that nobody can decide on now; the caller sends it again."""
+        self._counts[SteeringCount.PACKETS_UNDECIDED] += 1
+        return _DROP
+
+    def _lapse(self) -> None:
+        """Stops to decide, as changes may have been missed."""
+        _log.warning("view_lease_lapsed", instance=self._instance)
+        self._counts[SteeringCount.LEASE_LAPSED] += 1
+        self._lapsed = True
+        self._lapsed_awake_s = 0.0
+        self._ownership.suspend()
+        for group in self._groups.all():
+            group.table.close()
+        self._lease.ask()
+
+    def _renewed(self) -> None:
+        """Ends a lapse or an isolation."""
+        self._isolated = False
+        if self._lapsed:
+            self._recover()
+
+    def _generations(self) -> dict[str, Generation]:
+        return {group.table.group: group.placement.generation for group in self._groups.all()}
+
+    def _recover(self) -> None:
+        """Decides again, after the owners' state has been pulled."""
+        self._lapsed = False
+        for group in self._groups.all():
+            group.table.open()
+        self._ownership.resume()
+
+    def _watch_isolation(self) -> None:
+        """Serves from what is here after a while awake without news of any peer."""
+        now = self._clock.now()
+        elapsed = min(now - self._ticked_at, MAX_TICK_S)
+        self._ticked_at = now
+        if not self._lapsed:
+            return
+        self._lapsed_awake_s += elapsed
+        if self._lapsed_awake_s >= ISOLATION_S:
+            _log.warning("isolated", instance=self._instance)
+            self._isolated = True
+            self._recover()
+
+    def _configure_group(self, group: SteeredGroup) -> None:
+        services = [
+            service
+            for service in self._configuration.services.values()
+            if service.group == group.table.group
+        ]
+        if services:
+            group.idle_timeout_s = max(service.idle_timeout_s for service in services)
+            group.learning_time_s = max(service.learning_time_s for service in services)
