--- /dev/null
+++ b/bench/steering_schemes.py
@@ -0,0 +1,151 @@
+"""The schemes that the steering bench compares: pearwell and two baselines."""
+
+import sys
+
+from bench.steering_zone import GROUP, ZONE, Zone
+from pearwell.configuration import Configuration
+from pearwell.membership import View
+from pearwell.messages import Message
+from pearwell.placement import Phase, Placement
+from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.steering import Steering
+from pearwell.transport import Transport
+from pearwell.verdict import Action, FlowEvent, Verdict
+
+__all__ = ["IDLE_TIMEOUT_S", "SCHEMES", "FlowTable", "Pearwell", "Stateless"]
+
+IDLE_TIMEOUT_S = 8.0
+# A key of 64 bits is an int object of 36 bytes, rounded up by the allocator.
+_KEY_BYTES = 48
+
+
+class Pearwell:
+    """The real core."""
+
+    def __init__(self, name: str, transport: Transport, zone: Zone) -> None:
+        self.core = Steering(
+            name,
+            ZONE,
+            transport,
+            zone.clock,
+            zone.rng,
+            publish=lambda message: zone.planner.take(message),
+            invariants=zone.invariants,
+        )
+        service = ServiceSpec(
+            "intake", "127.9.9.1", 443, TransportProtocol.TCP, GROUP, IDLE_TIMEOUT_S
+        )
+        self.core.configure(Configuration({service.name: service}))
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the flow state in bytes."""
+        return self.core.state_bytes
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether the instance may stop."""
+        return self.core.shards_served == 0
+
+    def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
+        """Decides on one packet."""
+        table = self.core.table(GROUP)
+        if table is None:
+            return Verdict(Action.DROP)
+        return self.core.decide(table, flow_hash, event, from_peer=from_peer)
+
+    def apply_placement(self, placement: Placement) -> None:
+        """Takes over a placement."""
+        self.core.apply_placement(placement)
+
+    def apply_view(self, view: View) -> None:
+        """Takes over a view."""
+        self.core.apply_view(view)
+
+    def heard(self, now: float) -> None:
+        """Notes that membership heard the zone."""
+        self.core.renew_view(now)
+
+    def handle(self, sender: str, message: Message) -> None:
+        """Handles a message of a peer."""
+        self.core.handle(sender, message)
+
+    def wake(self) -> None:
+        """Checks the lease before queued packets."""
+        self.core.check_lease()
+
+    def tick(self) -> None:
+        """Does periodic work."""
+        self.core.tick()
+
+
+class Stateless:
+    """Sends every packet to the target of its bucket, by the newest table known here."""
+
+    def __init__(self, name: str, transport: Transport, zone: Zone) -> None:
+        self._placement: Placement | None = None
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the flow state in bytes."""
+        return 0
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether the instance may stop."""
+        return True
+
+    def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
+        """Decides on one packet."""
+        placement = self._placement
+        if placement is None:
+            return Verdict(Action.DROP)
+        index = placement.current[flow_hash & (len(placement.current) - 1)]
+        target = placement.targets[index]
+        return Verdict(Action.FORWARD, (target.address, target.port), target.name)
+
+    def apply_placement(self, placement: Placement) -> None:
+        """Takes over a placement once it is in force."""
+        if placement.phase is not Phase.PREPARED:
+            self._placement = placement
+
+    def apply_view(self, view: View) -> None:
+        """Ignores views."""
+
+    def heard(self, now: float) -> None:
+        """Ignores membership."""
+
+    def handle(self, sender: str, message: Message) -> None:
+        """Ignores messages."""
+
+    def wake(self) -> None:
+        """Does nothing."""
+
+    def tick(self) -> None:
+        """Does nothing."""
+
+
+class FlowTable(Stateless):
+    """Keeps the target of every flow that this instance saw; others go by the newest table."""
+
+    def __init__(self, name: str, transport: Transport, zone: Zone) -> None:
+        super().__init__(name, transport, zone)
+        self._flows: dict[int, Verdict] = {}
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the flow state in bytes."""
+        return sys.getsizeof(self._flows) + len(self._flows) * _KEY_BYTES
+
+    def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
+        """Decides on one packet."""
+        verdict = self._flows.get(flow_hash)
+        if verdict is None or event & FlowEvent.START:
+            verdict = super().decide(flow_hash, event, from_peer)
+            self._flows[flow_hash] = verdict
+        if event & FlowEvent.END:
+            self._flows.pop(flow_hash, None)
+        return verdict
+
+
+SCHEMES = {"stateless": Stateless, "flow_table": FlowTable, "pearwell": Pearwell}
--- /dev/null
+++ b/bench/steering_zone.py
@@ -0,0 +1,566 @@
+"""A small in-memory hub: one zone of steering cores, its planner, targets and flows."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from pearwell.change import activate, fail, initial, prepare, release
+from pearwell.clock import ManualClock
+from pearwell.invariants import Invariant, Invariants
+from pearwell.membership import Member, MemberState, View
+from pearwell.messages import BucketsClear, Message
+from pearwell.placement import Generation, Phase, PlacedTarget, Placement, TargetState
+from pearwell.transport import MemoryNetwork, Transport
+from pearwell.verdict import Action, FlowEvent, Verdict
+
+__all__ = ["Flow", "FlowPlan", "Node", "Node", "Planner", "Scheme", "SchemeFactory", "Zone"]
+
+GROUP = "intake"
+ZONE = "pnw-a"
+PEER_PORT = 6081
+TARGET_PORT = 6080
+MESSAGE_DELAY_S = 0.001
+HOP_DELAY_S = 0.0002
+ROUND_TRIP_S = 0.002
+DETECTION_S = 1.5
+FABRIC_LAG_S = 0.3
+HEARTBEAT_S = 0.25
+TICK_S = 0.25
+ACKNOWLEDGE_WAIT_S = 1.5
+PLANNER_STEP_S = 0.1
+RETRANSMIT_S = 0.2
+SYN_RETRANSMIT_S = 1.0
+MAX_RETRANSMITS = 40
+INNER_TTL = 60
+
+
+class Scheme(Protocol):
+    """A way to steer packets, at one instance."""
+
+    @property
+    def state_bytes(self) -> int:
+        """Memory of the flow state in bytes."""
+
+    def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
+        """Decides on one packet."""
+
+    def apply_placement(self, placement: Placement) -> None:
+        """Takes over a placement."""
+
+    def apply_view(self, view: View) -> None:
+        """Takes over a view."""
+
+    def heard(self, now: float) -> None:
+        """Notes that membership heard the zone."""
+
+    def handle(self, sender: str, message: Message) -> None:
+        """Handles a message of a peer."""
+
+    def wake(self) -> None:
+        """Called on each wake-up before any queued packet."""
+
+    def tick(self) -> None:
+        """Does periodic work."""
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether the instance may stop."""
+
+
+SchemeFactory = Callable[[str, Transport, "Zone"], Scheme]
+
+
+@dataclass(slots=True)
+class FlowPlan:
+    """When flows open, how long they last and how often they send.
+
+    Attributes:
+        first_s: Earliest opening, in seconds.
+        last_s: Latest opening.
+        min_life_s: Shortest life.
+        max_life_s: Longest life.
+        interval_s: Mean time between two packets.
+    """
+
+    first_s: float = 0.0
+    last_s: float = 30.0
+    min_life_s: float = 1.0
+    max_life_s: float = 12.0
+    interval_s: float = 1.0
+
+
+@dataclass(slots=True)
+class Flow:
+    """A caller's flow, or a packet of one that was late while the caller sent it again."""
+
+    hash: int
+    ends_at: float
+    interval_s: float
+    target: str = ""
+    finished: bool = False
+    failure: str = ""
+    retransmits: int = 0
+    late_for: "Flow | None" = None
+
+
+@dataclass(slots=True)
+class Node:
+    """An instance and how it stands."""
+
+    name: str
+    member: Member
+    scheme: Scheme
+    alive: bool = True
+    paused: bool = False
+    in_fabric: bool = True
+    backlog: list[Callable[[], None]] = field(default_factory=list)
+    view_version: int = 0
+    generation: Generation = Generation(0, "")  # noqa: RUF009
+
+
+class Planner:
+    """Drives placements through their phases; the real one is part of the placement service."""
+
+    def __init__(self, zone: "Zone", targets: Iterable[str]) -> None:
+        self._zone = zone
+        self._wanted = {name: _target(name) for name in targets}
+        self._counter = 1
+        self.placement = initial(GROUP, ZONE, tuple(self._wanted.values()), 0, self._generation())
+        self._since = 0.0
+        self._clear: set[int] = set()
+
+    @property
+    def wanted(self) -> dict[str, PlacedTarget]:
+        """The wanted targets by name."""
+        return dict(self._wanted)
+
+    def want(self, *names: str) -> None:
+        """Begins a change to a set of targets."""
+        self._wanted = {name: _target(name) for name in names}
+        self.begin()
+
+    def weigh(self, name: str, weight: int) -> None:
+        """Begins a change of one target's weight."""
+        self._wanted[name] = _target(name, weight)
+        self.begin()
+
+    def begin(self) -> None:
+        """Prepares the wanted targets."""
+        self._put(prepare(self.placement, tuple(self._wanted.values()), self._next()))
+
+    def kill(self, name: str) -> None:
+        """Moves the new flows of a dead target."""
+        self._wanted.pop(name, None)
+        self._put(fail(self.placement, name, self._next()))
+
+    def replace(self) -> None:
+        """Loses what only the planner knows, as another instance takes over."""
+        self._since = self._zone.now
+        self._clear.clear()
+
+    def take(self, message: Message) -> None:
+        """Takes a proof of an owner; one for another generation is ignored."""
+        assert isinstance(message, BucketsClear)
+        if message.generation == self.placement.generation.counter:
+            self._clear.update(message.buckets)
+
+    def step(self) -> None:
+        """Releases proven buckets and activates what everybody knows."""
+        if self._clear:
+            buckets, self._clear = self._clear, set()
+            self._put(release(self.placement, buckets, self._next()), keep_since=True)
+        if self.placement.phase is Phase.PREPARED and self._acknowledged():
+            self._put(activate(self.placement, self._next()))
+
+    def _acknowledged(self) -> bool:
+        waited = self._zone.now - self._since >= ACKNOWLEDGE_WAIT_S
+        return waited or self._zone.all_hold(self.placement.generation)
+
+    def _put(self, placement: Placement, keep_since: bool = False) -> None:
+        self.placement = placement
+        if not keep_since:
+            self._since = self._zone.now
+        self._clear.clear()
+        self._zone.spread(placement)
+
+    def _next(self) -> Generation:
+        self._counter += 1
+        return self._generation()
+
+    def _generation(self) -> Generation:
+        return Generation(self._counter, "planner")
+
+
+class Zone:
+    """Instances, targets, flows and faults in virtual time.
+
+    Args:
+        seed: Seed of every random choice.
+        instances: Number of instances at the start.
+        targets: Number of targets at the start.
+        scheme: Makes the steering of an instance.
+        view_lag_s: Longest time until a view or placement arrives at an instance.
+        raising: Whether a broken flow raises InvariantError.
+        delivery: Delays in seconds of the copies of a message; 1 ms each by default.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        instances: int,
+        targets: int,
+        scheme: SchemeFactory,
+        *,
+        view_lag_s: float = 0.8,
+        raising: bool = False,
+        delivery: Callable[[str, str], tuple[float, ...]] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.invariants = Invariants(raising)
+        self.faults = delivery
+        self.cut: set[str] = set()
+        self.network = MemoryNetwork(self.clock, self._deliver_message)
+        self.nodes: dict[str, Node] = {}
+        self.flows: list[Flow] = []
+        self.dead_targets: set[str] = set()
+        self.packets = 0
+        self.passed = 0
+        self.misrouted = 0
+        self.state_bytes_peak = 0
+        self._scheme = scheme
+        self._view_lag_s = view_lag_s
+        self._version = 0
+        self._members: dict[str, Member] = {}
+        self._numbers = 0
+        self._addresses: dict[str, str] = {}
+        self.planner = Planner(self, [f"t{number:02}" for number in range(targets)])
+        for _ in range(instances):
+            self._add()
+        self._spread_view(0.0)
+        self.spread(self.planner.placement, 0.0)
+        self._every(HEARTBEAT_S, self._heartbeat)
+        self._every(TICK_S, self._tick)
+        self._every(PLANNER_STEP_S, self.planner.step)
+
+    @property
+    def now(self) -> float:
+        """Virtual time in seconds."""
+        return self.clock.now()
+
+    @property
+    def live(self) -> list[Node]:
+        """Instances that run, paused ones included."""
+        return [node for node in self.nodes.values() if node.alive]
+
+    @property
+    def broken(self) -> int:
+        """Number of broken flows."""
+        return sum(1 for flow in self.flows if flow.failure)
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Plans an action for a time in seconds."""
+        self.network.call_at(when, action)
+
+    def run_until(self, when: float) -> None:
+        """Runs up to a time in seconds."""
+        self.network.run_until(when)
+
+    def all_hold(self, generation: Generation) -> bool:
+        """Tells whether every member holds a generation, as acknowledgements tell a planner."""
+        nodes = [self.nodes[name] for name in self._members]
+        return all(node.generation >= generation for node in nodes)
+
+    def spread(self, placement: Placement, lag_s: float | None = None) -> None:
+        """Sends a placement to every instance; each gets it at its own time."""
+        for node in self.live:
+            self._spread_to(node, placement, lag_s)
+
+    def join(self) -> str:
+        """Starts an instance, which takes its state from a peer."""
+        node = self._add()
+        self._spread_view()
+        self._spread_to(node, self.planner.placement, None)
+        return node.name
+
+    def stop(self, name: str) -> None:
+        """Stops an instance gracefully: it leaves, hands over, and ends."""
+        node = self.nodes[name]
+        member = node.member
+        node.member = Member(
+            member.instance,
+            member.address,
+            member.peer_port,
+            member.control_port,
+            member.incarnation,
+            MemberState.LEAVING,
+        )
+        self._members[name] = node.member
+        self._spread_view()
+        self.at(self.now + FABRIC_LAG_S, lambda: self._leave_fabric(node))
+        self.at(self.now + 2.0, lambda: self._end_when_handed_over(node))
+
+    def crash(self, name: str) -> None:
+        """Ends an instance without warning."""
+        node = self.nodes[name]
+        node.alive = False
+        self.network.detach(name)
+        self.at(self.now + FABRIC_LAG_S, lambda: self._leave_fabric(node))
+        self.at(self.now + DETECTION_S, lambda: self._lose(name))
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Pauses an instance; packets and messages queue meanwhile."""
+        node = self.nodes[name]
+        node.paused = True
+        self.at(self.now + FABRIC_LAG_S, lambda: self._leave_fabric(node))
+        if seconds > DETECTION_S:
+            self.at(self.now + DETECTION_S, lambda: self._lose(name))
+        self.at(self.now + seconds, lambda: self._resume(node))
+
+    def separate(self, name: str, seconds: float) -> None:
+        """Cuts an instance off from its peers; the fabric and targets still reach it."""
+        self.cut.add(name)
+        self.at(self.now + DETECTION_S, lambda: self._lose(name))
+        self.at(self.now + DETECTION_S, lambda: self._show_alone(name))
+        self.at(self.now + seconds, lambda: self._rejoin(name))
+
+    def kill_target(self, name: str) -> None:
+        """Ends a target; its flows are lost with it."""
+        self.dead_targets.add(name)
+        self.at(self.now + DETECTION_S, lambda: self.planner.kill(name))
+
+    def open_flows(self, count: int, plan: FlowPlan) -> None:
+        """Plans flows that open at random times."""
+        for _ in range(count):
+            when = self.rng.uniform(plan.first_s, plan.last_s)
+            life = self.rng.uniform(plan.min_life_s, plan.max_life_s)
+            flow = Flow(self.rng.getrandbits(64), when + life, plan.interval_s)
+            self.flows.append(flow)
+            self.at(when, lambda flow=flow: self._send(flow, FlowEvent.START))  # type: ignore[misc]
+
+    def _add(self) -> Node:
+        number = self._numbers = self._numbers + 1
+        name = f"i{number:03}"
+        member = Member(name, f"127.9.0.{number}", PEER_PORT, 0)
+        transport = self.network.attach(name, lambda sender, m: self._receive(name, sender, m))
+        node = Node(name, member, self._scheme(name, transport, self))
+        self.nodes[name] = node
+        self._members[name] = member
+        self._addresses[member.address] = name
+        return node
+
+    def _every(self, seconds: float, action: Callable[[], None]) -> None:
+        def run() -> None:
+            action()
+            self.at(self.now + seconds, run)
+
+        self.at(self.now + seconds, run)
+
+    def _lag(self) -> float:
+        return self.rng.uniform(0.0, self._view_lag_s)
+
+    def _heartbeat(self) -> None:
+        for node in self.live:
+            connected = node.name not in self.cut and node.name in self._members
+            if connected and not node.paused:
+                node.scheme.heard(self.now)
+
+    def _tick(self) -> None:
+        for node in self.live:
+            if not node.paused:
+                node.scheme.tick()
+        states = (node.scheme.state_bytes for node in self.live)
+        self.state_bytes_peak = max(self.state_bytes_peak, max(states, default=0))
+
+    def _spread_to(self, node: Node, placement: Placement, lag_s: float | None) -> None:
+        def apply() -> None:
+            if placement.generation > node.generation:
+                node.generation = placement.generation
+                node.scheme.apply_placement(placement)
+
+        def arrive() -> None:
+            if node.name in self.cut:
+                self.at(self.now + HEARTBEAT_S, arrive)
+            else:
+                self._wake(node, apply)
+
+        self.at(self.now + (self._lag() if lag_s is None else lag_s), arrive)
+
+    def _spread_view(self, lag_s: float | None = None) -> None:
+        """Sends the members to every instance; each gets them at its own time."""
+        self._version += 1
+        view = View(tuple(self._members[name] for name in sorted(self._members)), self._version)
+        for node in self.live:
+            if node.name in self._members and node.name not in self.cut:
+                self._show(node, view, self._lag() if lag_s is None else lag_s)
+
+    def _show(self, node: Node, view: View, lag_s: float) -> None:
+        def apply() -> None:
+            if view.version > node.view_version:
+                node.view_version = view.version
+                node.scheme.apply_view(view)
+
+        self.at(self.now + lag_s, lambda: self._wake(node, apply))
+
+    def _show_alone(self, name: str) -> None:
+        node = self.nodes[name]
+        self._show(node, View((node.member,), node.view_version + 1), self._lag())
+
+    def _lose(self, name: str) -> None:
+        if self._members.pop(name, None) is not None:
+            self._spread_view()
+
+    def _rejoin(self, name: str) -> None:
+        self.cut.discard(name)
+        self._members[name] = self.nodes[name].member
+        self._version += 1
+        self._spread_view()
+
+    def _leave_fabric(self, node: Node) -> None:
+        node.in_fabric = node.alive and not node.paused and node.member.state is MemberState.ALIVE
+
+    def _end_when_handed_over(self, node: Node) -> None:
+        if not node.scheme.handed_over:
+            self.at(self.now + HEARTBEAT_S, lambda: self._end_when_handed_over(node))
+            return
+        self._lose(node.name)
+        self.at(self.now + 1.0, lambda: self._end(node))
+
+    def _end(self, node: Node) -> None:
+        node.alive = False
+        self.network.detach(node.name)
+
+    def _resume(self, node: Node) -> None:
+        if not node.alive:
+            return
+        node.paused = False
+        node.scheme.wake()
+        backlog, node.backlog = node.backlog, []
+        self.rng.shuffle(backlog)
+        for action in backlog:
+            action()
+        node.in_fabric = True
+        self._members[node.name] = node.member
+        self._spread_view()
+
+    def _wake(self, node: Node, action: Callable[[], None]) -> None:
+        """Runs an action at an instance, or once it is no longer paused."""
+        if node.paused:
+            node.backlog.append(action)
+        elif node.alive:
+            node.scheme.wake()
+            action()
+
+    def _deliver_message(self, sender: str, to: str, message: Message) -> tuple[float, ...]:
+        if sender in self.cut or to in self.cut:
+            return ()
+        return self.faults(sender, to) if self.faults else (MESSAGE_DELAY_S,)
+
+    def _receive(self, name: str, sender: str, message: Message) -> None:
+        node = self.nodes[name]
+        self._wake(node, lambda: node.scheme.handle(sender, message))
+
+    def _send(self, flow: Flow, event: FlowEvent) -> None:
+        """Sends one packet of a flow to any instance that the fabric knows."""
+        if flow.finished:
+            return
+        entries = [node for node in self.nodes.values() if node.in_fabric]
+        self._arrive(self.rng.choice(entries), flow, event, INNER_TTL, False)
+
+    def _arrive(self, node: Node, flow: Flow, event: FlowEvent, ttl: int, from_peer: bool) -> None:
+        if not node.alive:
+            self._lost(flow, event)
+        elif node.paused:
+            late = Flow(flow.hash, 0.0, 0.0, late_for=flow)
+            node.backlog.append(lambda: self._arrive(node, late, event, ttl, from_peer))
+            self._lost(flow, event)
+        else:
+            node.scheme.wake()
+            self._decide(node, flow, event, ttl, from_peer)
+
+    def _decide(self, node: Node, flow: Flow, event: FlowEvent, ttl: int, from_peer: bool) -> None:
+        self.packets += 1
+        verdict = node.scheme.decide(flow.hash, event, from_peer)
+        if verdict.action is Action.FORWARD:
+            self._at_target(flow, event, verdict.target)
+        elif verdict.action is Action.REFUSE:
+            self._refused(flow)
+        elif verdict.action is Action.PASS and ttl > 0 and verdict.address is not None:
+            self._pass(node, flow, event, ttl, verdict.address[0])
+        else:
+            self._lost(flow, event)
+
+    def _pass(self, node: Node, flow: Flow, event: FlowEvent, ttl: int, address: str) -> None:
+        self.passed += 1
+        peer = self.nodes[self._addresses[address]]
+        if node.name in self.cut or peer.name in self.cut:
+            self._lost(flow, event)
+            return
+        self.at(self.now + HOP_DELAY_S, lambda: self._arrive(peer, flow, event, ttl - 1, True))
+
+    def _at_target(self, flow: Flow, event: FlowEvent, target: str) -> None:
+        if target in self.dead_targets:
+            self._lost(flow, event)
+        elif flow.late_for is not None:
+            self._at_target_late(flow.late_for, target)
+        elif flow.target and target != flow.target:
+            self.misrouted += 1
+            self._fail(flow, f"{event!r} reached {target} instead of {flow.target}")
+        elif event & FlowEvent.START:
+            self._accepted(flow, target)
+        elif event & FlowEvent.END:
+            flow.finished = True
+        else:
+            flow.retransmits = 0
+            self._plan_next(flow)
+
+    def _at_target_late(self, flow: Flow, target: str) -> None:
+        """Takes a packet that the caller has sent again meanwhile."""
+        if flow.target and target != flow.target and not flow.finished:
+            self.misrouted += 1
+            self._fail(flow, f"a late packet reached {target} instead of {flow.target}")
+
+    def _accepted(self, flow: Flow, target: str) -> None:
+        if not flow.target:
+            flow.target = target
+            flow.retransmits = 0
+            self.at(self.now + ROUND_TRIP_S, lambda: self._send(flow, FlowEvent.NONE))
+
+    def _plan_next(self, flow: Flow) -> None:
+        when = self.now + self.rng.uniform(0.5, 1.5) * flow.interval_s
+        event = FlowEvent.NONE if when < flow.ends_at else FlowEvent.END
+        self.at(when, lambda: self._send(flow, event))
+
+    def _lost(self, flow: Flow, event: FlowEvent) -> None:
+        """Sends a lost packet again after a while, until the caller gives up."""
+        if flow.finished or flow.late_for is not None:
+            return
+        if flow.target in self.dead_targets:
+            flow.finished = True
+            return
+        flow.retransmits += 1
+        if flow.retransmits > MAX_RETRANSMITS:
+            self._fail(flow, f"{event!r} was lost too often")
+            return
+        started = event & FlowEvent.START
+        wait = SYN_RETRANSMIT_S if started else RETRANSMIT_S
+        self.at(self.now + wait, lambda: self._send(flow, event))
+
+    def _refused(self, flow: Flow) -> None:
+        if flow.target in self.dead_targets or flow.late_for is not None:
+            flow.finished = True
+        else:
+            self._fail(flow, "refused")
+
+    def _fail(self, flow: Flow, why: str) -> None:
+        flow.finished = True
+        flow.failure = flow.failure or why
+        invariant = Invariant.ONE_TARGET_PER_FLOW
+        detail = f"flow {flow.hash:x} at {self.now:.3f} s: {why}"
+        self.invariants.require(False, invariant, detail)
+
+
+def _target(name: str, weight: int = 100) -> PlacedTarget:
+    number = int(name[1:]) + 1
+    return PlacedTarget(name, f"127.9.1.{number}", TARGET_PORT, weight, TargetState.WORKING)
--- a/pearwell/ownership.py
+++ b/pearwell/ownership.py
@@ -70,6 +70,7 @@
     not_before: float = 0.0
     server: str = ""
     server_heard_at: float = 0.0
+    copies: dict[str, tuple[ShardState, ...]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -246,6 +247,7 @@
         if self._primary(shard) != self._instance:
             self._pulls.pop(shard, None)
             self._roles[shard] = Role.NONE
+            self._trusted[shard] = False
             return
         pull = self._pulls.get(shard) or self._start(shard)
         pull.waiting -= dropped
@@ -285,8 +287,16 @@
         now = self._clock.now()
         for shard, pull in list(self._pulls.items()):
             if not pull.waiting and now >= pull.not_before:
+                self._adopt_copies(shard, pull)
                 self._serve(shard)
 
+    def _adopt_copies(self, shard: int, pull: _Pull) -> None:
+        """Merges the copies of other members, those of the owners by the present view first."""
+        owners = self._owners[shard]
+        ranked = sorted(pull.copies, key=lambda name: (name not in owners, name))
+        for name in ranked:
+            self._keeper.adopt(shard, pull.copies[name], False)
+
     def _serve(self, shard: int, granted_by: str = "") -> None:
         self._pulls.pop(shard, None)
         self._roles[shard] = Role.SERVING
@@ -363,8 +373,8 @@
         assert isinstance(message, OwnershipAnswer)
         now = self._clock.now()
         for shard, groups in message.copies:
-            if self._roles[shard] is Role.PULLING:
-                self._keeper.adopt(shard, groups, False)
+            if shard in self._pulls:
+                self._pulls[shard].copies[sender] = groups
         for shard in message.idle:
             pull = self._pulls.get(shard)
             if pull is not None and pull.round == message.round:
--- a/pearwell/record.py
+++ b/pearwell/record.py
@@ -156,6 +156,10 @@
         if not shard:
             del self._shards[number]
 
+    def clear(self, shard: int) -> None:
+        """Forgets all flows of a shard."""
+        self._shards.pop(shard, None)
+
     def items(self, shard: int) -> list[tuple[int, int]]:
         """Returns flow hashes and values of one shard."""
         entries = self._shards.get(shard, {}).items()
--- a/pearwell/shard_state.py
+++ b/pearwell/shard_state.py
@@ -93,10 +93,13 @@
 
     def adopt(self, shard: int, groups: Iterable[ShardState], authoritative: bool) -> None:
         """Merges what another instance knows of a shard; authoritative state replaces."""
+        if authoritative:
+            for group in self._groups.values():
+                group.records.clear(shard)
         for state in groups:
-            group = self._groups.get(state.group)
-            if group is not None:
-                group.adopt(state, authoritative)
+            found = self._groups.get(state.group)
+            if found is not None:
+                found.adopt(state, authoritative)
 
     def begin(self, shard: int, granted: bool) -> None:
         """Notes that this instance decides for a shard; granted by its server, or alone."""
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -157,7 +157,9 @@
         return ShardState(self.table.group, self.placement.generation, times, cleared, packed)
 
     def begin(self, shard: int) -> None:
-        """Starts to watch a shard's buckets anew, as nobody handed over what was seen before."""
+        """Starts to watch a shard's flows anew, as nobody handed over what was seen before."""
+        for flow_hash, value in self.records.items(shard):
+            self.records.touch(flow_hash, value, RecordFlag.NONE)
         for bucket in self.moving_in(shard):
             self.watched_since.pop(bucket, None)
 
@@ -169,8 +171,10 @@
             authoritative: Whether it decided last, so that its records replace others and the
                 time for which it watched the buckets counts.
         """
+        mask = self.table.mask
         for flow_hash, tag, flags in unpack(state.records):
-            if authoritative or self.records.find(flow_hash) is None:
+            unknown = self.records.find(flow_hash) is None and flow_hash & mask not in self.cleared
+            if authoritative or unknown:
                 self.records.put(flow_hash, self.records.intern(tag), flags)
         self.mark_cleared(state.cleared, state.generation)
         if not authoritative:
@@ -187,9 +191,17 @@
         """Notes buckets proven clear, if the proof is for the placement in force here."""
         if generation != self.placement.generation:
             return
-        for bucket in buckets:
-            if bucket in self.table.moving:
-                self.cleared[bucket] = self.placement.current[bucket]
+        proven = self.table.moving.intersection(buckets)
+        self.cleared.update({bucket: self.placement.current[bucket] for bucket in proven})
+        for shard in {bucket % SHARDS for bucket in proven}:
+            self._forget_elsewhere(shard, proven)
+
+    def _forget_elsewhere(self, shard: int, proven: frozenset[int]) -> None:
+        """Drops copies of flows that ended off the current target of proven buckets."""
+        for flow_hash, value in self.records.items(shard):
+            bucket = flow_hash & self.table.mask
+            if bucket in proven and index_of(value) != self._record_of[self.cleared[bucket]]:
+                self.records.discard(flow_hash)
 
     def _refresh(self) -> None:
         """Derives from the placement what is looked up for each packet."""
--- a/pearwell/steering.py
+++ b/pearwell/steering.py
@@ -29,6 +29,9 @@
 # An instance that was awake for so long without news serves from what it has.
 ISOLATION_S = 3.0
 MAX_TICK_S = 0.5
+# After a lapse, queued flow starts of moving buckets are dropped: their callers have repeated
+# them meanwhile.
+BACKLOG_S = 1.0
 
 _log = structlog.get_logger(__name__)
 _DROP = Verdict(Action.DROP)
@@ -78,6 +81,7 @@
         self._configuration = Configuration()
         self._lapsed = False
         self._isolated = False
+        self._starts_after = 0.0
         self._lapsed_awake_s = 0.0
         self._ticked_at = clock.now()
 
@@ -203,6 +207,8 @@
         self, table: SteeringTable, flow_hash: int, event: FlowEvent, from_peer: bool
     ) -> Verdict:
         """Decides on a packet whose bucket isn't stable on a working target."""
+        if event & FlowEvent.START and self._clock.now() < self._starts_after:
+            return self._undecided()
         if self._lapsed:
             return self._undecided() if from_peer else self._pass_on(flow_hash)
         group = self._groups.find(table.group)
@@ -234,6 +240,7 @@
         self._counts[SteeringCount.LEASE_LAPSED] += 1
         self._lapsed = True
         self._lapsed_awake_s = 0.0
+        self._starts_after = self._clock.now() + BACKLOG_S
         self._ownership.suspend()
         for group in self._groups.all():
             group.table.close()
