--- /dev/null
+++ b/pearwell/cli/entry.py
@@ -0,0 +1,66 @@
+"""pearwell-entry: runs one instance.
+
+pearwell-entry --settings instance.json
+pearwell-entry --settings instance.json --check_config
+"""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+
+import aiomisc
+import structlog
+from absl import app, flags
+
+from pearwell.daemon import DaemonService
+from pearwell.errors import SettingsError
+from pearwell.logs import configure_logs
+from pearwell.settings import Settings, load_settings
+
+__all__ = ["EXIT_FAILURE", "EXIT_SETTINGS", "main"]
+
+EXIT_FAILURE = 1
+EXIT_SETTINGS = 2
+
+_SETTINGS = flags.DEFINE_string("settings", None, "JSON file with the settings.", required=True)
+_CHECK_CONFIG = flags.DEFINE_bool(
+    "check_config", False, "Validate the settings, print the result and exit."
+)
+
+_log = structlog.get_logger()
+
+
+def main() -> None:
+    """Runs the command line; entry point of the package."""
+    app.run(_run)
+
+
+def _run(argv: Sequence[str]) -> int:
+    del argv
+    try:
+        settings = load_settings(_SETTINGS.value)
+        if _CHECK_CONFIG.value:
+            print(f"settings are valid: instance {settings.instance} in {settings.zone}")
+            return 0
+        _serve(settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    return 0
+
+
+def _serve(settings: Settings) -> None:
+    """Runs the daemon until SIGTERM or SIGINT."""
+    configure_logs(settings.log_level, instance=settings.instance)
+    daemon = DaemonService(settings=settings)
+    entrypoint = aiomisc.entrypoint(daemon, log_config=False, catch_signals=())
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        entrypoint.loop.add_signal_handler(number, stopping.set)
+    with entrypoint as loop:
+        loop.run_until_complete(stopping.wait())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pearwell/packet.py
@@ -0,0 +1,218 @@
+"""Inner IP packets: the 5-tuple read at fixed offsets, and the hop limit lowered in place.
+
+The formats are those of RFC 791 (IPv4), RFC 8200 (IPv6), RFC 9293 (TCP) and RFC 768 (UDP).
+"""
+
+import ipaddress
+import struct
+from typing import NamedTuple
+
+from pearwell.errors import Code, PacketError
+from pearwell.verdict import FlowEvent
+
+__all__ = [
+    "MAX_PACKET_BYTES",
+    "ParsedPacket",
+    "caller_prefix",
+    "lower_ttl",
+    "parse",
+    "service_key",
+]
+
+MAX_PACKET_BYTES = 65535
+
+Buffer = bytes | bytearray | memoryview
+
+_IPV4_HEADER_BYTES = 20
+_IPV6_HEADER_BYTES = 40
+_IPV6_FRAGMENT_BYTES = 8
+_TCP_HEADER_BYTES = 20
+_UDP_HEADER_BYTES = 8
+
+_TCP = 6
+_UDP = 17
+_IPV6_FRAGMENT = 44
+_MIN_IHL = 5
+_FRAGMENT_OFFSET_MASK = 0x1FFF
+_IPV6_FRAGMENT_OFFSET_MASK = 0xFFF8
+_IPV4_PREFIX_BYTES = 3
+_IPV6_PREFIX_BYTES = 7
+
+# Version and length, total length, fragment field, protocol, both addresses.
+_IPV4 = struct.Struct("!BxHxxHxBxx8s")
+# Payload length, next header, both addresses.
+_IPV6 = struct.Struct("!4xHBx32s")
+# Next header, fragment offset.
+_IPV6_FRAGMENT_HEADER = struct.Struct("!BxH")
+# Both ports, data offset, flags.
+_TCP_HEADER = struct.Struct("!4s8xBB")
+# Both ports, length.
+_UDP_HEADER = struct.Struct("!4sH")
+_CHECKSUM = struct.Struct("!H")
+
+_PROTOCOL_BYTES = {_TCP: b"\x06", _UDP: b"\x11"}
+
+_FIN = 0x01
+_SYN = 0x02
+_RST = 0x04
+_ACK = 0x10
+_EVENT_FLAGS = _FIN | _SYN | _RST | _ACK
+
+
+def _tcp_event(flags: int) -> FlowEvent | None:
+    if flags & _SYN and flags & (_FIN | _RST):
+        return None
+    event = FlowEvent.NONE
+    if flags & _SYN and not flags & _ACK:
+        event |= FlowEvent.START
+    if flags & _FIN:
+        event |= FlowEvent.END
+    if flags & _RST:
+        event |= FlowEvent.RESET
+    return event
+
+
+# By the TCP flags of interest; None for combinations that no valid segment has.
+_TCP_EVENTS = tuple(_tcp_event(flags) for flags in range(_EVENT_FLAGS + 1))
+
+
+class ParsedPacket(NamedTuple):
+    """What steering needs to know of a packet.
+
+    Attributes:
+        flow_key: Source and destination address, source and destination port, protocol.
+        service_key: Destination address, destination port, protocol.
+        event: What the packet says about the life of its flow.
+        has_payload: Whether it carries data beyond the transport header.
+    """
+
+    flow_key: bytes
+    service_key: bytes
+    event: FlowEvent
+    has_payload: bool
+
+
+def parse(packet: Buffer) -> ParsedPacket:
+    """Reads an inner packet.
+
+    Args:
+        packet: A whole IPv4 or IPv6 packet, without trailing bytes.
+
+    Returns:
+        The flow, the service and the flow event of the packet.
+
+    Raises:
+        PacketError: 201 to 205; the packet is malformed or can't be steered.
+    """
+    if not len(packet):
+        raise PacketError(Code.PACKET_TRUNCATED)
+    version = packet[0] >> 4
+    if version == 4:
+        return _parse_ipv4(packet)
+    if version == 6:
+        return _parse_ipv6(packet)
+    raise PacketError(Code.PACKET_BAD_VERSION)
+
+
+def lower_ttl(packet: bytearray | memoryview) -> None:
+    """Lowers the TTL or hop limit of a parsed packet by one, in place.
+
+    The IPv4 header checksum is updated incrementally (RFC 1624), so a wrong one stays wrong.
+
+    Args:
+        packet: A packet that parse accepted.
+
+    Raises:
+        PacketError: PACKET_TTL_EXPIRED if it may not travel any further.
+    """
+    if packet[0] >> 4 == 6:
+        if packet[7] <= 1:
+            raise PacketError(Code.PACKET_TTL_EXPIRED)
+        packet[7] -= 1
+        return
+    if packet[8] <= 1:
+        raise PacketError(Code.PACKET_TTL_EXPIRED)
+    packet[8] -= 1
+    checksum = (packet[10] << 8 | packet[11]) + 0x0100
+    _CHECKSUM.pack_into(packet, 10, (checksum + (checksum >= 0xFFFF)) & 0xFFFF)
+
+
+def service_key(address: str, port: int, protocol: int) -> bytes:
+    """Returns the key of a service as it is in ParsedPacket.
+
+    Args:
+        address: IPv4 or IPv6 address that callers connect to.
+        port: Transport port.
+        protocol: IANA protocol number.
+    """
+    return ipaddress.ip_address(address).packed + struct.pack("!HB", port, protocol)
+
+
+def caller_prefix(flow_key: bytes) -> bytes:
+    """Returns the caller's network of a flow: its /24 for IPv4, its /56 for IPv6."""
+    is_ipv4 = len(flow_key) == 2 * 4 + 5
+    return flow_key[: _IPV4_PREFIX_BYTES if is_ipv4 else _IPV6_PREFIX_BYTES]
+
+
+def _parse_ipv4(packet: Buffer) -> ParsedPacket:
+    length = len(packet)
+    if length < _IPV4_HEADER_BYTES:
+        raise PacketError(Code.PACKET_TRUNCATED)
+    version_ihl, total, fragment, protocol, addresses = _IPV4.unpack_from(packet)
+    header = (version_ihl & 0x0F) * 4
+    if total > length:
+        raise PacketError(Code.PACKET_TRUNCATED)
+    if total < length or header < _IPV4_HEADER_BYTES or header > total:
+        raise PacketError(Code.PACKET_BAD_HEADER)
+    if fragment & _FRAGMENT_OFFSET_MASK:
+        raise PacketError(Code.PACKET_FRAGMENT)
+    return _parse_transport(packet, header, protocol, addresses, 4)
+
+
+def _parse_ipv6(packet: Buffer) -> ParsedPacket:
+    length = len(packet)
+    if length < _IPV6_HEADER_BYTES:
+        raise PacketError(Code.PACKET_TRUNCATED)
+    payload, protocol, addresses = _IPV6.unpack_from(packet)
+    total = payload + _IPV6_HEADER_BYTES
+    if total > length:
+        raise PacketError(Code.PACKET_TRUNCATED)
+    if total < length:
+        raise PacketError(Code.PACKET_BAD_HEADER)
+    header = _IPV6_HEADER_BYTES
+    if protocol == _IPV6_FRAGMENT:
+        header += _IPV6_FRAGMENT_BYTES
+        if length < header:
+            raise PacketError(Code.PACKET_TRUNCATED)
+        protocol, offset = _IPV6_FRAGMENT_HEADER.unpack_from(packet, _IPV6_HEADER_BYTES)
+        if offset & _IPV6_FRAGMENT_OFFSET_MASK:
+            raise PacketError(Code.PACKET_FRAGMENT)
+    return _parse_transport(packet, header, protocol, addresses, 16)
+
+
+def _parse_transport(
+    packet: Buffer, offset: int, protocol: int, addresses: bytes, address_bytes: int
+) -> ParsedPacket:
+    length = len(packet)
+    if protocol == _TCP:
+        if length < offset + _TCP_HEADER_BYTES:
+            raise PacketError(Code.PACKET_TRUNCATED)
+        ports, data_offset, flags = _TCP_HEADER.unpack_from(packet, offset)
+        payload = offset + (data_offset >> 4) * 4
+        event = _TCP_EVENTS[flags & _EVENT_FLAGS]
+        if event is None or payload < offset + _TCP_HEADER_BYTES or payload > length:
+            raise PacketError(Code.PACKET_BAD_HEADER)
+    elif protocol == _UDP:
+        if length < offset + _UDP_HEADER_BYTES:
+            raise PacketError(Code.PACKET_TRUNCATED)
+        ports, datagram_length = _UDP_HEADER.unpack_from(packet, offset)
+        if datagram_length < _UDP_HEADER_BYTES:
+            raise PacketError(Code.PACKET_BAD_HEADER)
+        payload = offset + _UDP_HEADER_BYTES
+        event = FlowEvent.DATAGRAM
+    else:
+        raise PacketError(Code.PACKET_UNSUPPORTED_PROTOCOL)
+    rest = ports + _PROTOCOL_BYTES[protocol]
+    return ParsedPacket(
+        addresses + rest, addresses[address_bytes:] + rest[2:], event, payload < length
+    )
--- /dev/null
+++ b/pearwell/packet_path.py
@@ -0,0 +1,163 @@
+"""The packet path: owns the UDP sockets for inner packets of the fabric and of peers."""
+
+import asyncio
+import errno
+import ipaddress
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+
+from pearwell.configuration import Configuration
+from pearwell.errors import Code, SettingsError
+from pearwell.forwarding import Decider, Forwarder
+from pearwell.kernel import Kernel, QueuedService
+from pearwell.membership import View
+from pearwell.messages import ConfigurationChanged, Message, ViewChanged
+from pearwell.packet import MAX_PACKET_BYTES
+from pearwell.settings import Settings
+from pearwell.verdict import Action, Address
+
+__all__ = ["PacketPath", "bind_udp"]
+
+# Packets taken from one socket before other work gets its turn.
+BATCH_PACKETS = 64
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+_log = structlog.get_logger()
+
+
+def bind_udp(address: str, port: int) -> socket.socket:
+    """Opens a non-blocking UDP socket.
+
+    Raises:
+        SettingsError: SETTINGS_PORT_IN_USE, or SETTINGS_INVALID_VALUE if it can't be bound.
+    """
+    family = socket.AF_INET6 if ipaddress.ip_address(address).version == 6 else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    try:
+        sock.bind((address, port))
+    except OSError as error:
+        sock.close()
+        in_use = error.errno == errno.EADDRINUSE
+        code = Code.SETTINGS_PORT_IN_USE if in_use else Code.SETTINGS_INVALID_VALUE
+        raise SettingsError(code, f"UDP {address}:{port}: {error.strerror}") from error
+    return sock
+
+
+class PacketPath(QueuedService):
+    """The service "packets".
+
+    Args:
+        settings: Addresses and ports.
+        decider: Gives tables and verdicts.
+    """
+
+    name = "packets"
+    accepts: tuple[type[Message], ...] = (ConfigurationChanged, ViewChanged)
+
+    def __init__(self, settings: Settings, decider: Decider) -> None:
+        super().__init__()
+        self._settings = settings
+        self._forwarder = Forwarder(decider, self._send_reply)
+        self._buffer = bytearray(MAX_PACKET_BYTES)
+        self._window = memoryview(self._buffer)
+        self._sockets: list[socket.socket] = []
+        self._peers: frozenset[str] = frozenset(peer.address for peer in settings.peers)
+        self._return_address: Address | None = None
+        if settings.return_endpoint is not None:
+            self._return_address = (
+                settings.return_endpoint.address,
+                settings.return_endpoint.port,
+            )
+
+    @property
+    def counts(self) -> Counter[tuple[Action, Code]]:
+        """Packets by action and code since the start."""
+        return self._forwarder.counts
+
+    async def start(self, kernel: Kernel) -> None:
+        """Binds the sockets and starts to forward."""
+        await super().start(kernel)
+        settings = self._settings
+        fabric = bind_udp(settings.address, settings.fabric_port)
+        self._sockets.append(fabric)
+        peer = bind_udp(settings.address, settings.peer_port)
+        self._sockets.append(peer)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(fabric, self._drain_fabric, fabric)
+        loop.add_reader(peer, self._drain_peer, peer)
+        _log.info("packets_started", address=settings.address, port=settings.fabric_port)
+
+    async def stop(self) -> None:
+        """Stops to forward and closes the sockets."""
+        loop = asyncio.get_running_loop()
+        for sock in self._sockets:
+            loop.remove_reader(sock)
+            sock.close()
+        self._sockets.clear()
+        await super().stop()
+
+    async def handle(self, message: Message) -> None:
+        """Applies configuration and views."""
+        match message:
+            case ConfigurationChanged(configuration=configuration):
+                self._configure(configuration)
+            case ViewChanged(view=view):
+                self._apply_view(view)
+
+    def _configure(self, configuration: Configuration) -> None:
+        self._forwarder.configure(configuration)
+
+    def _apply_view(self, view: View) -> None:
+        self._peers = frozenset(member.address for member in view.members)
+
+    def _drain_fabric(self, sock: socket.socket) -> None:
+        window, forward = self._window, self._forwarder.forward
+        send: Callable[[memoryview, Address], int] = sock.sendto
+        receive = sock.recv_into
+        for _ in range(BATCH_PACKETS):
+            try:
+                length = receive(self._buffer)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                continue
+            packet = window[:length]
+            address = forward(packet)
+            if address is None:
+                continue
+            try:
+                send(packet, address)
+            except OSError:
+                self._forwarder.count_failed_send()
+
+    def _drain_peer(self, sock: socket.socket) -> None:
+        for _ in range(BATCH_PACKETS):
+            try:
+                length, sender = sock.recvfrom_into(self._buffer)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                continue
+            if sender[0] not in self._peers:
+                self.counts[Action.DROP, Code.PACKET_UNKNOWN_PEER] += 1
+                continue
+            packet = self._window[:length]
+            address = self._forwarder.forward(packet, from_peer=True)
+            if address is not None:
+                self._send(packet, address)
+
+    def _send_reply(self, packet: bytes) -> None:
+        if self._return_address is not None:
+            self._send(packet, self._return_address)
+
+    def _send(self, packet: bytes | memoryview, address: Address) -> None:
+        try:
+            self._sockets[0].sendto(packet, address)
+        except OSError:
+            self._forwarder.count_failed_send()
--- /dev/null
+++ b/pearwell/standins/caller.py
@@ -0,0 +1,220 @@
+"""Caller stand-ins: TCP-like flows with retransmission, one request at a time."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from pearwell.standins.segment import Endpoints, Flags, Segment, read_segment
+from pearwell.standins.target import ANSWER_SUFFIX, REQUEST_ID_BYTES
+
+__all__ = ["CallerCore", "CallerService", "FlowOutcome", "FlowPlan"]
+
+RETRANSMIT_S = 0.4
+MAX_TRIES = 12
+FIRST_PORT = 10_000
+PORTS_PER_ADDRESS = 50_000
+
+
+class FlowOutcome(Enum):
+    """How a flow ended."""
+
+    DONE = auto()
+    BROKEN = auto()
+    REFUSED = auto()
+
+
+class _State(Enum):
+    CONNECTING = auto()
+    REQUESTING = auto()
+    IDLE = auto()
+    CLOSING = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class CallerService:
+    """A service that callers use.
+
+    Attributes:
+        name: Name of the service.
+        address: Address that callers connect to.
+        port: Port that callers connect to.
+        caller_address: Address of the callers.
+    """
+
+    name: str
+    address: str
+    port: int
+    caller_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class FlowPlan:
+    """What one flow does.
+
+    Attributes:
+        service: Where it connects to.
+        start: Time of its first packet in seconds of the caller's clock.
+        requests: Requests that it makes.
+        interval_s: Time between an answer and the next request.
+    """
+
+    service: CallerService
+    start: float
+    requests: int
+    interval_s: float
+
+
+@dataclass(slots=True)
+class _Flow:
+    number: int
+    plan: FlowPlan
+    endpoints: Endpoints
+    state: _State
+    sequence: int
+    acknowledgement: int = 0
+    made: int = 0
+    tries: int = 0
+    waiting: Segment | None = None
+    timer: int = 0
+
+
+@dataclass(slots=True)
+class CallerCore:
+    """Runs flows; free of I/O.
+
+    Attributes:
+        send: Called with each packet to the fabric.
+        rng: Source of sequence numbers.
+        outcomes: Ended flows by outcome.
+        reasons: Broken flows by reason.
+        answered: Request ids that were answered.
+    """
+
+    send: Callable[[bytes], None]
+    rng: random.Random
+    outcomes: Counter[FlowOutcome] = field(default_factory=Counter)
+    reasons: Counter[str] = field(default_factory=Counter)
+    answered: set[str] = field(default_factory=set)
+    _flows: dict[Endpoints, _Flow] = field(default_factory=dict)
+    _timers: list[tuple[float, int, _Flow, int]] = field(default_factory=list)
+    _numbers: int = 0
+    _timer_numbers: int = 0
+
+    @property
+    def open_flows(self) -> int:
+        """Flows that haven't ended."""
+        return len(self._flows)
+
+    def add(self, plan: FlowPlan) -> None:
+        """Adds a flow."""
+        number = self._numbers
+        self._numbers += 1
+        service = plan.service
+        endpoints = Endpoints.of(
+            service.caller_address,
+            FIRST_PORT + number % PORTS_PER_ADDRESS,
+            service.address,
+            service.port,
+        )
+        sequence = self.rng.getrandbits(32)
+        flow = _Flow(number, plan, endpoints, _State.CONNECTING, sequence)
+        self._flows[endpoints] = flow
+        self._set_timer(flow, plan.start)
+
+    def stop_requests(self) -> None:
+        """Makes every flow close after its current request."""
+        for flow in self._flows.values():
+            flow.made = max(flow.made, flow.plan.requests)
+
+    def next_timer(self) -> float | None:
+        """Returns when tick has to be called next."""
+        return self._timers[0][0] if self._timers else None
+
+    def tick(self, now: float) -> None:
+        """Runs the timers that are due."""
+        while self._timers and self._timers[0][0] <= now:
+            _, _, flow, number = heapq.heappop(self._timers)
+            if flow.timer == number and self._flows.get(flow.endpoints) is flow:
+                self._on_timer(flow, now)
+
+    def receive(self, packet: bytes, now: float) -> None:
+        """Takes a packet from a target or an instance."""
+        segment = read_segment(packet)
+        if segment is None:
+            return
+        flow = self._flows.get(segment.endpoints.reversed())
+        if flow is None:
+            return
+        if segment.flags & Flags.RST:
+            self._on_reset(flow)
+            return
+        waiting = flow.waiting
+        if waiting is None or segment.acknowledgement != waiting.end:
+            return
+        self._on_answer(flow, waiting, segment, now)
+
+    def _on_timer(self, flow: _Flow, now: float) -> None:
+        if flow.waiting is None:
+            self._next(flow, now)
+        elif flow.tries >= MAX_TRIES:
+            self._end(flow, FlowOutcome.BROKEN, f"no answer while {flow.state.name.lower()}")
+        else:
+            self._transmit(flow, now)
+
+    def _on_reset(self, flow: _Flow) -> None:
+        if flow.state is _State.CONNECTING:
+            self._end(flow, FlowOutcome.REFUSED)
+        else:
+            self._end(flow, FlowOutcome.BROKEN, f"reset while {flow.state.name.lower()}")
+
+    def _on_answer(self, flow: _Flow, waiting: Segment, answer: Segment, now: float) -> None:
+        if flow.state is _State.REQUESTING:
+            if answer.payload != waiting.payload + ANSWER_SUFFIX:
+                return
+            self.answered.add(waiting.payload[:REQUEST_ID_BYTES].hex())
+        if flow.state is _State.CLOSING:
+            self._end(flow, FlowOutcome.DONE)
+            return
+        flow.sequence = waiting.end
+        flow.acknowledgement = answer.end
+        flow.waiting = None
+        flow.state = _State.IDLE
+        self._set_timer(flow, now + flow.plan.interval_s)
+
+    def _next(self, flow: _Flow, now: float) -> None:
+        """Sends what comes next in the life of a flow."""
+        if flow.state is _State.CONNECTING:
+            flow.waiting = Segment(flow.endpoints, Flags.SYN, flow.sequence)
+        elif flow.made >= flow.plan.requests:
+            flow.state = _State.CLOSING
+            flow.waiting = self._segment(flow, Flags.FIN | Flags.ACK)
+        else:
+            flow.state = _State.REQUESTING
+            request = (flow.number << 32 | flow.made).to_bytes(REQUEST_ID_BYTES, "big")
+            flow.made += 1
+            flow.waiting = self._segment(flow, Flags.ACK, request)
+        flow.tries = 0
+        self._transmit(flow, now)
+
+    def _segment(self, flow: _Flow, flags: Flags, payload: bytes = b"") -> Segment:
+        return Segment(flow.endpoints, flags, flow.sequence, flow.acknowledgement, payload)
+
+    def _transmit(self, flow: _Flow, now: float) -> None:
+        assert flow.waiting is not None
+        flow.tries += 1
+        self._set_timer(flow, now + RETRANSMIT_S)
+        self.send(flow.waiting.packet())
+
+    def _end(self, flow: _Flow, outcome: FlowOutcome, reason: str = "") -> None:
+        del self._flows[flow.endpoints]
+        self.outcomes[outcome] += 1
+        if reason:
+            self.reasons[reason] += 1
+
+    def _set_timer(self, flow: _Flow, when: float) -> None:
+        self._timer_numbers += 1
+        flow.timer = self._timer_numbers
+        heapq.heappush(self._timers, (when, self._timer_numbers, flow, self._timer_numbers))
--- /dev/null
+++ b/pearwell/standins/fabric.py
@@ -0,0 +1,48 @@
+"""Fabric stand-in: sprays each packet to a random instance, as IP-in-UDP."""
+
+import random
+import socket
+from collections.abc import Iterable
+
+from pearwell.verdict import Address
+
+__all__ = ["Fabric"]
+
+
+class Fabric:
+    """Sends packets of callers to instances.
+
+    Args:
+        sock: Non-blocking UDP socket to send from.
+        rng: Chooses the instance of each packet.
+    """
+
+    def __init__(self, sock: socket.socket, rng: random.Random) -> None:
+        self._socket = sock
+        self._rng = rng
+        self._instances: tuple[Address, ...] = ()
+        self._dropped = 0
+
+    @property
+    def instances(self) -> tuple[Address, ...]:
+        """Encapsulation addresses of the instances in use."""
+        return self._instances
+
+    @property
+    def dropped(self) -> int:
+        """Packets lost for lack of an instance or of socket buffer."""
+        return self._dropped
+
+    def set_instances(self, instances: Iterable[Address]) -> None:
+        """Takes the instances that packets are sprayed over."""
+        self._instances = tuple(instances)
+
+    def send(self, packet: bytes) -> None:
+        """Sends a packet to a random instance."""
+        if not self._instances:
+            self._dropped += 1
+            return
+        try:
+            self._socket.sendto(packet, self._rng.choice(self._instances))
+        except OSError:
+            self._dropped += 1
--- /dev/null
+++ b/pearwell/standins/target.py
@@ -0,0 +1,217 @@
+"""Target stand-ins: hosts that decapsulate packets, run requests and answer callers directly.
+
+python -m pearwell.standins.target --config targets.json
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from pearwell.standins.segment import Endpoints, Flags, Segment, read_segment
+
+__all__ = [
+    "ANSWER_SUFFIX",
+    "REQUEST_ID_BYTES",
+    "Ledger",
+    "LoadReport",
+    "TargetConfig",
+    "TargetCore",
+    "TargetMode",
+]
+
+REQUEST_ID_BYTES = 8
+ANSWER_SUFFIX = b" done"
+
+
+class TargetConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One target.
+
+    Attributes:
+        name: Its name.
+        address: IP address of its encapsulation and health endpoints.
+        port: UDP port that takes encapsulated packets.
+        health_port: HTTP port of health, load, ledger and mode.
+        services: Addresses and ports of the services that it serves.
+        slots: Requests that it serves at once.
+        cold_start_s: Time after its start in which it answers slowly.
+        cold_delay_s: Delay of an answer during the cold start.
+    """
+
+    name: str
+    address: str
+    port: int
+    health_port: int
+    services: tuple[tuple[str, int], ...]
+    slots: int = 3
+    cold_start_s: float = 0.0
+    cold_delay_s: float = 0.2
+
+
+class TargetMode(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Switches of a target.
+
+    Attributes:
+        draining: It tells its health endpoint that it leaves.
+        silent: It answers no packet, as a crashed host.
+        max_open_flows: It resets new flows beyond this number; 0 means never.
+        health: "true" tells the truth, "healthy" and "sick" lie.
+        health_lag_s: Age of the state that the endpoints report.
+        load_factor: What the reported load is multiplied by.
+    """
+
+    draining: bool = False
+    silent: bool = False
+    max_open_flows: int = 0
+    health: str = "true"
+    health_lag_s: float = 0.0
+    load_factor: float = 1.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What the load endpoint answers.
+
+    Attributes:
+        slots: Requests that the target serves at once.
+        in_use: Requests in progress.
+        open_flows: Open flows.
+    """
+
+    slots: int
+    in_use: float
+    open_flows: int
+
+
+class Ledger(msgspec.Struct):
+    """What a target did, for the checks at the end of a run.
+
+    Attributes:
+        runs: Times that each request ran, by request id.
+        misrouted: Packets for services that it doesn't serve.
+        unknown: Packets of flows that it doesn't know.
+        started: Flows that it accepted.
+        last_start: Time of the latest accepted flow in seconds of the epoch.
+        open_flows: Flows open now.
+    """
+
+    runs: dict[str, int] = {}
+    misrouted: int = 0
+    unknown: int = 0
+    started: int = 0
+    last_start: float = 0.0
+    open_flows: int = 0
+
+
+@dataclass(slots=True)
+class _Flow:
+    """A flow at a target.
+
+    Attributes:
+        expected: Next sequence number from the caller.
+        sequence: Next sequence number of the target.
+        answer: The latest answer, to be repeated on a retransmission.
+        closed: Whether the caller's FIN was seen.
+    """
+
+    expected: int
+    sequence: int
+    answer: Segment
+    closed: bool = False
+
+
+@dataclass(slots=True)
+class TargetCore:
+    """Runs requests; free of I/O.
+
+    Attributes:
+        config: Addresses and services.
+        send: Called with each IP packet to a caller.
+        mode: Switches.
+        ledger: What it did.
+    """
+
+    config: TargetConfig
+    send: Callable[[bytes], None]
+    mode: TargetMode = field(default_factory=TargetMode)
+    ledger: Ledger = field(default_factory=Ledger)
+    _flows: dict[Endpoints, _Flow] = field(default_factory=dict)
+    _services: frozenset[tuple[bytes, int]] = frozenset()
+
+    def __post_init__(self) -> None:
+        ends = (Endpoints.of("::", 0, address, port) for address, port in self.config.services)
+        self._services = frozenset((end.destination, end.destination_port) for end in ends)
+
+    @property
+    def open_flows(self) -> int:
+        """Flows that no FIN has closed."""
+        return sum(not flow.closed for flow in self._flows.values())
+
+    def receive(self, packet: bytes, now: float) -> None:
+        """Takes one decapsulated packet.
+
+        Args:
+            packet: The inner packet.
+            now: Seconds of the epoch.
+        """
+        if self.mode.silent:
+            return
+        segment = read_segment(packet)
+        if segment is None:
+            return
+        ends = segment.endpoints
+        if (ends.destination, ends.destination_port) not in self._services:
+            self.ledger.misrouted += 1
+            self._reset(segment)
+            return
+        flow = self._flows.get(ends)
+        if segment.flags & Flags.SYN:
+            self._open(segment, flow, now)
+        elif segment.flags & Flags.RST:
+            self._flows.pop(ends, None)
+        elif flow is None:
+            self.ledger.unknown += 1
+            self._reset(segment)
+        else:
+            self._take(segment, flow)
+
+    def _open(self, segment: Segment, flow: _Flow | None, now: float) -> None:
+        if flow is not None and flow.expected == segment.end:
+            self.send(flow.answer.packet())
+            return
+        limit = self.mode.max_open_flows
+        if limit and self.open_flows >= limit:
+            self._reset(segment)
+            return
+        answer = Segment(segment.endpoints.reversed(), Flags.SYN | Flags.ACK, 1, segment.end)
+        self._flows[segment.endpoints] = _Flow(segment.end, answer.end, answer)
+        self.ledger.started += 1
+        self.ledger.last_start = now
+        self.send(answer.packet())
+
+    def _take(self, segment: Segment, flow: _Flow) -> None:
+        if not segment.payload and not segment.flags & Flags.FIN:
+            return
+        if segment.sequence == flow.expected:
+            flow.answer = self._run(segment, flow)
+            flow.expected = segment.end
+            flow.sequence = flow.answer.end
+        elif segment.end != flow.expected:
+            return
+        self.send(flow.answer.packet())
+
+    def _run(self, segment: Segment, flow: _Flow) -> Segment:
+        ends = segment.endpoints.reversed()
+        if segment.flags & Flags.FIN:
+            flow.closed = True
+            return Segment(ends, Flags.FIN | Flags.ACK, flow.sequence, segment.end)
+        request = segment.payload[:REQUEST_ID_BYTES].hex()
+        self.ledger.runs[request] = self.ledger.runs.get(request, 0) + 1
+        payload = segment.payload + ANSWER_SUFFIX
+        return Segment(ends, Flags.ACK, flow.sequence, segment.end, payload)
+
+    def _reset(self, segment: Segment) -> None:
+        if segment.flags & Flags.RST:
+            return
+        ends = segment.endpoints.reversed()
+        flags = Flags.RST | Flags.ACK
+        self.send(Segment(ends, flags, segment.acknowledgement, segment.end).packet())
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,176 @@
+"""Tests of pearwell.forwarding."""
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from pearwell.configuration import Configuration
+from pearwell.errors import Code
+from pearwell.forwarding import Forwarder, admit_all
+from pearwell.ip import unpack_packet
+from pearwell.packet import service_key
+from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.verdict import Action, FlowEvent, Verdict
+from tests.packets import SERVICE, tcp_packet, udp_packet
+
+SERVICES = (
+    ServiceSpec("intake", SERVICE[4], 443, TransportProtocol.TCP, "intake"),
+    ServiceSpec("tables", SERVICE[6], 443, TransportProtocol.TCP, "tables"),
+    ServiceSpec("reports", SERVICE[4], 443, TransportProtocol.UDP, "reports"),
+)
+CONFIGURATION = Configuration(services={service.name: service for service in SERVICES})
+ADDRESSES = {service.group: ("127.0.0.1", 1 + i) for i, service in enumerate(SERVICES)}
+SEEDS = (
+    tcp_packet(),
+    tcp_packet(6, flags=0x10, data=b"abc"),
+    udp_packet(data=b"abc"),
+    udp_packet(6),
+    tcp_packet(port=444),
+)
+
+
+class FakeTable:
+    """A table of two buckets, both on one target or unknown."""
+
+    seed = 0
+    mask = 1
+
+    def __init__(self, group, address):
+        self.group = group
+        self.slots = [address, address]
+
+
+class FakeDecider:
+    """Gives each group its table and counts the questions."""
+
+    def __init__(self, verdict=None, stable=True):
+        self.asked = []
+        self._verdict = verdict
+        self._tables = {
+            group: FakeTable(group, address if stable else None)
+            for group, address in ADDRESSES.items()
+        }
+
+    def table(self, group):
+        return self._tables.get(group)
+
+    def decide(self, table, flow_hash, event, *, from_peer=False, has_payload=False):
+        self.asked.append((table.group, event, from_peer))
+        return self._verdict or Verdict(Action.FORWARD, ADDRESSES[table.group], "t")
+
+
+def make_forwarder(decider, admit=admit_all):
+    replies = []
+    forwarder = Forwarder(decider, replies.append, admit)
+    forwarder.configure(CONFIGURATION)
+    return forwarder, replies
+
+
+@pytest.mark.parametrize(
+    ("packet", "group"),
+    [
+        (tcp_packet(flags=0x10), "intake"),
+        (tcp_packet(6, flags=0x10), "tables"),
+        (udp_packet(), "reports"),
+    ],
+)
+def test_stable_buckets_need_no_decision(packet, group):
+    decider = FakeDecider()
+    forwarder, _ = make_forwarder(decider)
+    buffer = bytearray(packet)
+    assert forwarder.forward(buffer) == ADDRESSES[group]
+    assert decider.asked == []
+    assert forwarder.counts == {(Action.FORWARD, Code.OK): 1}
+    assert unpack_packet(bytes(buffer)).data.dport == 443
+    assert buffer != packet
+
+
+@pytest.mark.parametrize("from_peer", [False, True])
+def test_changing_buckets_are_asked_about(from_peer):
+    decider = FakeDecider(stable=False)
+    forwarder, _ = make_forwarder(decider)
+    packet = bytearray(tcp_packet(flags=0x10))
+    assert forwarder.forward(packet, from_peer=from_peer) == ADDRESSES["intake"]
+    assert decider.asked == [("intake", FlowEvent.NONE, from_peer)]
+
+
+@pytest.mark.parametrize(
+    ("verdict", "replies"),
+    [
+        (Verdict(Action.REFUSE, None, "", Code.TARGET_DEAD), 1),
+        (Verdict(Action.DROP, None, "", Code.PACKET_NO_TARGET), 0),
+    ],
+)
+def test_refused_and_dropped_packets_go_nowhere(verdict, replies):
+    forwarder, sent = make_forwarder(FakeDecider(verdict, stable=False))
+    assert forwarder.forward(bytearray(tcp_packet(flags=0x10))) is None
+    assert len(sent) == replies
+    assert forwarder.counts == {(verdict.action, verdict.code): 1}
+
+
+def test_a_refused_start_is_reset_and_never_decided():
+    decider = FakeDecider()
+    forwarder, replies = make_forwarder(decider, lambda *_: Code.REFUSED_SERVICE_RATE)
+    assert forwarder.forward(bytearray(tcp_packet())) is None
+    assert (len(replies), decider.asked) == (1, [])
+    assert forwarder.counts == {(Action.REFUSE, Code.REFUSED_SERVICE_RATE): 1}
+
+
+@pytest.mark.parametrize(
+    ("packet", "code"),
+    [
+        (b"", Code.PACKET_TRUNCATED),
+        (tcp_packet(port=444), Code.PACKET_UNKNOWN_ADDRESS),
+        (tcp_packet()[:8] + b"\x01" + tcp_packet()[9:], Code.PACKET_TTL_EXPIRED),
+    ],
+)
+def test_dropped_packets_are_counted_by_code(packet, code):
+    forwarder, _ = make_forwarder(FakeDecider())
+    assert forwarder.forward(bytearray(packet)) is None
+    assert forwarder.counts == {(Action.DROP, code): 1}
+
+
+def test_a_service_without_placement_has_no_target():
+    forwarder, _ = make_forwarder(FakeDecider())
+    unplaced = ServiceSpec("new", SERVICE[4], 444, TransportProtocol.TCP, "unplaced")
+    forwarder.configure(Configuration(services={"new": unplaced}))
+    assert forwarder.forward(bytearray(tcp_packet(port=444))) is None
+    assert forwarder.counts == {(Action.DROP, Code.PACKET_NO_TARGET): 1}
+
+
+def _mutated(seed, changes, cut):
+    packet = bytearray(seed)
+    for offset, value in changes:
+        packet[offset % len(packet)] = value
+    return bytes(packet[: len(packet) - cut])
+
+
+MUTATED = st.builds(
+    _mutated,
+    st.sampled_from(SEEDS),
+    st.lists(st.tuples(st.integers(0, 80), st.integers(0, 255)), max_size=4),
+    st.sampled_from((0, 0, 0, 1, 20)),
+)
+
+
+@settings(derandomize=True, max_examples=1500, deadline=None)
+@given(st.one_of(st.binary(max_size=120), MUTATED), st.booleans(), st.booleans(), st.booleans())
+@example(SEEDS[0], True, False, False)
+def test_no_bytes_raise_or_reach_another_service(packet, stable, from_peer, refuse):
+    verdict = Verdict(Action.REFUSE, None, "", Code.TARGET_DEAD) if refuse else None
+    forwarder, replies = make_forwarder(FakeDecider(verdict, stable))
+    address = forwarder.forward(bytearray(packet), from_peer=from_peer)
+    assert forwarder.counts.total() == 1
+    if address is None:
+        return
+    inner = unpack_packet(packet)
+    named = [
+        service.group
+        for service in SERVICES
+        if service_key(service.address, service.port, service.protocol)[:-3] == inner.dst
+        and service.port == inner.data.dport
+        and service.protocol == inner.p
+    ]
+    assert named
+    assert address == ADDRESSES[named[0]]
+    assert replies == []
--- /dev/null
+++ b/tests/test_packet.py
@@ -0,0 +1,130 @@
+"""Tests of pearwell.packet."""
+
+import struct
+
+import dpkt
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pearwell.errors import Code, PacketError
+from pearwell.ip import unpack_packet
+from pearwell.packet import caller_prefix, lower_ttl, parse, service_key
+from pearwell.verdict import FlowEvent
+from tests.packets import SERVICE, tcp_packet, udp_packet
+
+
+@pytest.mark.parametrize("version", [4, 6])
+@pytest.mark.parametrize(
+    ("flags", "data", "event", "has_payload"),
+    [
+        (0x02, b"", FlowEvent.START, False),
+        (0x12, b"", FlowEvent.NONE, False),
+        (0x10, b"x", FlowEvent.NONE, True),
+        (0x11, b"", FlowEvent.END, False),
+        (0x14, b"", FlowEvent.RESET, False),
+        (0xC2, b"", FlowEvent.START, False),
+    ],
+)
+def test_tcp_packets(version, flags, data, event, has_payload):
+    parsed = parse(tcp_packet(version, flags=flags, data=data))
+    assert parsed.event == event
+    assert parsed.has_payload is has_payload
+    assert parsed.service_key == service_key(SERVICE[version], 443, 6)
+    assert len(parsed.flow_key) == {4: 13, 6: 37}[version]
+
+
+@pytest.mark.parametrize("version", [4, 6])
+def test_udp_packets(version):
+    parsed = parse(udp_packet(version, data=b"x", port=53))
+    assert parsed.event == FlowEvent.DATAGRAM
+    assert parsed.has_payload
+    assert parsed.service_key == service_key(SERVICE[version], 53, 17)
+
+
+def test_flow_key_has_the_five_tuple_in_network_order():
+    expected = bytes([203, 0, 113, 5, 198, 51, 100, 10]) + struct.pack("!HHB", 40000, 443, 6)
+    assert parse(tcp_packet()).flow_key == expected
+
+
+@pytest.mark.parametrize(
+    ("version", "prefix"), [(4, b"\xcb\x00\x71"), (6, bytes.fromhex("20010db8000100"))]
+)
+def test_caller_prefix(version, prefix):
+    assert caller_prefix(parse(tcp_packet(version)).flow_key) == prefix
+
+
+def _patched(packet, offset, value):
+    return packet[:offset] + value + packet[offset + len(value) :]
+
+
+def _fragment6(offset):
+    packet = udp_packet(6, data=b"12345678")
+    header = struct.pack("!BxHI", 17, offset << 3 | 1, 1)
+    plen = struct.pack("!H", len(packet) - 40 + len(header))
+    return _patched(_patched(packet, 4, plen), 6, b"\x2c")[:40] + header + packet[40:]
+
+
+@pytest.mark.parametrize(
+    ("packet", "code"),
+    [
+        (b"", Code.PACKET_TRUNCATED),
+        (b"\x45", Code.PACKET_TRUNCATED),
+        (b"\x60" + bytes(10), Code.PACKET_TRUNCATED),
+        (b"\x50" + bytes(60), Code.PACKET_BAD_VERSION),
+        (tcp_packet()[:-1], Code.PACKET_TRUNCATED),
+        (tcp_packet() + b"x", Code.PACKET_BAD_HEADER),
+        (tcp_packet(6)[:-1], Code.PACKET_TRUNCATED),
+        (tcp_packet(6) + b"x", Code.PACKET_BAD_HEADER),
+        (_patched(tcp_packet(), 0, b"\x44"), Code.PACKET_BAD_HEADER),
+        (_patched(tcp_packet(), 0, b"\x4f"), Code.PACKET_BAD_HEADER),
+        (_patched(tcp_packet(), 6, b"\x00\x01"), Code.PACKET_FRAGMENT),
+        (_patched(tcp_packet(), 6, b"\x3f\xff"), Code.PACKET_FRAGMENT),
+        (_fragment6(1), Code.PACKET_FRAGMENT),
+        (_patched(tcp_packet(), 9, b"\x01"), Code.PACKET_UNSUPPORTED_PROTOCOL),
+        (_patched(tcp_packet(6), 6, b"\x00"), Code.PACKET_UNSUPPORTED_PROTOCOL),
+        (_patched(tcp_packet(), 32, b"\x40"), Code.PACKET_BAD_HEADER),
+        (_patched(tcp_packet(), 32, b"\x60"), Code.PACKET_BAD_HEADER),
+        (tcp_packet(flags=0x03), Code.PACKET_BAD_HEADER),
+        (tcp_packet(flags=0x06), Code.PACKET_BAD_HEADER),
+        (_patched(udp_packet(), 24, b"\x00\x07"), Code.PACKET_BAD_HEADER),
+    ],
+)
+def test_unsteerable_packets(packet, code):
+    with pytest.raises(PacketError) as caught:
+        parse(packet)
+    assert caught.value.code is code
+
+
+def test_first_fragments_are_steered():
+    assert parse(_patched(udp_packet(data=b"x"), 6, b"\x20\x00")).event == FlowEvent.DATAGRAM
+    assert parse(_fragment6(0)).service_key == service_key(SERVICE[6], 443, 17)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.integers(0, 0xFFFF), st.integers(2, 255))
+def test_lowered_ttl_keeps_the_checksum_right(identification, ttl):
+    packet = tcp_packet()
+    header = dpkt.ip.IP(packet, id=identification)
+    header.id, header.ttl, header.sum = identification, ttl, 0
+    buffer = bytearray(bytes(header))
+    lower_ttl(buffer)
+    lowered = unpack_packet(bytes(buffer))
+    assert lowered.ttl == ttl - 1
+    checksum, lowered.sum = lowered.sum, 0
+    assert unpack_packet(bytes(lowered)).sum == checksum
+
+
+@pytest.mark.parametrize(("version", "offset"), [(4, 8), (6, 7)])
+@pytest.mark.parametrize("ttl", [0, 1])
+def test_spent_ttl(version, offset, ttl):
+    buffer = bytearray(_patched(tcp_packet(version), offset, bytes([ttl])))
+    with pytest.raises(PacketError) as caught:
+        lower_ttl(buffer)
+    assert caught.value.code is Code.PACKET_TTL_EXPIRED
+
+
+def test_hop_limit_of_ipv6_is_lowered():
+    buffer = bytearray(tcp_packet(6))
+    lower_ttl(buffer)
+    assert buffer[7] == 63
