--- a/pearwell/cli/entry.py
+++ b/pearwell/cli/entry.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 
 import aiomisc
-import structlog
+import uvloop
 from absl import app, flags
 
 from pearwell.daemon import DaemonService
@@ -28,8 +28,6 @@
     "check_config", False, "Validate the settings, print the result and exit."
 )
 
-_log = structlog.get_logger()
-
 
 def main() -> None:
     """Runs the command line; entry point of the package."""
@@ -43,23 +41,22 @@
         if _CHECK_CONFIG.value:
             print(f"settings are valid: instance {settings.instance} in {settings.zone}")
             return 0
-        _serve(settings)
+        configure_logs(settings.log_level, instance=settings.instance)
+        uvloop.run(_serve(settings))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     return 0
 
 
-def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings) -> None:
     """Runs the daemon until SIGTERM or SIGINT."""
-    configure_logs(settings.log_level, instance=settings.instance)
-    daemon = DaemonService(settings=settings)
-    entrypoint = aiomisc.entrypoint(daemon, log_config=False, catch_signals=())
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        entrypoint.loop.add_signal_handler(number, stopping.set)
-    with entrypoint as loop:
-        loop.run_until_complete(stopping.wait())
+        asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+    daemon = DaemonService(settings=settings)
+    async with aiomisc.entrypoint(daemon, log_config=False, catch_signals=()):
+        await stopping.wait()
 
 
 if __name__ == "__main__":
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -62,9 +62,12 @@
 
 def test_sigterm_stops_cleanly(tmp_path):
     process = start(tmp_path, SETTINGS)
-    while "instance_started" not in process.stderr.readline():
-        assert process.poll() is None
-    process.send_signal(signal.SIGTERM)
-    _, errors = process.communicate(timeout=30)
+    try:
+        while "instance_started" not in process.stderr.readline():
+            assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        _, errors = process.communicate(timeout=30)
+    finally:
+        process.kill()
     assert process.returncode == 0
     assert "event=instance_stopped instance=entry-1" in errors
