Change configuration by conditional updates with audit entries

Each change writes the object, its audit entry and its idempotency key in one conditional update. A claim object per address, fenced by raising the earlier holder's version, keeps two services from getting one address. The test runs every fault at every call of every write, with retries and with the operator repeating.

--- /dev/null
+++ b/pearwell/claims.py
@@ -0,0 +1,137 @@
+"""Claims: one platform object for each service address, so that no two services share one."""
+
+import asyncio
+import contextlib
+import ipaddress
+import random
+from typing import Any, Protocol
+
+from pearwell.errors import Code, ConfigurationError, ConflictError, PlatformError
+from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.service import ServiceSpec
+
+__all__ = ["CLAIM_KIND", "Claims", "Holders", "claim_name"]
+
+CLAIM_KIND = "claim"
+
+MAX_ATTEMPTS = 6
+# Pause before an unfinished claim of another service is taken over.
+MIN_GRACE_S = 0.2
+MAX_GRACE_S = 0.5
+
+_LOST_RACE = frozenset(
+    {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
+)
+
+
+class Holders(Protocol):
+    """What claims need to know of the services that hold them."""
+
+    async def uses(self, holder: str, address: ServiceSpec) -> bool:
+        """Returns whether a service uses the address, port and transport of another one."""
+
+    async def fence(self, holder: str, address: ServiceSpec) -> bool:
+        """Returns True if a service uses the address; else raises its version in the platform."""
+
+
+class Claims:
+    """Takes claims on addresses for services.
+
+    A writer reads the service, takes the claim, and then writes the service conditionally on the
+    version that it read. Taking a claim always writes the claim object. A claim of another service
+    that doesn't use the address, left by a writer that is slow or gone, is taken over: first the
+    other service's version is raised, so that its unfinished write fails, then the claim is
+    written. Together this leaves no order of events in which two services get one address.
+
+    Args:
+        store: The platform.
+        rng: Random source for the pause before a takeover.
+        holders: The services that hold claims.
+    """
+
+    def __init__(self, store: ObjectStore, rng: random.Random, holders: Holders) -> None:
+        self._store = store
+        self._rng = rng
+        self._holders = holders
+
+    async def acquire(self, service: ServiceSpec, key: str) -> None:
+        """Takes the claim on a service's address.
+
+        Args:
+            service: The service as it is about to be written.
+            key: Idempotency key of the change.
+
+        Raises:
+            ConfigurationError: CONFIG_ADDRESS_OVERLAP if another service uses the address.
+            ConflictError: CONFIG_CONFLICT if other writers kept taking the claim.
+            PlatformError: The platform failed.
+        """
+        name = claim_name(service)
+        await self._wait_for_other(name, service)
+        for attempt in range(MAX_ATTEMPTS):
+            claim = await self._read(name)
+            holder = _holder(claim)
+            if holder not in ("", service.name) and await self._holders.fence(holder, service):
+                raise _overlap(holder, service)
+            value = {"holder": service.name, "key": key, "attempt": attempt}
+            if await self._write(name, claim, value):
+                return
+        raise ConflictError(Code.CONFIG_CONFLICT, f"{service.address} is being claimed by others")
+
+    async def find(self, service: ServiceSpec) -> StoredObject | None:
+        """Returns the claim of a service on its address, to release it after a write."""
+        claim = await self._read(claim_name(service))
+        return claim if _holder(claim) == service.name else None
+
+    async def release(self, claim: StoredObject) -> None:
+        """Gives up a claim found before the write that freed its address.
+
+        The claim stays if it was taken again since. One that is left over because the platform
+        fails is taken over by whoever needs the address.
+        """
+        with contextlib.suppress(PlatformError):
+            await self._store.delete(CLAIM_KIND, claim.name, claim.version)
+
+    async def _wait_for_other(self, name: str, service: ServiceSpec) -> None:
+        holder = _holder(await self._read(name))
+        if holder in ("", service.name):
+            return
+        if await self._holders.uses(holder, service):
+            raise _overlap(holder, service)
+        await asyncio.sleep(self._rng.uniform(MIN_GRACE_S, MAX_GRACE_S))
+
+    async def _read(self, name: str) -> StoredObject | None:
+        try:
+            return await self._store.get(CLAIM_KIND, name)
+        except PlatformError as error:
+            if error.code is Code.PLATFORM_NOT_FOUND:
+                return None
+            raise
+
+    async def _write(self, name: str, claim: StoredObject | None, value: dict[str, Any]) -> bool:
+        try:
+            if claim is None:
+                await self._store.create(CLAIM_KIND, name, value)
+            else:
+                await self._store.update(CLAIM_KIND, name, value, claim.version)
+        except PlatformError as error:
+            if error.code in _LOST_RACE:
+                return False
+            raise
+        return True
+
+
+def claim_name(service: ServiceSpec) -> str:
+    """Returns the name of the claim on a service's address, port and transport."""
+    address = ipaddress.ip_address(service.address).exploded
+    digits = address.replace(":", "-").replace(".", "-")
+    return f"{service.protocol.name.lower()}.{service.port}.{digits}"
+
+
+def _holder(claim: StoredObject | None) -> str:
+    return "" if claim is None else str(claim.value.get("holder", ""))
+
+
+def _overlap(holder: str, service: ServiceSpec) -> ConfigurationError:
+    detail = f"{service.address} port {service.port} belongs to service {holder}"
+    return ConfigurationError(Code.CONFIG_ADDRESS_OVERLAP, detail)
--- /dev/null
+++ b/pearwell/document.py
@@ -0,0 +1,85 @@
+"""Stored form of a configuration object: its value, or a tombstone, with its audit trail."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import pydantic
+
+from pearwell.audit import Action, AuditEntry
+from pearwell.configuration import Kind
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store import StoredObject
+from pearwell.schema import Spec, from_document, to_document
+
+__all__ = ["Document", "decode_document", "encode_document"]
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A configuration object as the platform holds it.
+
+    A deleted object stays as a tombstone, so that its deletion has a version like any change.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Name of the object.
+        version: Platform version; 0 if the platform has no such object.
+        spec: The service or group; None if it doesn't exist or was deleted.
+        entries: Audit trail, oldest first.
+    """
+
+    kind: Kind
+    name: str
+    version: int = 0
+    spec: Spec | None = None
+    entries: tuple[AuditEntry, ...] = ()
+
+
+class _AuditEntryModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", from_attributes=True)
+
+    key: str
+    fingerprint: str
+    action: Action
+    actor: str
+    identity: str
+    instance: str
+    at: float
+    changes: tuple[str, ...]
+    version_before: int = pydantic.Field(ge=0)
+
+    def to_entry(self) -> AuditEntry:
+        """Returns the data class."""
+        return AuditEntry(**dict(self))
+
+
+class _DocumentModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    spec: dict[str, Any] | None
+    audit: tuple[_AuditEntryModel, ...] = ()
+
+
+def decode_document(stored: StoredObject) -> Document:
+    """Validates what the platform holds.
+
+    Raises:
+        PlatformError: PLATFORM_BAD_ANSWER if the value isn't a configuration object.
+        ConfigurationError: Its service or group is invalid.
+    """
+    kind = Kind(stored.kind)
+    try:
+        model = _DocumentModel.model_validate(stored.value)
+    except pydantic.ValidationError as error:
+        detail = f"{stored.kind}/{stored.name}: {error.errors()[0]['msg']}"
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
+    spec = None if model.spec is None else from_document(kind, model.spec)
+    entries = tuple(entry.to_entry() for entry in model.audit)
+    return Document(kind, stored.name, stored.version, spec, entries)
+
+
+def encode_document(document: Document) -> dict[str, Any]:
+    """Returns the JSON value to store; the version isn't part of it."""
+    spec = None if document.spec is None else to_document(document.kind, document.spec)
+    audit = [_AuditEntryModel.model_validate(e).model_dump(mode="json") for e in document.entries]
+    return {"spec": spec, "audit": audit}
--- /dev/null
+++ b/pearwell/editor.py
@@ -0,0 +1,280 @@
+"""Editor: changes configuration objects by conditional updates with their audit entries."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+from pearwell.audit import (
+    Action,
+    AuditEntry,
+    append_entry,
+    describe_changes,
+    find_entry,
+)
+from pearwell.claims import Claims
+from pearwell.configuration import Kind
+from pearwell.document import Document, decode_document, encode_document
+from pearwell.edits import Edit
+from pearwell.errors import Code, ConfigurationError, ConflictError, PlatformError
+from pearwell.group import GroupSpec
+from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.schema import Spec, check_name, to_document
+from pearwell.service import ServiceSpec
+from pearwell.validation import check_group, check_group_unused, endpoint
+
+__all__ = ["ConfigurationEditor", "DocumentPage", "WriteOutcome", "WriteRequest"]
+
+# Attempts of a change that may start from any version.
+MAX_ATTEMPTS = 8
+MAX_PAGE_SIZE = 500
+# Pause before an object is read again that the platform showed in an old state.
+STALE_PAUSE_S = 0.2
+
+_LOST_RACE = frozenset(
+    {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRequest:
+    """One change that an operator asks for.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Name of the object.
+        action: What the change does.
+        key: Idempotency key, unique to the change.
+        fingerprint: Hash of the whole request.
+        actor: Who makes the change.
+        identity: Name in the caller's certificate; empty without TLS.
+        expected_version: Version that the change starts from; None for any.
+    """
+
+    kind: Kind
+    name: str
+    action: Action
+    key: str
+    fingerprint: str
+    actor: str
+    identity: str = ""
+    expected_version: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOutcome:
+    """What became of a change.
+
+    Attributes:
+        document: The object as it is now.
+        version: Version that the change made.
+        repeated: An earlier request with the same key made the change.
+    """
+
+    document: Document
+    version: int
+    repeated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentPage:
+    """Some objects of a kind in order of name, tombstones included."""
+
+    documents: tuple[Document, ...]
+    next_token: str
+
+
+class ConfigurationEditor:
+    """Reads and changes the configuration in the platform.
+
+    Args:
+        store: The platform, with retries.
+        rng: Random source.
+        instance: Instance that makes the changes, for the audit trail.
+        wall_time: Returns Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        rng: random.Random,
+        instance: str,
+        wall_time: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._instance = instance
+        self._wall_time = wall_time
+        self._claims = Claims(store, rng, self)
+
+    async def read(self, kind: Kind, name: str) -> Document:
+        """Returns an object; its version is 0 if the platform has none.
+
+        Raises:
+            PlatformError: The platform failed.
+        """
+        try:
+            return decode_document(await self._store.get(kind, name))
+        except PlatformError as error:
+            if error.code is Code.PLATFORM_NOT_FOUND:
+                return Document(kind, name)
+            raise
+
+    async def page(self, kind: Kind, size: int, token: str = "") -> DocumentPage:
+        """Returns a page of objects of a kind, at most MAX_PAGE_SIZE."""
+        found = await self._store.list(kind, limit=min(size, MAX_PAGE_SIZE), token=token)
+        return DocumentPage(tuple(map(decode_document, found.items)), found.next_token)
+
+    async def write(self, request: WriteRequest, edit: Edit) -> WriteOutcome:
+        """Makes a change, at most once for each idempotency key.
+
+        Args:
+            request: Which object, who asks, and from which version.
+            edit: From the present value to the wanted one.
+
+        Returns:
+            The outcome, which is the first one if the key was used before.
+
+        Raises:
+            ConfigurationError: The change is refused.
+            ConflictError: CONFIG_CONFLICT if another change came first.
+            PlatformError: The platform failed. The change may have been made; a repetition with
+                the same key tells.
+        """
+        _check_request(request)
+        for _ in range(MAX_ATTEMPTS):
+            document = await self.read(request.kind, request.name)
+            earlier = find_entry(document.entries, request.key)
+            if earlier is not None:
+                return _repeat(request, document, earlier)
+            if _is_stale(request, document):
+                await asyncio.sleep(STALE_PAUSE_S)
+                continue
+            _check_version(request, document)
+            changed = self._change(request, document, edit(document.spec))
+            stored = await self._try_write(request, document, changed)
+            if stored is not None:
+                return WriteOutcome(replace(changed, version=stored.version), stored.version)
+        raise ConflictError(Code.CONFIG_CONFLICT, f"{request.name} keeps changing")
+
+    async def uses(self, holder: str, address: ServiceSpec) -> bool:
+        """Returns whether a service uses the address, port and transport of another one."""
+        return _uses(await self.read(Kind.SERVICE, holder), address)
+
+    async def fence(self, holder: str, address: ServiceSpec) -> bool:
+        """Returns True if a service uses the address; else raises its version in the platform."""
+        for _ in range(MAX_ATTEMPTS):
+            document = await self.read(Kind.SERVICE, holder)
+            if _uses(document, address):
+                return True
+            key = f"fence-{holder}-{document.version}"
+            request = WriteRequest(Kind.SERVICE, holder, Action.FENCE, key, "", "pearwell")
+            changed = self._change(request, document, document.spec)
+            if await self._put(document, changed) is not None:
+                return False
+        raise ConflictError(Code.CONFIG_CONFLICT, f"service {holder} keeps changing")
+
+    async def _try_write(
+        self, request: WriteRequest, document: Document, changed: Document
+    ) -> StoredObject | None:
+        await self._admit(changed)
+        if not isinstance(document.spec, ServiceSpec):
+            await self._claim(request, changed)
+            return await self._put(document, changed)
+        if _uses(changed, document.spec):
+            return await self._put(document, changed)
+        freed = await self._claims.find(document.spec)
+        await self._claim(request, changed)
+        stored = await self._put(document, changed)
+        if stored is not None and freed is not None:
+            await self._claims.release(freed)
+        return stored
+
+    async def _admit(self, changed: Document) -> None:
+        # Checks the wanted value against other objects in the platform.
+        if isinstance(changed.spec, GroupSpec):
+            check_group(changed.spec)
+        elif isinstance(changed.spec, ServiceSpec):
+            group = await self.read(Kind.GROUP, changed.spec.group)
+            if group.spec is None:
+                raise ConfigurationError(Code.CONFIG_UNKNOWN_GROUP, changed.spec.group)
+        elif changed.kind is Kind.GROUP:
+            check_group_unused(changed.name, await self._services())
+
+    async def _claim(self, request: WriteRequest, changed: Document) -> None:
+        if isinstance(changed.spec, ServiceSpec):
+            await self._claims.acquire(changed.spec, request.key)
+
+    async def _services(self) -> Sequence[ServiceSpec]:
+        documents = map(decode_document, (await self._store.list(Kind.SERVICE)).items)
+        return [d.spec for d in documents if isinstance(d.spec, ServiceSpec)]
+
+    async def _put(self, document: Document, changed: Document) -> StoredObject | None:
+        # Returns None if another change came first, or if an earlier attempt of this one did.
+        value = encode_document(changed)
+        kind, name, version = document.kind, document.name, document.version
+        try:
+            if version == 0:
+                return await self._store.create(kind, name, value)
+            return await self._store.update(kind, name, value, version)
+        except PlatformError as error:
+            if error.code in _LOST_RACE:
+                return None
+            raise
+
+    def _change(self, request: WriteRequest, document: Document, spec: Spec | None) -> Document:
+        entry = AuditEntry(
+            key=request.key,
+            fingerprint=request.fingerprint,
+            action=request.action,
+            actor=request.actor,
+            identity=request.identity,
+            instance=self._instance,
+            at=self._wall_time(),
+            changes=describe_changes(
+                _json(document.kind, document.spec), _json(request.kind, spec)
+            ),
+            version_before=document.version,
+        )
+        return replace(document, spec=spec, entries=append_entry(document.entries, entry))
+
+
+def _json(kind: Kind, spec: Spec | None) -> object:
+    return {} if spec is None else to_document(kind, spec)
+
+
+def _uses(document: Document, address: ServiceSpec) -> bool:
+    spec = document.spec
+    return isinstance(spec, ServiceSpec) and endpoint(spec) == endpoint(address)
+
+
+def _check_request(request: WriteRequest) -> None:
+    for field, value in (("idempotency_key", request.key), ("actor", request.actor)):
+        if not 0 < len(value) <= 128:
+            raise ConfigurationError(Code.CONFIG_INVALID, f"{field}: 1 to 128 characters")
+    try:
+        check_name(request.name)
+    except ValueError as error:
+        raise ConfigurationError(Code.CONFIG_BAD_NAME, f"{request.name!r} {error}") from error
+
+
+def _is_stale(request: WriteRequest, document: Document) -> bool:
+    # Versions only rise, so the caller knows a later state than the platform showed.
+    return document.version < (request.expected_version or 0)
+
+
+def _check_version(request: WriteRequest, document: Document) -> None:
+    expected = request.expected_version
+    present = document.version if document.spec is not None else 0
+    if expected is not None and expected != present and request.action is not Action.CREATE:
+        detail = f"{request.kind} {request.name} has version {present}, not {expected}"
+        code = Code.CONFIG_CONFLICT if present else Code.CONFIG_NOT_FOUND
+        raise ConflictError(code, detail)
+
+
+def _repeat(request: WriteRequest, document: Document, entry: AuditEntry) -> WriteOutcome:
+    if entry.fingerprint != request.fingerprint:
+        raise ConfigurationError(Code.CONFIG_KEY_REUSED, request.key)
+    later = document.entries[document.entries.index(entry) + 1 :]
+    version = later[0].version_before if later else document.version
+    return WriteOutcome(document, version, repeated=True)
--- a/pearwell/validation.py
+++ b/pearwell/validation.py
@@ -3,12 +3,11 @@
 from collections import Counter
 from collections.abc import Hashable, Iterable
 
-from pearwell.configuration import Configuration
 from pearwell.errors import Code, ConfigurationError
 from pearwell.group import GroupSpec
 from pearwell.service import ServiceSpec
 
-__all__ = ["check_group", "check_group_unused", "check_service", "endpoint"]
+__all__ = ["check_group", "check_group_unused", "endpoint"]
 
 
 def endpoint(service: ServiceSpec) -> tuple[str, int, int]:
@@ -16,20 +15,6 @@
     return service.address, service.port, int(service.protocol)
 
 
-def check_service(service: ServiceSpec, configuration: Configuration) -> None:
-    """Checks a service against the other services and the groups.
-
-    Raises:
-        ConfigurationError: CONFIG_ADDRESS_OVERLAP or CONFIG_UNKNOWN_GROUP.
-    """
-    for other in configuration.services.values():
-        if other.name != service.name and endpoint(other) == endpoint(service):
-            detail = f"{service.address} port {service.port} belongs to service {other.name}"
-            raise ConfigurationError(Code.CONFIG_ADDRESS_OVERLAP, detail)
-    if service.group not in configuration.groups:
-        raise ConfigurationError(Code.CONFIG_UNKNOWN_GROUP, service.group)
-
-
 def check_group(group: GroupSpec) -> None:
     """Checks the targets of a group.
 
@@ -42,9 +27,9 @@
     _check_unique((target.address, target.port) for target in group.targets)
 
 
-def check_group_unused(name: str, configuration: Configuration) -> None:
+def check_group_unused(name: str, services: Iterable[ServiceSpec]) -> None:
     """Raises CONFIG_GROUP_IN_USE if a service names the group."""
-    users = sorted(s.name for s in configuration.services.values() if s.group == name)
+    users = sorted(service.name for service in services if service.group == name)
     if users:
         detail = f"group {name} serves {', '.join(users[:5])}"
         raise ConfigurationError(Code.CONFIG_GROUP_IN_USE, detail)
--- /dev/null
+++ b/tests/test_editor.py
@@ -0,0 +1,331 @@
+"""Tests of pearwell.editor and pearwell.claims: every fault at every step of a write."""
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import replace
+
+import pytest
+
+from pearwell import edits
+from pearwell.audit import MAX_ENTRIES, Action, records
+from pearwell.claims import CLAIM_KIND
+from pearwell.configuration import Kind
+from pearwell.document import decode_document, encode_document
+from pearwell.editor import ConfigurationEditor, WriteRequest
+from pearwell.errors import Code, PearwellError, PlatformError
+from pearwell.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore
+from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.validation import endpoint
+from tests.virtual_time import run
+
+TARGETS = tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 4))
+GROUP = GroupSpec("g", TARGETS)
+SPARE = GroupSpec("spare", TARGETS)
+SERVICE = ServiceSpec("s", "10.1.0.1", 443, TransportProtocol.TCP, "g")
+OTHER = replace(SERVICE, name="other", address="10.1.0.2")
+MOVED = replace(SERVICE, address="10.1.0.9")
+
+# Action, kind, name, edit.
+WRITES = {
+    "create-service": (
+        Action.CREATE,
+        Kind.SERVICE,
+        "new",
+        edits.create(replace(MOVED, name="new")),
+    ),
+    "move-service": (Action.UPDATE, Kind.SERVICE, "s", edits.update(MOVED)),
+    "delete-service": (Action.DELETE, Kind.SERVICE, "s", edits.remove("s")),
+    "update-group": (Action.UPDATE, Kind.GROUP, "g", edits.update(replace(GROUP, seed=5))),
+    "delete-group": (Action.DELETE, Kind.GROUP, "spare", edits.remove("spare")),
+    "drain": (Action.DRAIN_TARGET, Kind.GROUP, "g", edits.drain_target("g", "t1", 60.0)),
+    "put": (Action.PUT_TARGET, Kind.GROUP, "g", edits.put_target("g", replace(TARGETS[0], port=9))),
+    "remove": (Action.REMOVE_TARGET, Kind.GROUP, "g", edits.remove_target("g", "t3")),
+}
+STRICT = {Action.UPDATE, Action.DELETE}
+
+
+def editor(store, retrying=True, seed=1):
+    loop, rng = asyncio.get_running_loop(), random.Random(seed)
+    platform = RetryingObjectStore(store, loop, rng) if retrying else store
+    return ConfigurationEditor(platform, rng, f"pnw-a-{seed}", lambda: 1.7e9 + loop.now())
+
+
+async def prepared():
+    store = MemoryObjectStore()
+    bare = editor(store, retrying=False)
+    for spec in (GROUP, SPARE, SERVICE, OTHER):
+        kind = Kind.GROUP if isinstance(spec, GroupSpec) else Kind.SERVICE
+        await bare.write(request(Action.CREATE, kind, spec.name, spec.name), edits.create(spec))
+    store.freeze()
+    # A later change that stale reads don't show.
+    await bare.write(
+        request(Action.UNDRAIN_TARGET, Kind.GROUP, "g", "later"), edits.undrain_target("g", "t2")
+    )
+    return store
+
+
+def request(action, kind, name, key, expected=None, fingerprint="f"):
+    return WriteRequest(kind, name, action, key, fingerprint, "ada", expected_version=expected)
+
+
+async def state(store):
+    found = {}
+    for kind in Kind:
+        for stored in (await store.list(kind)).items:
+            document = decode_document(stored)
+            keys = [entry.key for entry in document.entries]
+            assert len(keys) == len(set(keys)), "a change was made twice"
+            found[kind, stored.name] = (document.spec, tuple(keys))
+    return found
+
+
+async def expected_version(store, write):
+    action, kind, name, _ = WRITES[write]
+    return (await store.get(kind, name)).version if action in STRICT else None
+
+
+async def attempt(store, write, retrying, expected, seed=1):
+    action, kind, name, edit = WRITES[write]
+    order = request(action, kind, name, "key", expected)
+    return await editor(store, retrying, seed).write(order, edit)
+
+
+async def run_with_fault(write, step, fault, retrying):
+    store = await prepared()
+    expected = await expected_version(store, write)
+    store.faults.plan = deque([Fault.NONE] * step + [fault])
+    repetitions = 0
+    while True:
+        try:
+            outcome = await attempt(store, write, retrying, expected, seed=1 + repetitions)
+        except PlatformError:
+            repetitions += 1
+            continue
+        reached = not store.faults.plan
+        store.faults.plan.clear()
+        return outcome, repetitions, reached, await state(store), store
+
+
+@pytest.mark.parametrize("retrying", [True, False], ids=["retrying", "repeated-by-operator"])
+@pytest.mark.parametrize("fault", [f for f in Fault if f is not Fault.NONE])
+@pytest.mark.parametrize("write", WRITES)
+def test_every_fault_at_every_step_of_a_write_leaves_exactly_one_effect(write, fault, retrying):
+    async def scenario():
+        _, _, _, wanted, _ = await run_with_fault(write, 0, Fault.NONE, retrying)
+        step, reached = 0, True
+        while reached:
+            outcome, repetitions, reached, found, store = await run_with_fault(
+                write, step, fault, retrying
+            )
+            assert found == wanted, f"step {step}"
+            assert repetitions <= (0 if retrying else 1)
+            stored = await store.get(WRITES[write][1], WRITES[write][2])
+            assert outcome.version == stored.version
+            step += 1
+        return step
+
+    assert run(scenario()) >= 3
+
+
+@pytest.mark.parametrize("first", WRITES)
+@pytest.mark.parametrize("seed", range(3))
+def test_two_operators_at_once_end_as_one_success_and_one_coded_conflict(first, seed):
+    async def scenario():
+        store = await prepared()
+        expected = await expected_version(store, first)
+        rng = random.Random(seed)
+        store._sleep = lambda seconds: asyncio.sleep(rng.uniform(0, seconds))
+        store.faults.delay_s = 0.05
+        action, kind, name, edit = WRITES[first]
+        rivals = [
+            editor(store, seed=2 + n).write(request(action, kind, name, f"key{n}", expected), edit)
+            for n in range(2)
+        ]
+        outcomes = await asyncio.gather(*rivals, return_exceptions=True)
+        return [o.code if isinstance(o, PearwellError) else Code.OK for o in outcomes]
+
+    action = WRITES[first][0]
+    second = {
+        Action.CREATE: {Code.CONFIG_ALREADY_EXISTS},
+        Action.UPDATE: {Code.CONFIG_CONFLICT},
+        Action.DELETE: {Code.CONFIG_NOT_FOUND, Code.CONFIG_CONFLICT},
+        Action.REMOVE_TARGET: {Code.CONFIG_NOT_FOUND},
+    }.get(action, {Code.OK})
+    codes = run(scenario())
+    assert Code.OK in codes
+    codes.remove(Code.OK)
+    assert codes[0] in second
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_two_services_ever_share_an_address(seed):
+    async def scenario():
+        store = MemoryObjectStore()
+        rng = random.Random(seed)
+        store._sleep = lambda seconds: asyncio.sleep(rng.uniform(0, seconds))
+        await editor(store).write(request(Action.CREATE, Kind.GROUP, "g", "g"), edits.create(GROUP))
+        store.faults.delay_s = 0.3
+        await asyncio.gather(*(operate(store, rng, operator) for operator in range(4)))
+        return await history(store)
+
+    live = {}
+    accepted = 0
+    for kind, name, spec in run(scenario()):
+        if kind == Kind.SERVICE:
+            accepted += 1
+            live[name] = spec and endpoint(spec)
+            held = [address for address in live.values() if address]
+            assert len(held) == len(set(held))
+    assert accepted > 10
+
+
+async def operate(store, rng, operator):
+    for turn in range(25):
+        store.faults.lose_answers += rng.random() < 0.2
+        store.faults.lose_requests += rng.random() < 0.2
+        name = f"s{rng.randrange(3)}"
+        spec = replace(SERVICE, name=name, address=f"10.1.0.{rng.randrange(1, 3)}")
+        mine = editor(store, seed=100 * operator + turn)
+        key = f"{operator}-{turn}"
+        choice = rng.randrange(3)
+        edit = [edits.create(spec), edits.update(spec), edits.remove(name)][choice]
+        action = [Action.CREATE, Action.UPDATE, Action.DELETE][choice]
+        try:
+            await mine.write(request(action, Kind.SERVICE, name, key), edit)
+        except PearwellError as error:
+            assert error.code.value // 100 in (3, 4)
+
+
+async def history(store):
+    store.faults.delay_s = 0.0
+    store.faults.lose_answers = store.faults.lose_requests = 0
+    versions = []
+    found = []
+    for event in store._history:
+        versions.append(event.stored.version)
+        if event.stored.kind != CLAIM_KIND:
+            document = decode_document(event.stored)
+            found.append((event.stored.kind, event.stored.name, document.spec))
+    assert versions == sorted(set(versions)), "one accepted write per version"
+    return found
+
+
+def test_an_abandoned_claim_is_taken_over_and_the_late_write_fails():
+    async def scenario():
+        store = await prepared()
+        late = editor(store, seed=2)
+        spec = replace(MOVED, name="late")
+        gate = asyncio.Event()
+        create = store.create
+
+        async def held(kind, name, value):
+            if name == "late" and not gate.is_set() and value["spec"] is not None:
+                await gate.wait()
+            return await create(kind, name, value)
+
+        store.create = held
+        task = asyncio.ensure_future(
+            late.write(request(Action.CREATE, Kind.SERVICE, "late", "k1"), edits.create(spec))
+        )
+        await asyncio.sleep(0.1)
+        await attempt(store, "create-service", True, None, seed=3)
+        gate.set()
+        with pytest.raises(PearwellError) as refused:
+            await task
+        return refused.value.code, (await state(store))[Kind.SERVICE, "late"][0]
+
+    assert run(scenario()) == (Code.CONFIG_ADDRESS_OVERLAP, None)
+
+
+@pytest.mark.parametrize(
+    ("action", "kind", "name", "edit", "expected", "code"),
+    [
+        (Action.CREATE, Kind.GROUP, "g", edits.create(GROUP), None, Code.CONFIG_ALREADY_EXISTS),
+        (Action.UPDATE, Kind.GROUP, "g", edits.update(GROUP), 1, Code.CONFIG_CONFLICT),
+        (Action.UPDATE, Kind.GROUP, "none", edits.update(GROUP), None, Code.CONFIG_NOT_FOUND),
+        (Action.DELETE, Kind.GROUP, "g", edits.remove("g"), None, Code.CONFIG_GROUP_IN_USE),
+        (Action.CREATE, Kind.GROUP, "Bad", edits.create(GROUP), None, Code.CONFIG_BAD_NAME),
+        (
+            Action.CREATE,
+            Kind.GROUP,
+            "e",
+            edits.create(GroupSpec("e", ())),
+            None,
+            Code.CONFIG_EMPTY_GROUP,
+        ),
+        (
+            Action.CREATE,
+            Kind.SERVICE,
+            "n",
+            edits.create(replace(SERVICE, name="n")),
+            None,
+            Code.CONFIG_ADDRESS_OVERLAP,
+        ),
+        (
+            Action.UPDATE,
+            Kind.SERVICE,
+            "s",
+            edits.update(replace(SERVICE, group="none")),
+            None,
+            Code.CONFIG_UNKNOWN_GROUP,
+        ),
+        (
+            Action.DRAIN_TARGET,
+            Kind.GROUP,
+            "g",
+            edits.drain_target("g", "none", 0.0),
+            None,
+            Code.CONFIG_NOT_FOUND,
+        ),
+    ],
+)
+def test_a_refused_change_has_a_code_and_changes_nothing(action, kind, name, edit, expected, code):
+    async def scenario():
+        store = await prepared()
+        before = await state(store)
+        with pytest.raises(PearwellError) as refused:
+            await editor(store).write(request(action, kind, name, "key", expected), edit)
+        assert await state(store) == before
+        return refused.value.code
+
+    assert run(scenario()) is code
+
+
+def test_a_repeated_request_returns_the_first_outcome_and_a_reused_key_is_refused():
+    async def scenario():
+        store = await prepared()
+        drain = request(Action.DRAIN_TARGET, Kind.GROUP, "g", "k")
+        first = await editor(store).write(drain, edits.drain_target("g", "t1", 0.0))
+        undrain = request(Action.UNDRAIN_TARGET, Kind.GROUP, "g", "k2")
+        await editor(store, seed=2).write(undrain, edits.undrain_target("g", "t1"))
+        again = await editor(store, seed=3).write(drain, edits.drain_target("g", "t1", 0.0))
+        assert (again.version, again.repeated) == (first.version, True)
+        assert again.document.spec.targets[0].intent is TargetIntent.SERVING
+        with pytest.raises(PearwellError) as refused:
+            await editor(store).write(replace(drain, fingerprint="x"), edits.remove("g"))
+        return refused.value.code
+
+    assert run(scenario()) is Code.CONFIG_KEY_REUSED
+
+
+def test_the_audit_trail_is_bounded_and_gives_versions_before_and_after():
+    async def scenario():
+        store = await prepared()
+        first = await editor(store).read(Kind.GROUP, "g")
+        for n in range(MAX_ENTRIES + 5):
+            edit = edits.drain_target("g", "t1", float(n))
+            order = request(Action.DRAIN_TARGET, Kind.GROUP, "g", f"k{n}")
+            await editor(store).write(order, edit)
+        return first, await editor(store).read(Kind.GROUP, "g")
+
+    first, document = run(scenario())
+    trail = records(Kind.GROUP, "g", document.entries, document.version)
+    assert len(trail) == MAX_ENTRIES
+    assert trail[0].version_after == document.version
+    assert all(r.version_after == r.entry.version_before + 1 for r in trail)
+    assert trail[0].entry.changes == ("targets.t1.drain_deadline_s: 67.0 -> 68.0",)
+    assert (trail[0].entry.actor, trail[0].entry.instance) == ("ada", "pnw-a-1")
+    assert len(str(encode_document(document))) < 40_000
+    assert first.version < trail[-1].entry.version_before
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -6,12 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pearwell.configuration import Configuration, Kind
+from pearwell.configuration import Kind
 from pearwell.errors import Code, ConfigurationError
 from pearwell.group import MAX_WEIGHT, GroupSpec, TargetIntent, TargetSpec
 from pearwell.schema import from_document, to_document
 from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
-from pearwell.validation import check_group, check_group_unused, check_service
+from pearwell.validation import check_group, check_group_unused
 
 TARGET = {"name": "t1", "address": "10.0.0.1", "zone": "pnw-a"}
 SERVICE = {"name": "s", "address": "10.1.0.1", "port": 443, "protocol": "tcp", "group": "g"}
@@ -87,28 +87,6 @@
     assert field in refused.value.detail
 
 
-@pytest.mark.parametrize(
-    ("change", "code"),
-    [
-        ({}, None),
-        ({"name": "other"}, Code.CONFIG_ADDRESS_OVERLAP),
-        ({"name": "other", "port": 444}, None),
-        ({"name": "other", "protocol": "udp"}, None),
-        ({"name": "other", "address": "10.1.0.2"}, None),
-        ({"group": "none"}, Code.CONFIG_UNKNOWN_GROUP),
-    ],
-)
-def test_a_service_is_checked_against_the_configuration(change, code):
-    held = Configuration({"s": from_document(Kind.SERVICE, SERVICE)}, {"g": GroupSpec("g", ())})
-    spec = from_document(Kind.SERVICE, {**SERVICE, **change})
-    if code is None:
-        check_service(spec, held)
-        return
-    with pytest.raises(ConfigurationError) as refused:
-        check_service(spec, held)
-    assert refused.value.code is code
-
-
 @pytest.mark.parametrize(
     ("others", "code"),
     [
@@ -130,7 +108,7 @@
 
 
 def test_a_group_in_use_is_named_with_its_services():
-    held = Configuration({"s": from_document(Kind.SERVICE, SERVICE)})
+    held = [from_document(Kind.SERVICE, SERVICE)]
     check_group_unused("unused", held)
     with pytest.raises(ConfigurationError, match="309 CONFIG_GROUP_IN_USE: group g serves s"):
         check_group_unused("g", held)
