--- /dev/null
+++ b/pearwell/admin_client.py
@@ -0,0 +1,122 @@
+"""Client of the admin API: tries one instance after the other and raises coded errors."""
+
+from collections.abc import AsyncIterator, Sequence
+from types import TracebackType
+from typing import Any
+
+import grpc
+
+from pearwell.admin_codec import CODE_KEY
+from pearwell.errors import (
+    Code,
+    ConfigurationError,
+    ConflictError,
+    PearwellError,
+    PeerError,
+    PlatformError,
+)
+from pearwell.v1 import admin_pb2_grpc
+
+__all__ = ["AdminClient"]
+
+DEFAULT_TIMEOUT_S = 15.0
+MAX_MESSAGE_BYTES = 8_000_000
+
+_OPTIONS = (("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),)
+
+
+class AdminClient:
+    """Calls the admin API of one of several instances.
+
+    A call that reaches no instance goes to the next one; its key keeps it from being made twice.
+
+    Args:
+        servers: Instances as "address:port".
+        credentials: TLS credentials; None connects in plaintext.
+        timeout_s: Time in seconds until a call is given up, besides what a write waits.
+    """
+
+    def __init__(
+        self,
+        servers: Sequence[str],
+        credentials: grpc.ChannelCredentials | None = None,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._channels = [_open(server, credentials) for server in servers]
+        self._stubs = [admin_pb2_grpc.AdminServiceStub(channel) for channel in self._channels]
+
+    async def __aenter__(self) -> "AdminClient":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        for channel in self._channels:
+            await channel.close(None)
+
+    async def call(self, method: str, request: Any, wait_s: float = 0.0) -> Any:
+        """Calls a method of AdminService.
+
+        Args:
+            method: Name of the method.
+            request: Its request.
+            wait_s: Time in seconds that the method itself may wait.
+
+        Returns:
+            Its response.
+
+        Raises:
+            PearwellError: With the code that the instance gave, or PEER_UNREACHABLE.
+        """
+        failure: PearwellError = PeerError(Code.PEER_UNREACHABLE, "no server is given")
+        for stub in self._stubs:
+            try:
+                return await getattr(stub, method)(request, timeout=self._timeout_s + wait_s)
+            except grpc.aio.AioRpcError as error:
+                failure = _error(error)
+                if failure.code is not Code.PEER_UNREACHABLE:
+                    raise failure from error
+        raise failure
+
+    async def stream(self, method: str, request: Any) -> AsyncIterator[Any]:
+        """Calls a streaming method at the first instance that answers."""
+        failure: PearwellError = PeerError(Code.PEER_UNREACHABLE, "no server is given")
+        for stub in self._stubs:
+            try:
+                async for message in getattr(stub, method)(request):
+                    yield message
+                return
+            except grpc.aio.AioRpcError as error:
+                failure = _error(error)
+        raise failure
+
+
+def _open(server: str, credentials: grpc.ChannelCredentials | None) -> grpc.aio.Channel:
+    if credentials is None:
+        return grpc.aio.insecure_channel(server, options=_OPTIONS)
+    return grpc.aio.secure_channel(server, credentials, options=_OPTIONS)
+
+
+_ERRORS: dict[int, type[PearwellError]] = {3: ConfigurationError, 4: PlatformError, 5: PeerError}
+
+
+def _error(error: grpc.aio.AioRpcError) -> PearwellError:
+    metadata: Any = error.trailing_metadata() or ()
+    number = str(dict(metadata).get(CODE_KEY, ""))
+    detail = error.details() or ""
+    if not number.isdecimal() or int(number) not in Code._value2member_map_:
+        return PeerError(Code.PEER_UNREACHABLE, f"{error.code().name}: {detail}")
+    code = Code(int(number))
+    detail = detail.removeprefix(f"{number} {code.name}").removeprefix(": ")
+    kind = (
+        ConflictError if code is Code.CONFIG_CONFLICT else _ERRORS.get(code // 100, PearwellError)
+    )
+    return kind(code, detail)
--- /dev/null
+++ b/pearwell/admin_codec.py
@@ -0,0 +1,258 @@
+"""Translation between the admin schema's messages and the data classes inside."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import grpc
+from google.protobuf import json_format
+from google.protobuf.message import Message as ProtoMessage
+from xxhash import xxh3_128_hexdigest
+
+from pearwell.audit import AuditRecord
+from pearwell.configuration import Configuration, Kind
+from pearwell.document import Document
+from pearwell.editor import WriteOutcome
+from pearwell.errors import Code, ConfigurationError
+from pearwell.group import GroupSpec, TargetSpec
+from pearwell.in_force import MAX_LAGGING, InForceReport
+from pearwell.membership import Member
+from pearwell.placement import Placement
+from pearwell.schema import Spec, TargetModel, from_document, to_document, validated
+from pearwell.service import ServiceSpec
+from pearwell.v1 import admin_pb2 as pb
+
+__all__ = [
+    "CODE_KEY",
+    "CODE_NAME_KEY",
+    "KINDS",
+    "STATUSES",
+    "code_metadata",
+    "event_to_proto",
+    "fingerprint",
+    "group_from_proto",
+    "group_response",
+    "group_to_proto",
+    "in_force_to_proto",
+    "kind_from_proto",
+    "kind_to_proto",
+    "member_to_proto",
+    "outcome_to_proto",
+    "placement_to_proto",
+    "record_to_proto",
+    "service_from_proto",
+    "service_response",
+    "service_to_proto",
+    "target_from_proto",
+    "target_to_proto",
+]
+
+CODE_KEY = "pearwell-code"
+CODE_NAME_KEY = "pearwell-code-name"
+
+KINDS: Mapping[Kind, pb.Kind] = {Kind.SERVICE: pb.KIND_SERVICE, Kind.GROUP: pb.KIND_GROUP}
+
+_S = grpc.StatusCode
+
+# gRPC status of each code; others are FAILED_PRECONDITION.
+STATUSES: Mapping[Code, grpc.StatusCode] = {
+    Code.CONFIG_INVALID: _S.INVALID_ARGUMENT,
+    Code.CONFIG_BAD_NAME: _S.INVALID_ARGUMENT,
+    Code.CONFIG_EMPTY_GROUP: _S.INVALID_ARGUMENT,
+    Code.CONFIG_WEIGHT_RANGE: _S.INVALID_ARGUMENT,
+    Code.CONFIG_TARGET_OVERLAP: _S.INVALID_ARGUMENT,
+    Code.CONFIG_NOT_FOUND: _S.NOT_FOUND,
+    Code.CONFIG_ALREADY_EXISTS: _S.ALREADY_EXISTS,
+    Code.CONFIG_CONFLICT: _S.ABORTED,
+    Code.CONFIG_NOT_IN_FORCE: _S.DEADLINE_EXCEEDED,
+    Code.PLATFORM_UNAVAILABLE: _S.UNAVAILABLE,
+    Code.PLATFORM_TIMEOUT: _S.UNAVAILABLE,
+    Code.PLATFORM_RETRY_BUDGET: _S.UNAVAILABLE,
+    Code.PLATFORM_BAD_ANSWER: _S.INTERNAL,
+    Code.PLATFORM_TOO_LARGE: _S.RESOURCE_EXHAUSTED,
+    Code.INVARIANT_VIOLATED: _S.INTERNAL,
+}
+
+
+def code_metadata(code: Code) -> tuple[tuple[str, str], ...]:
+    """Returns the trailing metadata that carries a code."""
+    return (CODE_KEY, str(int(code))), (CODE_NAME_KEY, code.name)
+
+
+def fingerprint(request: Any) -> str:
+    """Returns a hash of a write request that tells a repetition from a reused key."""
+    copy = type(request)()
+    copy.CopyFrom(request)
+    copy.write.ClearField("wait_s")
+    copy.write.ClearField("expected_version")
+    content = copy.SerializeToString(deterministic=True)
+    return xxh3_128_hexdigest(type(request).__name__.encode() + b"\0" + content)
+
+
+def kind_from_proto(kind: int) -> Kind:
+    """Returns a kind; CONFIG_INVALID if it is unspecified or unknown."""
+    for own, other in KINDS.items():
+        if other == kind:
+            return own
+    raise ConfigurationError(Code.CONFIG_INVALID, "kind: must be given")
+
+
+def kind_to_proto(kind: Kind) -> pb.Kind:
+    """Returns the schema's form of a kind."""
+    return KINDS[kind]
+
+
+def service_from_proto(service: pb.Service) -> ServiceSpec:
+    """Validates a service; raises ConfigurationError."""
+    spec = from_document(Kind.SERVICE, _fields(service))
+    assert isinstance(spec, ServiceSpec)
+    return spec
+
+
+def group_from_proto(group: pb.Group) -> GroupSpec:
+    """Validates a group; raises ConfigurationError."""
+    spec = from_document(Kind.GROUP, _fields(group))
+    assert isinstance(spec, GroupSpec)
+    return spec
+
+
+def target_from_proto(target: pb.Target) -> TargetSpec:
+    """Validates a target; raises ConfigurationError."""
+    return validated(TargetModel, "target", _fields(target)).to_spec()
+
+
+def service_to_proto(spec: ServiceSpec) -> pb.Service:
+    """Returns the schema's form of a service."""
+    document = to_document(Kind.SERVICE, spec)
+    document["protocol"] = f"TRANSPORT_PROTOCOL_{document['protocol'].upper()}"
+    document["preference"] = f"PREFERENCE_{document['preference'].upper()}"
+    return json_format.ParseDict(document, pb.Service())
+
+
+def group_to_proto(spec: GroupSpec) -> pb.Group:
+    """Returns the schema's form of a group."""
+    document = to_document(Kind.GROUP, spec)
+    document["targets"] = [_target_fields(target) for target in document["targets"]]
+    return json_format.ParseDict(document, pb.Group())
+
+
+def target_to_proto(spec: TargetSpec) -> pb.Target:
+    """Returns the schema's form of a target."""
+    document = TargetModel.model_validate(spec).model_dump(mode="json")
+    return json_format.ParseDict(_target_fields(document), pb.Target())
+
+
+def service_response(document: Document, **fields: Any) -> pb.ServiceResponse:
+    """Returns a response with a service; it has none if it was deleted."""
+    service = _to_proto(document.spec, ServiceSpec)
+    return pb.ServiceResponse(service=service, version=document.version, **fields)
+
+
+def group_response(document: Document, **fields: Any) -> pb.GroupResponse:
+    """Returns a response with a group; it has none if it was deleted."""
+    group = _to_proto(document.spec, GroupSpec)
+    return pb.GroupResponse(group=group, version=document.version, **fields)
+
+
+def outcome_to_proto(outcome: WriteOutcome, report: InForceReport | None) -> pb.WriteOutcome:
+    """Returns the schema's form of an outcome."""
+    in_force = None if report is None else in_force_to_proto(report)
+    return pb.WriteOutcome(version=outcome.version, repeated=outcome.repeated, in_force=in_force)
+
+
+def in_force_to_proto(report: InForceReport) -> pb.InForce:
+    """Returns the schema's form of a report; it names some of the lagging instances."""
+    zones = [
+        pb.ZoneInForce(
+            zone=zone.zone,
+            instances=zone.instances,
+            holding=zone.instances - len(zone.lagging),
+            lagging=zone.lagging[:MAX_LAGGING],
+            age_s=zone.age_s,
+        )
+        for zone in report.zones
+    ]
+    return pb.InForce(version=report.version, everywhere=report.everywhere, zones=zones)
+
+
+def event_to_proto(configuration: Configuration, kind: Kind, name: str) -> pb.ConfigurationEvent:
+    """Returns an event with the applied state of an object."""
+    spec = configuration.find(kind, name)
+    return pb.ConfigurationEvent(
+        kind=KINDS[kind],
+        name=name,
+        version=configuration.versions[kind, name],
+        deleted=spec is None,
+        service=_to_proto(spec, ServiceSpec),
+        group=_to_proto(spec, GroupSpec),
+    )
+
+
+def member_to_proto(member: Member) -> pb.Instance:
+    """Returns the schema's form of a member."""
+    return pb.Instance(
+        instance=member.instance,
+        address=member.address,
+        state=member.state.name.lower(),
+        incarnation=member.incarnation,
+    )
+
+
+def placement_to_proto(placement: Placement) -> pb.Placement:
+    """Returns the schema's summary of a placement."""
+    counts = [0] * len(placement.targets)
+    for index in placement.current:
+        counts[index] += 1
+    targets = [
+        pb.PlacedTarget(
+            name=target.name,
+            address=target.address,
+            state=target.state.name.lower(),
+            weight=target.weight,
+            buckets=count,
+        )
+        for target, count in zip(placement.targets, counts, strict=True)
+    ]
+    tables = zip(placement.base, placement.current, placement.upcoming, strict=True)
+    return pb.Placement(
+        group=placement.group,
+        zone=placement.zone,
+        generation=placement.generation.counter,
+        written_by=placement.generation.instance,
+        phase=placement.phase.name.lower(),
+        targets=targets,
+        buckets=len(placement.current),
+        moving_buckets=sum(not base == current == upcoming for base, current, upcoming in tables),
+    )
+
+
+def record_to_proto(record: AuditRecord) -> pb.AuditEntry:
+    """Returns the schema's form of an audit record."""
+    entry = record.entry
+    return pb.AuditEntry(
+        kind=KINDS[record.kind],
+        name=record.name,
+        at=entry.at,
+        actor=entry.actor,
+        identity=entry.identity,
+        instance=entry.instance,
+        action=entry.action,
+        changes=entry.changes,
+        version_before=entry.version_before,
+        version_after=record.version_after,
+        idempotency_key=entry.key,
+        code=record.code,
+    )
+
+
+def _target_fields(document: dict[str, Any]) -> dict[str, Any]:
+    return document | {"intent": f"TARGET_INTENT_{document['intent'].upper()}"}
+
+
+def _fields(message: ProtoMessage) -> dict[str, Any]:
+    return json_format.MessageToDict(message, preserving_proto_field_name=True)
+
+
+def _to_proto(spec: Spec | None, kind: type[Spec]) -> Any:
+    if not isinstance(spec, kind):
+        return None
+    return service_to_proto(spec) if isinstance(spec, ServiceSpec) else group_to_proto(spec)
--- /dev/null
+++ b/pearwell/audit_reader.py
@@ -0,0 +1,103 @@
+"""Reads the audit trails of all objects in pages."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pearwell.audit import AuditRecord, RefusalLog, records
+from pearwell.configuration import Kind
+from pearwell.document import Document
+from pearwell.editor import ConfigurationEditor
+from pearwell.errors import Code, ConfigurationError
+
+__all__ = ["AuditPage", "AuditReader"]
+
+# Objects that are read at once.
+CHUNK_OBJECTS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class AuditPage:
+    """Some records; next_token is empty on the last page."""
+
+    records: tuple[AuditRecord, ...]
+    next_token: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Position:
+    """Where a page starts: a kind, the platform's list token, and records to skip."""
+
+    kind: Kind
+    token: str = ""
+    skip: int = 0
+
+    def encode(self) -> str:
+        return f"{self.kind}/{self.token}/{self.skip}"
+
+    @classmethod
+    def decode(cls, text: str) -> "_Position":
+        try:
+            kind, rest = text.split("/", 1)
+            token, skip = rest.rsplit("/", 1)
+            return cls(Kind(kind), token, int(skip))
+        except ValueError as error:
+            raise ConfigurationError(Code.CONFIG_INVALID, "page_token is malformed") from error
+
+
+class AuditReader:
+    """Lists audit records.
+
+    Args:
+        editor: Reads the objects.
+        refusals: Refused attempts at this instance.
+    """
+
+    def __init__(self, editor: ConfigurationEditor, refusals: RefusalLog) -> None:
+        self._editor = editor
+        self._refusals = refusals
+
+    async def of_object(self, kind: Kind, name: str) -> AuditPage:
+        """Returns the whole bounded trail of one object, newest first.
+
+        Raises:
+            ConfigurationError: CONFIG_NOT_FOUND.
+            PlatformError: The platform failed.
+        """
+        document = await self._editor.read(kind, name)
+        if not document.version:
+            raise ConfigurationError(Code.CONFIG_NOT_FOUND, f"{kind} {name}")
+        return AuditPage(_records(document))
+
+    async def of_all(self, size: int, token: str = "") -> AuditPage:
+        """Returns records of all objects, by kind and name, newest first within each object.
+
+        Args:
+            size: Most records in the page.
+            token: next_token of the page before.
+        """
+        start = _Position.decode(token) if token else _Position(Kind.SERVICE)
+        chunk = await self._editor.page(start.kind, CHUNK_OBJECTS, start.token)
+        found = [record for document in chunk.documents for record in _records(document)]
+        page = tuple(found[start.skip : start.skip + size])
+        after = _following(start, len(found), size, chunk.next_token)
+        return AuditPage(page, after.encode() if after else "")
+
+    def refused(self, size: int, token: str = "") -> AuditPage:
+        """Returns refused attempts at this instance, newest first."""
+        start = int(token) if token.isdecimal() else 0
+        page = self._refusals.page(start, size)
+        return AuditPage(page, str(start + size) if len(page) == size else "")
+
+
+def _records(document: Document) -> tuple[AuditRecord, ...]:
+    return records(document.kind, document.name, document.entries, document.version)
+
+
+def _following(start: _Position, found: int, size: int, next_token: str) -> _Position | None:
+    if start.skip + size < found:
+        return _Position(start.kind, start.token, start.skip + size)
+    if next_token:
+        return _Position(start.kind, next_token)
+    kinds: Sequence[Kind] = list(Kind)
+    later = kinds[kinds.index(start.kind) + 1 :]
+    return _Position(later[0]) if later else None
--- a/pearwell/configuration.py
+++ b/pearwell/configuration.py
@@ -24,9 +24,13 @@
     Attributes:
         services: Services by name.
         groups: Target groups by name.
-        versions: Applied platform version of each object, by (kind, name).
+        versions: Applied platform version of each object, by (kind, name); of deleted ones too.
     """
 
     services: Mapping[str, ServiceSpec] = field(default_factory=dict)
     groups: Mapping[str, GroupSpec] = field(default_factory=dict)
     versions: Mapping[tuple[Kind, str], int] = field(default_factory=dict)
+
+    def find(self, kind: Kind, name: str) -> ServiceSpec | GroupSpec | None:
+        """Returns a service or group; None if there is none or it was deleted."""
+        return self.services.get(name) if kind is Kind.SERVICE else self.groups.get(name)
--- /dev/null
+++ b/pearwell/configuration_reader.py
@@ -0,0 +1,104 @@
+"""Reads configuration objects from the platform, or from the instance while it is out of reach."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from pearwell.configuration import Configuration, Kind
+from pearwell.document import Document
+from pearwell.editor import ConfigurationEditor
+from pearwell.errors import Code, ConfigurationError, PlatformError
+
+__all__ = ["ConfigurationReader", "Found"]
+
+# Time until a read gives up on the platform.
+READ_TIMEOUT_S = 1.5
+
+_UNREACHABLE = frozenset(
+    {Code.PLATFORM_UNAVAILABLE, Code.PLATFORM_TIMEOUT, Code.PLATFORM_RETRY_BUDGET}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """Objects that exist, in order of name.
+
+    Attributes:
+        documents: The objects; without audit entries if they are from the instance.
+        next_token: Where the next page starts; empty on the last page.
+        from_instance: The platform is out of reach; this is what the instance applies.
+    """
+
+    documents: tuple[Document, ...]
+    next_token: str = ""
+    from_instance: bool = False
+
+
+class ConfigurationReader:
+    """Reads objects for operators.
+
+    Args:
+        editor: Reads the platform.
+        applied: Returns the configuration that the instance applies.
+    """
+
+    def __init__(self, editor: ConfigurationEditor, applied: Callable[[], Configuration]) -> None:
+        self._editor = editor
+        self._applied = applied
+
+    async def get(self, kind: Kind, name: str) -> Found:
+        """Returns one object.
+
+        Raises:
+            ConfigurationError: CONFIG_NOT_FOUND.
+            PlatformError: The platform answered something else.
+        """
+
+        async def from_platform() -> Found:
+            return Found((await self._editor.read(kind, name),))
+
+        found = await _either(from_platform, lambda: Found((self._local(kind, name),), "", True))
+        if found.documents[0].spec is None:
+            raise ConfigurationError(Code.CONFIG_NOT_FOUND, f"{kind} {name}")
+        return found
+
+    async def page(self, kind: Kind, size: int, token: str) -> Found:
+        """Returns a page of objects; it may hold fewer than size, as deleted ones are left out.
+
+        Raises:
+            PlatformError: The platform answered something unexpected.
+        """
+
+        async def from_platform() -> Found:
+            page = await self._editor.page(kind, size, token)
+            return Found(_existing(page.documents), page.next_token)
+
+        return await _either(from_platform, lambda: self._local_page(kind, size, token))
+
+    def _local(self, kind: Kind, name: str) -> Document:
+        applied = self._applied()
+        return Document(kind, name, applied.versions.get((kind, name), 0), applied.find(kind, name))
+
+    def _local_page(self, kind: Kind, size: int, token: str) -> Found:
+        names = sorted(n for k, n in self._applied().versions if k is kind and n > token)
+        page = names[:size]
+        documents = _existing(tuple(self._local(kind, name) for name in page))
+        return Found(documents, page[-1] if len(page) < len(names) else "", True)
+
+
+def _existing(documents: tuple[Document, ...]) -> tuple[Document, ...]:
+    return tuple(document for document in documents if document.spec is not None)
+
+
+async def _either(
+    from_platform: Callable[[], Awaitable[Found]], from_instance: Callable[[], Found]
+) -> Found:
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            return await from_platform()
+    except TimeoutError:
+        return from_instance()
+    except PlatformError as error:
+        if error.code not in _UNREACHABLE:
+            raise
+        return from_instance()
--- a/pearwell/editor.py
+++ b/pearwell/editor.py
@@ -107,6 +107,10 @@
         self._wall_time = wall_time
         self._claims = Claims(store, rng, self)
 
+    def wall_time(self) -> float:
+        """Returns Unix time in seconds, as in the audit trail."""
+        return self._wall_time()
+
     async def read(self, kind: Kind, name: str) -> Document:
         """Returns an object; its version is 0 if the platform has none.
 
--- a/pearwell/schema.py
+++ b/pearwell/schema.py
@@ -3,7 +3,7 @@
 import ipaddress
 import re
 from collections.abc import Mapping
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import pydantic
 
@@ -25,9 +25,11 @@
     "GroupModel",
     "ServiceModel",
     "Spec",
+    "TargetModel",
     "check_name",
     "from_document",
     "to_document",
+    "validated",
 ]
 
 Spec = ServiceSpec | GroupSpec
@@ -177,6 +179,8 @@
         return ServiceSpec(**(dict(self) | {"limits": self.limits.to_spec()}))
 
 
+_M = TypeVar("_M", bound=pydantic.BaseModel)
+
 _MODELS: Mapping[Kind, type[ServiceModel] | type[GroupModel]] = {
     Kind.SERVICE: ServiceModel,
     Kind.GROUP: GroupModel,
@@ -197,10 +201,24 @@
         ConfigurationError: CONFIG_INVALID, CONFIG_BAD_NAME or CONFIG_WEIGHT_RANGE; the detail
             names the field.
     """
+    return validated(_MODELS[kind], kind, document).to_spec()
+
+
+def validated(model: type[_M], name: str, document: Any) -> _M:
+    """Validates a JSON value by a model.
+
+    Args:
+        model: The model.
+        name: What the value is, for the error's detail.
+        document: The JSON value.
+
+    Raises:
+        ConfigurationError: As from_document.
+    """
     try:
-        return _MODELS[kind].model_validate(document).to_spec()
+        return model.model_validate(document)
     except pydantic.ValidationError as error:
-        raise _invalid(kind, error) from error
+        raise _invalid(name, error) from error
 
 
 def to_document(kind: Kind, spec: Spec) -> dict[str, Any]:
@@ -208,9 +226,9 @@
     return _MODELS[kind].model_validate(spec).model_dump(mode="json")
 
 
-def _invalid(kind: Kind, error: pydantic.ValidationError) -> ConfigurationError:
+def _invalid(name: str, error: pydantic.ValidationError) -> ConfigurationError:
     first = error.errors()[0]
     names = [str(part) for part in first["loc"]]
-    last = next((name for name in reversed(names) if not name.isdecimal()), "")
+    last = next((part for part in reversed(names) if not part.isdecimal()), "")
     code = _CODES.get(last, Code.CONFIG_INVALID)
-    return ConfigurationError(code, f"{kind}.{'.'.join(names)}: {first['msg']}")
+    return ConfigurationError(code, f"{'.'.join([name, *names])}: {first['msg']}")
