--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -64,14 +64,14 @@
     editor = ConfigurationEditor(platform, random.Random(1), "pnw-a-1", lambda: 1.7e9)
     servicer = AdminServicer(editor, state or InstanceState("pnw-a-1"), in_force)
     server = AdminServer(servicer, ADDRESS, PORT)
-    await server.start()
-    try:
-        # The server's log lines would mix with the output of commands.
-        with structlog.testing.capture_logs():
+    # The server's log lines would mix with the output of commands.
+    with structlog.testing.capture_logs():
+        await server.start()
+        try:
             async with AdminClient(["127.20.0.2:20901", SERVER]) as client:
                 yield store, client
-    finally:
-        await server.stop()
+        finally:
+            await server.stop()
 
 
 async def prepared(client):
