Set weights from reported load, checked against own starts

Cause: open flows and busy slots drift apart while targets join, shed or lie. Change: a proportional correction with dead band, least step, bounds and a budget of movement; slow start; reports far from what own starts imply aren't used; a target that lacks the flows it was sent counts as shedding.

--- a/pearwell/errors.py
+++ b/pearwell/errors.py
@@ -82,6 +82,7 @@
 
     TARGET_DEAD = 701
     TARGET_DEADLINE = 702
+    TARGET_BAD_REPORT = 703
 
     INVARIANT_VIOLATED = 901
 
--- /dev/null
+++ b/pearwell/load_report.py
@@ -0,0 +1,62 @@
+"""Load reports of targets: the validated answer of the load endpoint and the value passed on."""
+
+import msgspec
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from pearwell.errors import Code, PearwellError
+
+__all__ = ["LoadReport", "LoadReportError", "parse_load_report"]
+
+MAX_FLOWS = 10_000_000
+MAX_SLOTS = 1_000_000
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """The load of one target as it reports it.
+
+    Attributes:
+        open_flows: Open flows.
+        in_use: Slots in use; a fraction if it is a mean.
+        slots: Requests that it serves at once; 0 if unknown.
+        shedding: Whether it says that it refuses flows.
+    """
+
+    open_flows: int
+    in_use: float = 0.0
+    slots: int = 0
+    shedding: bool = False
+
+
+class LoadReportError(PearwellError):
+    """The answer of a load endpoint is unusable (7xx)."""
+
+
+class _LoadAnswer(BaseModel):
+    """The JSON object that a load endpoint answers; other fields are ignored."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    open_flows: int = Field(ge=0, le=MAX_FLOWS)
+    in_use: float = Field(default=0.0, ge=0.0, le=MAX_SLOTS, allow_inf_nan=False)
+    slots: int = Field(default=0, ge=0, le=MAX_SLOTS)
+    shedding: bool = False
+
+
+def parse_load_report(body: bytes) -> LoadReport:
+    """Validates the answer of a load endpoint.
+
+    Args:
+        body: A JSON object.
+
+    Returns:
+        The load report.
+
+    Raises:
+        LoadReportError: TARGET_BAD_REPORT if the body isn't a valid report.
+    """
+    try:
+        answer = _LoadAnswer.model_validate_json(body)
+    except ValidationError as error:
+        detail = f"{error.error_count()} invalid fields"
+        raise LoadReportError(Code.TARGET_BAD_REPORT, detail) from error
+    return LoadReport(answer.open_flows, answer.in_use, answer.slots, answer.shedding)
--- /dev/null
+++ b/pearwell/weights.py
@@ -0,0 +1,359 @@
+"""Weights of targets: bounded, damped corrections from reported load.
+
+The correction is proportional to a target's excess over the mean, so that it vanishes with it; an
+integrating rule would oscillate, since open flows follow a weight only with the life of a flow.
+Each change of weights moves buckets, and a moved bucket costs an extra hop until its old flows
+ended. A dead band, a least step and a budget bound that cost; a service's preference sets them.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from pearwell.clock import Clock
+from pearwell.errors import Code, InvariantError
+from pearwell.expected_load import ExpectedLoad
+from pearwell.group import TargetSpec
+from pearwell.load_report import LoadReport
+from pearwell.service import Preference
+
+__all__ = ["POLICIES", "WeightController", "WeightPolicy", "split_weights"]
+
+REPORT_LIFETIME_S = 30.0
+BUSY_TIME_CONSTANT_S = 60.0
+BUSY_SIGNIFICANT = 0.3
+PLAUSIBLE_FACTOR = 1.25
+PLAUSIBLE_DEVIATIONS = 3.0
+SLOW_START_STEPS = 4
+SHED_DECREASE = 0.9
+SHED_RECOVERY = 0.02
+MIN_SHED_FACTOR = 0.6
+SECONDS_PER_HOUR = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightPolicy:
+    """How weights follow load.
+
+    Attributes:
+        dead_band: Excess over the mean load that is left alone.
+        gain: Change of weight for each unit of excess.
+        low: Lowest factor on a configured weight.
+        high: Highest factor on a configured weight.
+        busy_share: Share of the busy slots in the load; the rest is open flows.
+        moves_per_hour: Share of the buckets that corrections may move in an hour.
+        min_step: Change of a target's factor that is worth a new placement.
+        interval_s: Time between two corrections.
+        slow_start_s: Time in which a new target gets its full weight.
+    """
+
+    dead_band: float
+    gain: float
+    low: float
+    high: float
+    busy_share: float
+    moves_per_hour: float
+    min_step: float
+    interval_s: float = 10.0
+    slow_start_s: float = 30.0
+
+
+POLICIES: Mapping[Preference, WeightPolicy] = {
+    Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 0.5, 1.5, 0.1, 0.2, 0.05),
+    Preference.EVEN: WeightPolicy(0.015, 4.0, 0.5, 3.0, 0.3, 1.0, 0.03),
+}
+
+
+@dataclass(slots=True)
+class _Target:
+    """What the controller holds of one target."""
+
+    base: int
+    joined_at: float
+    report: LoadReport | None = None
+    reported_at: float = -math.inf
+    busy: float | None = None
+    shed_factor: float = 1.0
+    correcting: bool = False
+
+
+class WeightController:
+    """Sets the weights of one group's working targets in one zone.
+
+    Args:
+        clock: Source of monotonic time.
+        policy: How weights follow load.
+    """
+
+    def __init__(self, clock: Clock, policy: WeightPolicy) -> None:
+        self._clock = clock
+        self._policy = policy
+        self._targets: dict[str, _Target] = {}
+        self._expected = ExpectedLoad(clock.now())
+        self._budget = policy.moves_per_hour
+        self._budget_at = clock.now()
+        self._corrected_at = -math.inf
+        self._weights: dict[str, int] = {}
+
+    @property
+    def weights(self) -> Mapping[str, int]:
+        """The weights in force, by target."""
+        return self._weights
+
+    @property
+    def open_flows(self) -> Mapping[str, int]:
+        """Open flows by target, as far as reports are fresh and plausible."""
+        loads = self._open_flows()
+        return {name: round(flows) for name, flows in loads.items()}
+
+    def set_policy(self, policy: WeightPolicy) -> None:
+        """Changes the policy."""
+        self._policy = policy
+
+    def set_targets(self, working: Iterable[TargetSpec]) -> None:
+        """Sets the targets that take new flows; those new to a held group start slowly."""
+        now = self._clock.now()
+        first = not self._targets
+        joined_at = -math.inf if first else now
+        held, self._targets = self._targets, {}
+        for spec in working:
+            target = held.get(spec.name) or _Target(spec.weight, joined_at)
+            target.base = spec.weight
+            self._targets[spec.name] = target
+        for name in held.keys() - self._targets.keys():
+            self._expected.reset(name)
+
+    def adopt(self, weights: Mapping[str, int]) -> None:
+        """Starts from the weights that a placement already has in force."""
+        self._weights = {name: weights[name] for name in self._targets if weights.get(name)}
+
+    def take_report(self, target: str, report: LoadReport) -> None:
+        """Takes a load report; one of an unknown target is ignored."""
+        held = self._targets.get(target)
+        if held is None:
+            return
+        now = self._clock.now()
+        elapsed = min(now - held.reported_at, BUSY_TIME_CONSTANT_S)
+        weight = 1.0 - math.exp(-elapsed / BUSY_TIME_CONSTANT_S)
+        previous = report.in_use if held.busy is None else held.busy
+        held.busy = previous + (report.in_use - previous) * weight
+        held.report = report
+        held.reported_at = now
+
+    def take_starts(self, target: str, count: int) -> None:
+        """Takes a number of flow starts of the whole zone towards a target."""
+        if target in self._targets:
+            self._expected.started(target, count)
+
+    def adjust(self) -> dict[str, int] | None:
+        """Corrects the weights if it is time to.
+
+        Returns:
+            The weights of all working targets if they changed, else None.
+        """
+        now = self._clock.now()
+        same_targets = self._weights.keys() == self._targets.keys()
+        waiting = now - self._corrected_at < self._policy.interval_s
+        if not self._targets or (same_targets and waiting):
+            return None
+        self._corrected_at = now
+        self._expected.update(now, sum(self._open_flows().values()))
+        self._refill_budget(now)
+        weights = self._bounded_weights(self._wanted_factors(), now)
+        if same_targets and not self._any_starting(now):
+            weights = self._within_budget(weights)
+        if weights == self._weights:
+            return None
+        self._weights = weights
+        return dict(weights)
+
+    def _within_budget(self, wanted: dict[str, int]) -> dict[str, int]:
+        """Returns weights that go as far towards the wanted ones as the budget allows."""
+        held = self._weights
+        changes = {name: wanted[name] - held[name] for name in wanted}
+        steps = (abs(change) / self._targets[n].base for n, change in changes.items())
+        if max(steps) < self._policy.min_step:
+            return dict(held)
+        moved = sum(abs(change) for change in changes.values()) / 2.0 / sum(wanted.values())
+        fraction = min(1.0, self._budget / moved)
+        weights = {name: held[name] + round(changes[name] * fraction) for name in wanted}
+        spent = sum(abs(weights[name] - held[name]) for name in wanted) / 2.0
+        self._budget -= spent / sum(wanted.values())
+        return weights
+
+    def _any_starting(self, now: float) -> bool:
+        """Whether a target is in its slow start, or ended it since the last correction."""
+        until = self._policy.slow_start_s + self._policy.interval_s
+        return any(now - target.joined_at <= until for target in self._targets.values())
+
+    def _wanted_factors(self) -> dict[str, float]:
+        loads = self._relative_loads()
+        wanted = {}
+        for name, target in self._targets.items():
+            excess = loads.get(name, 1.0) - 1.0
+            leave_band = self._policy.dead_band * (0.5 if target.correcting else 1.0)
+            target.correcting = abs(excess) > leave_band
+            self._update_shedding(name, target)
+            factor = 1.0 - self._policy.gain * excess if target.correcting else 1.0
+            factor = min(max(factor, self._policy.low), self._policy.high)
+            wanted[name] = factor * target.shed_factor
+        return wanted
+
+    def _relative_loads(self) -> dict[str, float]:
+        """Returns each target's load in units of the mean for its configured weight."""
+        flows = _relative(self._open_flows(), self._targets)
+        slots = {name: t.busy for name, t in self._targets.items() if self._has_busy(t)}
+        if len(slots) < len(self._targets):
+            return flows
+        busy = {name: value or 0.0 for name, value in slots.items()}
+        share = self._policy.busy_share if self._is_busy(busy) else 0.0
+        relative = _relative(busy, self._targets)
+        return {n: flows.get(n, 1.0) * (1 - share) + relative[n] * share for n in relative}
+
+    def _is_busy(self, busy: Mapping[str, float]) -> bool:
+        """Whether so many slots are in use that their distribution matters."""
+        slots = sum(t.report.slots for t in self._targets.values() if t.report is not None)
+        return slots > 0 and sum(busy.values()) / slots >= BUSY_SIGNIFICANT
+
+    def _has_busy(self, target: _Target) -> bool:
+        report = self._fresh_report(target)
+        return report is not None and report.slots > 0
+
+    def _fresh_report(self, target: _Target) -> LoadReport | None:
+        fresh = self._clock.now() - target.reported_at <= REPORT_LIFETIME_S
+        return target.report if fresh else None
+
+    def _open_flows(self) -> dict[str, float]:
+        """Returns reported open flows where they are plausible, and expected ones elsewhere."""
+        reports = {name: self._fresh_report(t) for name, t in self._targets.items()}
+        reported = {name: float(r.open_flows) for name, r in reports.items() if r is not None}
+        total = _robust_total(reported, self._targets)
+        flows = {}
+        for name in self._targets:
+            expected = self._expected.estimate(name, total)
+            value = reported.get(name)
+            if value is None or (expected is not None and not _plausible(value, expected)):
+                value = expected
+            if value is not None:
+                flows[name] = value
+        return flows
+
+    def _update_shedding(self, name: str, target: _Target) -> None:
+        report = self._fresh_report(target)
+        shedding = report is not None and (report.shedding or self._lacks_flows(name, report))
+        if shedding:
+            target.shed_factor = max(MIN_SHED_FACTOR, target.shed_factor * SHED_DECREASE)
+        else:
+            target.shed_factor = min(1.0, target.shed_factor + SHED_RECOVERY)
+
+    def _lacks_flows(self, name: str, report: LoadReport) -> bool:
+        """Whether a target reports far fewer flows than were started on it."""
+        reports = {n: self._fresh_report(t) for n, t in self._targets.items()}
+        reported = {n: float(r.open_flows) for n, r in reports.items() if r is not None}
+        expected = self._expected.estimate(name, _robust_total(reported, self._targets))
+        if expected is None or _plausible(report.open_flows, expected):
+            return False
+        return report.open_flows < expected
+
+    def _refill_budget(self, now: float) -> None:
+        limit = self._policy.moves_per_hour
+        earned = (now - self._budget_at) * limit / SECONDS_PER_HOUR
+        self._budget = min(limit, self._budget + earned)
+        self._budget_at = now
+
+    def _bounded_weights(self, factors: Mapping[str, float], now: float) -> dict[str, int]:
+        bases = {name: target.base for name, target in self._targets.items()}
+        ceilings = {n: self._ceiling(t, now) for n, t in self._targets.items()}
+        return split_weights(factors, bases, self._policy.low, ceilings)
+
+    def _ceiling(self, target: _Target, now: float) -> float:
+        """Returns the highest factor of a target, which rises in steps while it starts slowly."""
+        step_s = self._policy.slow_start_s / SLOW_START_STEPS
+        steps = (now - target.joined_at) // step_s + 1
+        return self._policy.high if steps > SLOW_START_STEPS else steps / SLOW_START_STEPS
+
+
+def split_weights(
+    factors: Mapping[str, float],
+    bases: Mapping[str, int],
+    low: float,
+    ceilings: Mapping[str, float],
+) -> dict[str, int]:
+    """Scales factors so that the weights sum to the configured sum and stay in their bounds.
+
+    Args:
+        factors: Wanted factor of each target on its configured weight.
+        bases: Configured weights.
+        low: Lowest factor.
+        ceilings: Highest factor of each target; it wins over the lowest one.
+
+    Returns:
+        Whole weights, at least 1 each.
+
+    Raises:
+        InvariantError: INVARIANT_VIOLATED if a weight or their sum is out of bounds.
+    """
+    total = sum(bases.values())
+    highest = sum(bases[n] * ceilings[n] for n in bases)
+    if highest < total:
+        ceilings = {n: ceilings[n] * total / highest for n in bases}
+    scale = _find_scale(factors, bases, low, ceilings)
+    exact = {n: bases[n] * _clamp(factors[n] * scale, low, ceilings[n]) for n in bases}
+    weights = {n: max(1, math.floor(value)) for n, value in exact.items()}
+    by_remainder = sorted(exact, key=lambda n: (weights[n] - exact[n], n))
+    for name in by_remainder[: max(0, total - sum(weights.values()))]:
+        weights[name] += 1
+    _check(weights, exact, total)
+    return weights
+
+
+def _find_scale(
+    factors: Mapping[str, float],
+    bases: Mapping[str, int],
+    low: float,
+    ceilings: Mapping[str, float],
+) -> float:
+    """Returns by bisection the scale at which the clamped weights reach the configured sum."""
+    total = sum(bases.values())
+    below, above = 0.0, 100.0
+    for _ in range(40):
+        middle = (below + above) / 2
+        reached = sum(bases[n] * _clamp(factors[n] * middle, low, ceilings[n]) for n in bases)
+        below, above = (middle, above) if reached < total else (below, middle)
+    return above
+
+
+def _check(weights: Mapping[str, int], exact: Mapping[str, float], total: int) -> None:
+    near = all(abs(weights[n] - exact[n]) <= 1.0 for n in weights)
+    if not near or abs(sum(weights.values()) - total) > len(weights):
+        detail = f"weights {dict(weights)} for a sum of {total}"
+        raise InvariantError(Code.INVARIANT_VIOLATED, detail)
+
+
+def _clamp(factor: float, low: float, ceiling: float) -> float:
+    return min(max(factor, low), ceiling)
+
+
+def _plausible(reported: float, expected: float) -> bool:
+    """Whether a report agrees with an estimate, given the spread of random starts."""
+    spread = PLAUSIBLE_DEVIATIONS * math.sqrt(max(expected, 1.0))
+    lowest = expected / PLAUSIBLE_FACTOR - spread
+    return lowest <= reported <= expected * PLAUSIBLE_FACTOR + spread
+
+
+def _robust_total(reported: Mapping[str, float], targets: Mapping[str, _Target]) -> float:
+    """Returns the open flows of all targets from the median per weight, which few lies can move."""
+    if not reported:
+        return 0.0
+    per_weight = sorted(flows / targets[name].base for name, flows in reported.items())
+    middle = len(per_weight) // 2
+    median = (per_weight[middle] + per_weight[-1 - middle]) / 2
+    return median * sum(target.base for target in targets.values())
+
+
+def _relative(loads: Mapping[str, float], targets: Mapping[str, _Target]) -> dict[str, float]:
+    total = sum(loads.values())
+    base = sum(targets[name].base for name in loads)
+    if not total:
+        return {}
+    return {name: load * base / total / targets[name].base for name, load in loads.items()}
