Add the balance bench with its baselines

Cause: weights, health and admission need figures for evenness against movement. Change: a model of targets, callers and probers in virtual time drives the real cores, tables and changes; plain hashing and round robin are the baselines.

--- /dev/null
+++ b/bench/balance_model.py
@@ -0,0 +1,376 @@
+"""Model of targets, callers and probers in virtual time for the balance bench."""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+from pearwell.clock import ManualClock
+from pearwell.group import HealthCheck, TargetIntent, TargetSpec
+from pearwell.health import GroupHealth, Outcome, ProbeHistory
+from pearwell.load_report import LoadReport
+from pearwell.placement import TargetState
+
+__all__ = ["FAULTS", "PROFILES", "Fault", "Flow", "Model", "Profile", "Scheme", "Target"]
+
+STEP_S = 0.5
+SAMPLE_S = 10.0
+PROBERS = ("a", "b", "c")
+SYN_REPEATS_S = (1.0, 3.0, 7.0)
+RECONNECT_S = 5.0
+UTILISATION = 0.6
+COLD_SLOWDOWN = 4.0
+COLD_S = 60.0
+SHED_FRACTION = 0.6
+LIE_S = 600.0
+LAG_S = 120.0
+FLAP_PERIOD_S = 15.0
+FLAP_FAILING_S = 5.0
+FAULT_S = 3600.0
+FIN_SEEN = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """Sizes of one service.
+
+    Attributes:
+        targets: Targets of the zone.
+        slots: Requests that a target serves at once.
+        flows: Open flows on a target.
+        instances: Instances of the zone.
+    """
+
+    targets: int
+    slots: int
+    flows: int
+    instances: int
+
+
+PROFILES = {"bureau": Profile(7, 3, 4300, 17), "quillmere": Profile(7, 2, 4400, 17)}
+
+
+@dataclass(slots=True)
+class Flow:
+    """One flow; work is its mean use of slots."""
+
+    flow_hash: int
+    target: str
+    work: float
+    ends_at: float
+    recorded: bool = False
+    open: bool = True
+
+
+@dataclass(slots=True)
+class Target:
+    """A fake target with its lies."""
+
+    spec: TargetSpec
+    alive: bool = True
+    answers_syn: bool = True
+    probe_outcome: Outcome | None = None
+    max_flows: int = 0
+    cold_until: float = 0.0
+    flows: set[int] = field(default_factory=set)
+    work: float = 0.0
+    history: deque[tuple[float, int, float]] = field(default_factory=deque)
+
+    def busy(self, now: float) -> float:
+        """Returns the mean number of slots in use."""
+        work = self.work * (COLD_SLOWDOWN if now < self.cold_until else 1.0)
+        return min(float(self.spec.slots), work)
+
+
+class Scheme(Protocol):
+    """A way to choose targets."""
+
+    moved_buckets: int
+
+    @property
+    def extra_hop_share(self) -> float:
+        """Share of the flows whose packets pass another instance."""
+
+    def choose(self, flow: Flow, instance: int) -> str:
+        """Returns the target of a flow start; empty if there is none."""
+
+    def route(self, flow: Flow) -> str:
+        """Returns the target that a later packet of a flow reaches."""
+
+    def set_states(self, specs: list[TargetSpec], states: dict[str, TargetState]) -> bool:
+        """Takes the health verdicts; returns whether routes may have changed."""
+
+    def started(self, flow: Flow) -> None:
+        """Takes an accepted flow."""
+
+    def ended(self, flow: Flow, seen: bool) -> None:
+        """Takes the end of a flow, which the scheme may not have seen."""
+
+    def report(self, target: str, report: LoadReport) -> None:
+        """Takes a load report."""
+
+    def tick(self) -> bool:
+        """Does periodic work; returns whether routes may have changed."""
+
+
+class Model:
+    """Runs flows against targets under one scheme and one fault."""
+
+    def __init__(
+        self, profile: Profile, seed: int, turnover_s: float, make: Callable[..., Scheme]
+    ) -> None:
+        self.clock = ManualClock(1000.0)
+        self.profile = profile
+        self.turnover_s = turnover_s
+        self.rng = random.Random(seed)
+        self.targets = {f"t{i}": self._new_target(i) for i in range(profile.targets)}
+        self.health = GroupHealth(self.clock)
+        self.histories: dict[tuple[str, str], ProbeHistory] = {}
+        self.flows: dict[int, Flow] = {}
+        self.ends: list[tuple[float, int]] = []
+        self.starts: list[tuple[float, int, int, str]] = []
+        self.arrivals = profile.targets * profile.flows / turnover_s
+        self.next_arrival = self.clock.now()
+        self.broken = self.lost = self.refused = self.unanswered = 0
+        self.load_lag_s = 0.0
+        self.verdicts: dict[str, TargetState] = {}
+        self.scheme = make(self)
+        self._watch_targets()
+        self._fill()
+
+    def spec_of(self, index: int) -> TargetSpec:
+        """Returns the configuration of a target."""
+        return TargetSpec(f"t{index}", f"10.0.0.{index}", "z", slots=self.profile.slots)
+
+    def add_target(self, index: int, cold_s: float = 0.0) -> None:
+        """Adds an empty target."""
+        self.targets[f"t{index}"] = self._new_target(index)
+        self.targets[f"t{index}"].cold_until = self.clock.now() + cold_s
+        self._watch_targets()
+
+    def leave(self, name: str) -> None:
+        """Starts the drain of a target."""
+        target = self.targets[name]
+        target.spec = replace(target.spec, intent=TargetIntent.LEAVING)
+        self._watch_targets()
+
+    def crash(self, name: str) -> None:
+        """Lets a target's host vanish with its flows."""
+        target = self.targets[name]
+        target.alive = False
+        target.probe_outcome = Outcome.SILENT
+
+    def restart(self, name: str) -> None:
+        """Brings a crashed target back, empty and cold."""
+        target = self.targets[name]
+        self._lose_flows(name)
+        target.alive = True
+        target.probe_outcome = None
+        target.cold_until = self.clock.now() + COLD_S
+
+    def serving(self) -> list[Target]:
+        """Returns the targets that should take new flows."""
+        serving = (t for t in self.targets.values() if t.spec.intent is TargetIntent.SERVING)
+        return [target for target in serving if target.alive]
+
+    def step(self) -> None:
+        """Advances by one step."""
+        self.clock.advance(STEP_S)
+        now = self.clock.now()
+        while self.next_arrival <= now:
+            heapq.heappush(self.starts, (self.next_arrival, self.rng.getrandbits(64), 0, ""))
+            self.next_arrival += self.rng.expovariate(self.arrivals)
+        while self.ends and self.ends[0][0] <= now:
+            self._end(heapq.heappop(self.ends)[1])
+        while self.starts and self.starts[0][0] <= now:
+            _, flow_hash, attempt, target = heapq.heappop(self.starts)
+            self._start(flow_hash, attempt, target)
+        if now % 1.0 < STEP_S:
+            self._probe()
+        if self.scheme.tick():
+            self.check_routes()
+
+    def check_routes(self) -> None:
+        """Counts and restarts the flows whose packets would reach another target."""
+        for flow in list(self.flows.values()):
+            reached = self.scheme.route(flow)
+            if reached != flow.target and self.targets[flow.target].alive:
+                self.broken += 1
+                self._restart_flow(flow)
+
+    def _new_target(self, index: int) -> Target:
+        return Target(self.spec_of(index))
+
+    def _watch_targets(self) -> None:
+        specs = [target.spec for target in self.targets.values()]
+        self.health.set_targets(specs)
+        for name in self.targets:
+            self.health.set_probers(name, PROBERS)
+            for prober in PROBERS:
+                history = ProbeHistory(HealthCheck(), self.clock)
+                self.histories.setdefault((name, prober), history)
+        self.verdicts = dict(self.health.states)
+        if self.scheme.set_states(specs, self.verdicts):
+            self.check_routes()
+
+    def _fill(self) -> None:
+        for _ in range(self.profile.targets * self.profile.flows):
+            self._start(self.rng.getrandbits(64), 0, "")
+
+    def _start(self, flow_hash: int, attempt: int, tried: str) -> None:
+        now = self.clock.now()
+        work = self.rng.expovariate(self.profile.flows / (UTILISATION * self.profile.slots))
+        life = self.rng.expovariate(1.0 / self.turnover_s)
+        flow = Flow(flow_hash, "", work, now + life)
+        flow.target = self.scheme.choose(flow, self.rng.randrange(self.profile.instances))
+        target = self.targets.get(flow.target)
+        if target is None:
+            self._refuse()
+            return
+        if attempt == 0:
+            self.health.take_starts(flow.target, 1)
+        elif flow.target == tried:
+            self.health.take_repeated_syns(flow.target, 1)
+        if not target.alive or not target.answers_syn:
+            self._repeat_syn(flow, attempt)
+        elif target.max_flows and len(target.flows) >= target.max_flows:
+            self.scheme.started(flow)
+            self._refuse()
+        else:
+            self._open(flow, target)
+
+    def _open(self, flow: Flow, target: Target) -> None:
+        self.scheme.started(flow)
+        self.flows[flow.flow_hash] = flow
+        target.flows.add(flow.flow_hash)
+        target.work += flow.work
+        heapq.heappush(self.ends, (flow.ends_at, flow.flow_hash))
+
+    def _repeat_syn(self, flow: Flow, attempt: int) -> None:
+        now = self.clock.now()
+        if attempt == len(SYN_REPEATS_S):
+            self.unanswered += 1
+            heapq.heappush(self.starts, (now, self.rng.getrandbits(64), 0, ""))
+            return
+        wait = SYN_REPEATS_S[attempt] - (SYN_REPEATS_S[attempt - 1] if attempt else 0.0)
+        heapq.heappush(self.starts, (now + wait, flow.flow_hash, attempt + 1, flow.target))
+
+    def _refuse(self) -> None:
+        self.refused += 1
+        when = self.clock.now() + RECONNECT_S * self.rng.random()
+        heapq.heappush(self.starts, (when, self.rng.getrandbits(64), 0, ""))
+
+    def _end(self, flow_hash: int) -> None:
+        flow = self.flows.get(flow_hash)
+        if flow is not None and flow.open and flow.ends_at <= self.clock.now():
+            self._close(flow)
+
+    def _close(self, flow: Flow) -> None:
+        flow.open = False
+        del self.flows[flow.flow_hash]
+        target = self.targets[flow.target]
+        target.flows.discard(flow.flow_hash)
+        target.work -= flow.work
+        self.scheme.ended(flow, self.rng.random() < FIN_SEEN)
+
+    def _restart_flow(self, flow: Flow) -> None:
+        self._close(flow)
+        when = self.clock.now() + RECONNECT_S * self.rng.random()
+        heapq.heappush(self.starts, (when, self.rng.getrandbits(64), 0, ""))
+
+    def _lose_flows(self, name: str) -> None:
+        for flow_hash in sorted(self.targets[name].flows):
+            self.lost += 1
+            self._restart_flow(self.flows[flow_hash])
+
+    def _probe(self) -> None:
+        now = self.clock.now()
+        for name, target in self.targets.items():
+            outcome = Outcome.OK if target.probe_outcome is None else target.probe_outcome
+            for prober in PROBERS:
+                state = self.histories[name, prober].observe(outcome)
+                self.health.take_verdict(name, prober, state)
+            target.history.append((now, len(target.flows), target.busy(now)))
+            self._report_load(name, target)
+        changed = self.health.evaluate()
+        if changed:
+            self.verdicts = dict(self.health.states)
+            specs = [target.spec for target in self.targets.values()]
+            if self.scheme.set_states(specs, self.verdicts):
+                self.check_routes()
+            for name, state in changed.items():
+                if state is TargetState.DEAD and not self.targets[name].alive:
+                    self._lose_flows(name)
+
+    def _report_load(self, name: str, target: Target) -> None:
+        until = self.clock.now() - self.load_lag_s
+        while len(target.history) > 1 and target.history[1][0] <= until:
+            target.history.popleft()
+        if not target.alive or target.history[0][0] > until:
+            return
+        _, flows, busy = target.history[0]
+        slots = target.spec.slots
+        in_use = sum(self.rng.random() < busy / slots for _ in range(slots))
+        self.scheme.report(name, LoadReport(flows, in_use, slots))
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault and its end, as actions on the model.
+
+    Attributes:
+        begin: Called at the time of the fault.
+        during: Called at each step after it with the seconds since then.
+    """
+
+    begin: Callable[[Model], None] = lambda model: None
+    during: Callable[[Model, float], None] = lambda model, elapsed: None
+
+
+def _at(elapsed: float, when: float) -> bool:
+    return when <= elapsed < when + STEP_S
+
+
+def _join(model: Model) -> None:
+    model.add_target(model.profile.targets)
+
+
+def _lagging(model: Model) -> None:
+    model.load_lag_s = LAG_S
+    _join(model)
+
+
+def _cold_start(model: Model, elapsed: float) -> None:
+    if _at(elapsed, COLD_S):
+        model.restart("t0")
+
+
+def _shed(model: Model, elapsed: float) -> None:
+    shedding = elapsed < FAULT_S
+    model.targets["t0"].max_flows = int(SHED_FRACTION * model.profile.flows) if shedding else 0
+
+
+def _lie(model: Model, elapsed: float) -> None:
+    lying = elapsed < LIE_S
+    model.targets["t0"].answers_syn = not lying
+    model.targets["t1"].probe_outcome = Outcome.FAILING if lying else None
+
+
+def _flap(model: Model, elapsed: float) -> None:
+    failing = elapsed < LIE_S and elapsed % FLAP_PERIOD_S < FLAP_FAILING_S
+    model.targets["t0"].probe_outcome = Outcome.FAILING if failing else None
+
+
+FAULTS = {
+    "none": Fault(),
+    "join": Fault(_join),
+    "leave": Fault(lambda model: model.leave("t0")),
+    "crash": Fault(lambda model: model.crash("t0")),
+    "cold-start": Fault(lambda model: model.crash("t0"), _cold_start),
+    "shed": Fault(during=_shed),
+    "lying-health": Fault(during=_lie),
+    "lagging-load": Fault(_lagging),
+    "flap": Fault(during=_flap),
+}
--- /dev/null
+++ b/bench/balance_schemes.py
@@ -0,0 +1,237 @@
+"""Schemes of the balance bench: pearwell's cores, plain hashing and round robin by instance."""
+
+from collections import Counter
+
+from bench.balance_model import Flow, Model, Scheme
+from pearwell.change import activate, fail, initial, prepare, release
+from pearwell.errors import Code, InvariantError
+from pearwell.group import TargetSpec
+from pearwell.load_report import LoadReport
+from pearwell.placement import Generation, PlacedTarget, Placement, TargetState
+from pearwell.weights import WeightController, WeightPolicy
+
+__all__ = ["SCHEMES", "Pearwell", "PlainHashing", "RoundRobin"]
+
+PREPARE_S = 1.5
+RELEASE_S = 5.0
+
+
+class Pearwell:
+    """Health, weights, tables and changes of pearwell, with exact knowledge of live flows."""
+
+    def __init__(self, model: Model, policy: WeightPolicy) -> None:
+        self._model = model
+        self._weights = WeightController(model.clock, policy)
+        self._specs: dict[str, TargetSpec] = {}
+        self._states: dict[str, TargetState] = {}
+        self._placement: Placement | None = None
+        self._activate_at: float | None = None
+        self._release_at = 0.0
+        self._wanted = False
+        self._off_current: Counter[int] = Counter()
+        self._by_bucket: dict[int, set[int]] = {}
+        self.moved_buckets = 0
+
+    @property
+    def extra_hop_share(self) -> float:
+        """Share of the flows in buckets that aren't stable."""
+        placement = self._held()
+        flows = self._by_bucket
+        unstable = sum(
+            len(flows.get(bucket, ()))
+            for bucket, index in enumerate(placement.base)
+            if not index == placement.current[bucket] == placement.upcoming[bucket]
+            or bucket in placement.returned
+        )
+        return unstable / max(1, len(self._model.flows))
+
+    def choose(self, flow: Flow, instance: int) -> str:
+        """Returns the target of a flow start."""
+        placement = self._held()
+        target = placement.targets[placement.current[self._bucket(flow.flow_hash)]]
+        if target.state is TargetState.DEAD:
+            return ""
+        return target.name
+
+    def route(self, flow: Flow) -> str:
+        """Returns the target that a later packet of a flow reaches."""
+        placement = self._held()
+        if flow.recorded:
+            return flow.target
+        return placement.targets[placement.base[self._bucket(flow.flow_hash)]].name
+
+    def set_states(self, specs: list[TargetSpec], states: dict[str, TargetState]) -> bool:
+        """Takes the health verdicts."""
+        self._specs = {spec.name: spec for spec in specs}
+        died = [n for n, s in states.items() if s is TargetState.DEAD and n in self._states]
+        newly_dead = [n for n in died if self._states[n] is not TargetState.DEAD]
+        self._states = states
+        self._weights.set_targets(
+            spec for spec in specs if states.get(spec.name) is TargetState.WORKING
+        )
+        if self._placement is None:
+            self._put(initial("g", "z", self._placed(), 0, Generation(1, "")))
+        for name in newly_dead:
+            self._put(fail(self._held(), name, self._next()))
+        self._wanted = True
+        return bool(newly_dead)
+
+    def started(self, flow: Flow) -> None:
+        """Takes a flow; the owner records it while its bucket isn't stable."""
+        placement = self._held()
+        bucket = self._bucket(flow.flow_hash)
+        stable = (
+            placement.base[bucket] == placement.current[bucket] == placement.upcoming[bucket]
+            and bucket not in placement.returned
+        )
+        flow.recorded = not stable
+        self._by_bucket.setdefault(bucket, set()).add(flow.flow_hash)
+        self._weights.take_starts(flow.target, 1)
+
+    def ended(self, flow: Flow, seen: bool) -> None:
+        """Takes the end of a flow."""
+        if seen:
+            self._weights.take_starts(flow.target, 0, 1)
+        self._by_bucket[self._bucket(flow.flow_hash)].discard(flow.flow_hash)
+
+    def report(self, target: str, report: LoadReport) -> None:
+        """Takes a load report."""
+        self._weights.take_report(target, report)
+
+    def tick(self) -> bool:
+        """Plans, activates and releases changes."""
+        now = self._model.clock.now()
+        changed = False
+        if self._activate_at is not None and now >= self._activate_at:
+            self._put(activate(self._held(), self._next()))
+            self._activate_at = None
+            changed = True
+        if now >= self._release_at:
+            self._release_at = now + RELEASE_S
+            changed |= self._release_clear()
+        self._wanted |= self._weights.adjust() is not None
+        if self._wanted and self._activate_at is None:
+            self._wanted = False
+            self._put(prepare(self._held(), self._placed(), self._next()))
+            self._activate_at = now + PREPARE_S
+        return changed
+
+    def _release_clear(self) -> bool:
+        placement = self._held()
+        if self._activate_at is not None:
+            return False
+        clear = [
+            bucket
+            for bucket, index in enumerate(placement.base)
+            if (index != placement.current[bucket] or bucket in placement.returned)
+            and self._is_clear(bucket, placement.targets[placement.current[bucket]].name)
+        ]
+        if not clear:
+            return False
+        self._put(release(placement, clear, self._next()))
+        for bucket in clear:
+            for flow_hash in self._by_bucket.get(bucket, ()):
+                if flow_hash in self._model.flows:
+                    self._model.flows[flow_hash].recorded = False
+        return True
+
+    def _is_clear(self, bucket: int, target: str) -> bool:
+        flows = (self._model.flows.get(h) for h in self._by_bucket.get(bucket, ()))
+        return all(flow is None or flow.target == target for flow in flows)
+
+    def _put(self, placement: Placement) -> None:
+        if self._placement is not None and len(placement.current) == len(self._placement.current):
+            before = [self._placement.targets[i].name for i in self._placement.current]
+            after = [placement.targets[i].name for i in placement.current]
+            self.moved_buckets += sum(b != a for b, a in zip(before, after, strict=True))
+        resized = self._placement is not None and len(placement.current) != len(
+            self._placement.current
+        )
+        self._placement = placement
+        if resized:
+            self._rebucket()
+
+    def _rebucket(self) -> None:
+        self._by_bucket = {}
+        for flow in self._model.flows.values():
+            self._by_bucket.setdefault(self._bucket(flow.flow_hash), set()).add(flow.flow_hash)
+
+    def _bucket(self, flow_hash: int) -> int:
+        return flow_hash & (len(self._held().current) - 1)
+
+    def _placed(self) -> tuple[PlacedTarget, ...]:
+        return tuple(self._place(spec) for spec in self._specs.values())
+
+    def _place(self, spec: TargetSpec) -> PlacedTarget:
+        state = self._states.get(spec.name, TargetState.WORKING)
+        weight = self._weights.weights.get(spec.name, spec.weight)
+        taking = weight if state is TargetState.WORKING else 0
+        return PlacedTarget(spec.name, spec.address, spec.port, taking, state)
+
+    def _next(self) -> Generation:
+        return Generation(self._held().generation.counter + 1, "")
+
+    def _held(self) -> Placement:
+        if self._placement is None:
+            raise InvariantError(Code.INVARIANT_VIOLATED, "no placement yet")
+        return self._placement
+
+
+class PlainHashing:
+    """Hash modulo the number of targets that take flows."""
+
+    moved_buckets = 0
+    extra_hop_share = 0.0
+
+    def __init__(self, model: Model) -> None:
+        self._names: list[str] = []
+
+    def choose(self, flow: Flow, instance: int) -> str:
+        """Returns the target of a flow start."""
+        return self.route(flow)
+
+    def route(self, flow: Flow) -> str:
+        """Returns the target that any packet of a flow reaches."""
+        return self._names[flow.flow_hash % len(self._names)] if self._names else ""
+
+    def set_states(self, specs: list[TargetSpec], states: dict[str, TargetState]) -> bool:
+        """Takes the health verdicts."""
+        names = sorted(n for n, state in states.items() if state is TargetState.WORKING)
+        changed = names != self._names
+        self._names = names
+        return changed
+
+    def started(self, flow: Flow) -> None:
+        """Takes an accepted flow."""
+
+    def ended(self, flow: Flow, seen: bool) -> None:
+        """Takes the end of a flow."""
+
+    def report(self, target: str, report: LoadReport) -> None:
+        """Ignores load."""
+
+    def tick(self) -> bool:
+        """Does nothing."""
+        return False
+
+
+class RoundRobin(PlainHashing):
+    """Each instance gives its flow starts to the targets in turn."""
+
+    def __init__(self, model: Model) -> None:
+        super().__init__(model)
+        self._next: Counter[int] = Counter()
+
+    def choose(self, flow: Flow, instance: int) -> str:
+        """Returns the target of a flow start."""
+        if not self._names:
+            return ""
+        self._next[instance] += 1
+        return self._names[(instance + self._next[instance]) % len(self._names)]
+
+    def route(self, flow: Flow) -> str:
+        """Returns the flow's own target, as if its packets always met the same instance."""
+        return flow.target
+
+
+SCHEMES: dict[str, type[Scheme]] = {"plain hashing": PlainHashing, "round robin": RoundRobin}
