Keep weights in bounds and notice shedding targets

Cause: rounding after a spent budget drifted off the sum and ran away when a target began to lie (found by the lying-report test), and shedding was noticed only after some 1000 s. Change: rounding keeps the sum, the bounds are asserted on every change, busy slots are averaged over 600 s, and shedding follows from starts, ends and reports.

--- a/pearwell/weights.py
+++ b/pearwell/weights.py
@@ -12,22 +12,26 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code, InvariantError
-from pearwell.expected_load import ExpectedLoad
+from pearwell.expected_load import ExpectedLoad, SheddingDetector
 from pearwell.group import TargetSpec
 from pearwell.load_report import LoadReport
 from pearwell.service import Preference
+from pearwell.weight_bounds import round_to_sum, split_weights
 
-__all__ = ["POLICIES", "WeightController", "WeightPolicy", "split_weights"]
+__all__ = ["POLICIES", "WeightController", "WeightPolicy"]
 
 REPORT_LIFETIME_S = 30.0
-BUSY_TIME_CONSTANT_S = 60.0
+BUSY_TIME_CONSTANT_S = 600.0
+BUSY_KNOWN_S = 300.0
+MIN_BUSY_S = 1.0
 BUSY_SIGNIFICANT = 0.3
 PLAUSIBLE_FACTOR = 1.25
 PLAUSIBLE_DEVIATIONS = 3.0
 SLOW_START_STEPS = 4
-SHED_DECREASE = 0.9
+SHED_DECREASE = 0.5
 SHED_RECOVERY = 0.02
-MIN_SHED_FACTOR = 0.6
+MIN_SHED_FACTOR = 0.2
+SHED_REPORTED = 0.2
 SECONDS_PER_HOUR = 3600.0
 
 
@@ -59,8 +63,8 @@
 
 
 POLICIES: Mapping[Preference, WeightPolicy] = {
-    Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 0.5, 1.5, 0.1, 0.2, 0.05),
-    Preference.EVEN: WeightPolicy(0.015, 4.0, 0.5, 3.0, 0.3, 1.0, 0.03),
+    Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 0.5, 1.5, 0.1, 0.2, 0.03),
+    Preference.EVEN: WeightPolicy(0.02, 4.0, 0.5, 3.0, 0.3, 1.0, 0.04),
 }
 
 
@@ -72,7 +76,8 @@
     joined_at: float
     report: LoadReport | None = None
     reported_at: float = -math.inf
-    busy: float | None = None
+    busy: float = 0.0
+    busy_for_s: float = MIN_BUSY_S
     shed_factor: float = 1.0
     correcting: bool = False
 
@@ -90,6 +95,7 @@
         self._policy = policy
         self._targets: dict[str, _Target] = {}
         self._expected = ExpectedLoad(clock.now())
+        self._shedding = SheddingDetector(clock.now())
         self._budget = policy.moves_per_hour
         self._budget_at = clock.now()
         self._corrected_at = -math.inf
@@ -122,6 +128,7 @@
             self._targets[spec.name] = target
         for name in held.keys() - self._targets.keys():
             self._expected.reset(name)
+            self._shedding.reset(name)
 
     def adopt(self, weights: Mapping[str, int]) -> None:
         """Starts from the weights that a placement already has in force."""
@@ -133,17 +140,18 @@
         if held is None:
             return
         now = self._clock.now()
-        elapsed = min(now - held.reported_at, BUSY_TIME_CONSTANT_S)
-        weight = 1.0 - math.exp(-elapsed / BUSY_TIME_CONSTANT_S)
-        previous = report.in_use if held.busy is None else held.busy
-        held.busy = previous + (report.in_use - previous) * weight
+        elapsed = min(now - held.reported_at, REPORT_LIFETIME_S)
+        held.busy_for_s = min(held.busy_for_s + elapsed, BUSY_TIME_CONSTANT_S)
+        held.busy += (report.in_use - held.busy) * elapsed / held.busy_for_s
         held.report = report
         held.reported_at = now
+        self._shedding.reported(target, report.open_flows)
 
-    def take_starts(self, target: str, count: int) -> None:
-        """Takes a number of flow starts of the whole zone towards a target."""
+    def take_starts(self, target: str, started: int, ended: int = 0) -> None:
+        """Takes numbers of flow starts and ends that the whole zone saw at a target."""
         if target in self._targets:
-            self._expected.started(target, count)
+            self._expected.started(target, started)
+            self._shedding.counted(target, started, ended)
 
     def adjust(self) -> dict[str, int] | None:
         """Corrects the weights if it is time to.
@@ -158,15 +166,29 @@
             return None
         self._corrected_at = now
         self._expected.update(now, sum(self._open_flows().values()))
+        self._shedding.update(now)
         self._refill_budget(now)
         weights = self._bounded_weights(self._wanted_factors(), now)
         if same_targets and not self._any_starting(now):
             weights = self._within_budget(weights)
         if weights == self._weights:
             return None
+        self._check_bounds(weights)
         self._weights = weights
         return dict(weights)
 
+    def _check_bounds(self, weights: Mapping[str, int]) -> None:
+        """Asserts that weights in force stay in their bounds and near the configured sum."""
+        lowest = self._policy.low * MIN_SHED_FACTOR
+        total = sum(target.base for target in self._targets.values())
+        bounded = all(
+            max(1, math.floor(target.base * lowest)) <= weights[name] <= total
+            for name, target in self._targets.items()
+        )
+        if not bounded or abs(sum(weights.values()) - total) > 2 * len(weights):
+            detail = f"weights {dict(weights)} for a sum of {total}"
+            raise InvariantError(Code.INVARIANT_VIOLATED, detail)
+
     def _within_budget(self, wanted: dict[str, int]) -> dict[str, int]:
         """Returns weights that go as far towards the wanted ones as the budget allows."""
         held = self._weights
@@ -175,8 +197,11 @@
         if max(steps) < self._policy.min_step:
             return dict(held)
         moved = sum(abs(change) for change in changes.values()) / 2.0 / sum(wanted.values())
+        if self._budget * sum(wanted.values()) < 1.0:
+            return dict(held)
         fraction = min(1.0, self._budget / moved)
-        weights = {name: held[name] + round(changes[name] * fraction) for name in wanted}
+        exact = {name: held[name] + changes[name] * fraction for name in wanted}
+        weights = round_to_sum(exact, sum(wanted.values()))
         spent = sum(abs(weights[name] - held[name]) for name in wanted) / 2.0
         self._budget -= spent / sum(wanted.values())
         return weights
@@ -195,7 +220,8 @@
             target.correcting = abs(excess) > leave_band
             self._update_shedding(name, target)
             factor = 1.0 - self._policy.gain * excess if target.correcting else 1.0
-            factor = min(max(factor, self._policy.low), self._policy.high)
+            highest = self._policy.high if target.shed_factor == 1.0 else 1.0
+            factor = min(max(factor, self._policy.low), highest)
             wanted[name] = factor * target.shed_factor
         return wanted
 
@@ -205,9 +231,8 @@
         slots = {name: t.busy for name, t in self._targets.items() if self._has_busy(t)}
         if len(slots) < len(self._targets):
             return flows
-        busy = {name: value or 0.0 for name, value in slots.items()}
-        share = self._policy.busy_share if self._is_busy(busy) else 0.0
-        relative = _relative(busy, self._targets)
+        share = self._policy.busy_share if self._is_busy(slots) else 0.0
+        relative = _relative(slots, self._targets)
         return {n: flows.get(n, 1.0) * (1 - share) + relative[n] * share for n in relative}
 
     def _is_busy(self, busy: Mapping[str, float]) -> bool:
@@ -217,7 +242,8 @@
 
     def _has_busy(self, target: _Target) -> bool:
         report = self._fresh_report(target)
-        return report is not None and report.slots > 0
+        known = target.busy_for_s >= BUSY_KNOWN_S
+        return known and report is not None and report.slots > 0
 
     def _fresh_report(self, target: _Target) -> LoadReport | None:
         fresh = self._clock.now() - target.reported_at <= REPORT_LIFETIME_S
@@ -240,20 +266,12 @@
 
     def _update_shedding(self, name: str, target: _Target) -> None:
         report = self._fresh_report(target)
-        shedding = report is not None and (report.shedding or self._lacks_flows(name, report))
-        if shedding:
-            target.shed_factor = max(MIN_SHED_FACTOR, target.shed_factor * SHED_DECREASE)
-        else:
-            target.shed_factor = min(1.0, target.shed_factor + SHED_RECOVERY)
-
-    def _lacks_flows(self, name: str, report: LoadReport) -> bool:
-        """Whether a target reports far fewer flows than were started on it."""
-        reports = {n: self._fresh_report(t) for n, t in self._targets.items()}
-        reported = {n: float(r.open_flows) for n, r in reports.items() if r is not None}
-        expected = self._expected.estimate(name, _robust_total(reported, self._targets))
-        if expected is None or _plausible(report.open_flows, expected):
-            return False
-        return report.open_flows < expected
+        shed = self._shedding.fraction(name)
+        if report is not None and report.shedding:
+            shed = max(shed, SHED_REPORTED)
+        lowered = target.shed_factor * (1.0 - SHED_DECREASE * shed)
+        raised = min(1.0, target.shed_factor + SHED_RECOVERY)
+        target.shed_factor = max(MIN_SHED_FACTOR, lowered) if shed else raised
 
     def _refill_budget(self, now: float) -> None:
         limit = self._policy.moves_per_hour
@@ -264,7 +282,8 @@
     def _bounded_weights(self, factors: Mapping[str, float], now: float) -> dict[str, int]:
         bases = {name: target.base for name, target in self._targets.items()}
         ceilings = {n: self._ceiling(t, now) for n, t in self._targets.items()}
-        return split_weights(factors, bases, self._policy.low, ceilings)
+        floors = {n: self._policy.low * t.shed_factor for n, t in self._targets.items()}
+        return split_weights(factors, bases, floors, ceilings)
 
     def _ceiling(self, target: _Target, now: float) -> float:
         """Returns the highest factor of a target, which rises in steps while it starts slowly."""
@@ -273,67 +292,6 @@
         return self._policy.high if steps > SLOW_START_STEPS else steps / SLOW_START_STEPS
 
 
-def split_weights(
-    factors: Mapping[str, float],
-    bases: Mapping[str, int],
-    low: float,
-    ceilings: Mapping[str, float],
-) -> dict[str, int]:
-    """Scales factors so that the weights sum to the configured sum and stay in their bounds.
-
-    Args:
-        factors: Wanted factor of each target on its configured weight.
-        bases: Configured weights.
-        low: Lowest factor.
-        ceilings: Highest factor of each target; it wins over the lowest one.
-
-    Returns:
-        Whole weights, at least 1 each.
-
-    Raises:
-        InvariantError: INVARIANT_VIOLATED if a weight or their sum is out of bounds.
-    """
-    total = sum(bases.values())
-    highest = sum(bases[n] * ceilings[n] for n in bases)
-    if highest < total:
-        ceilings = {n: ceilings[n] * total / highest for n in bases}
-    scale = _find_scale(factors, bases, low, ceilings)
-    exact = {n: bases[n] * _clamp(factors[n] * scale, low, ceilings[n]) for n in bases}
-    weights = {n: max(1, math.floor(value)) for n, value in exact.items()}
-    by_remainder = sorted(exact, key=lambda n: (weights[n] - exact[n], n))
-    for name in by_remainder[: max(0, total - sum(weights.values()))]:
-        weights[name] += 1
-    _check(weights, exact, total)
-    return weights
-
-
-def _find_scale(
-    factors: Mapping[str, float],
-    bases: Mapping[str, int],
-    low: float,
-    ceilings: Mapping[str, float],
-) -> float:
-    """Returns by bisection the scale at which the clamped weights reach the configured sum."""
-    total = sum(bases.values())
-    below, above = 0.0, 100.0
-    for _ in range(40):
-        middle = (below + above) / 2
-        reached = sum(bases[n] * _clamp(factors[n] * middle, low, ceilings[n]) for n in bases)
-        below, above = (middle, above) if reached < total else (below, middle)
-    return above
-
-
-def _check(weights: Mapping[str, int], exact: Mapping[str, float], total: int) -> None:
-    near = all(abs(weights[n] - exact[n]) <= 1.0 for n in weights)
-    if not near or abs(sum(weights.values()) - total) > len(weights):
-        detail = f"weights {dict(weights)} for a sum of {total}"
-        raise InvariantError(Code.INVARIANT_VIOLATED, detail)
-
-
-def _clamp(factor: float, low: float, ceiling: float) -> float:
-    return min(max(factor, low), ceiling)
-
-
 def _plausible(reported: float, expected: float) -> bool:
     """Whether a report agrees with an estimate, given the spread of random starts."""
     spread = PLAUSIBLE_DEVIATIONS * math.sqrt(max(expected, 1.0))
