Add the prober and the balancer services

Cause: health and weights need probes, load reports and counts of the whole zone. Change: three instances by rendezvous hash probe each target and gossip verdicts; one balancer for each group gets load and flow counts, and gossips weights, silence and open flows. health.py is split by job.

--- a/bench/balance_model.py
+++ b/bench/balance_model.py
@@ -9,9 +9,11 @@
 
 from pearwell.clock import ManualClock
 from pearwell.group import HealthCheck, TargetIntent, TargetSpec
-from pearwell.health import GroupHealth, Outcome, ProbeHistory
+from pearwell.health import GroupHealth
 from pearwell.load_report import LoadReport
 from pearwell.placement import TargetState
+from pearwell.probe_history import Outcome, ProbeHistory
+from pearwell.silence import SilenceDetector
 
 __all__ = ["FAULTS", "PROFILES", "Fault", "Flow", "Model", "Profile", "Scheme", "Target"]
 
@@ -128,6 +130,7 @@
         self.targets = {f"t{i}": self._new_target(i) for i in range(profile.targets)}
         self.health = GroupHealth(self.clock)
         self.histories: dict[tuple[str, str], ProbeHistory] = {}
+        self.detectors: dict[str, SilenceDetector] = {}
         self.flows: dict[int, Flow] = {}
         self.ends: list[tuple[float, int]] = []
         self.starts: list[tuple[float, int, int, str]] = []
@@ -208,6 +211,7 @@
         self.health.set_targets(specs)
         for name in self.targets:
             self.health.set_probers(name, PROBERS)
+            self.detectors.setdefault(name, SilenceDetector(self.clock))
             for prober in PROBERS:
                 history = ProbeHistory(HealthCheck(), self.clock)
                 self.histories.setdefault((name, prober), history)
@@ -230,9 +234,9 @@
             self._refuse()
             return
         if attempt == 0:
-            self.health.take_starts(flow.target, 1)
+            self.detectors[flow.target].started(1)
         elif flow.target == tried:
-            self.health.take_repeated_syns(flow.target, 1)
+            self.detectors[flow.target].repeated(1)
         if not target.alive or not target.answers_syn:
             self._repeat_syn(flow, attempt)
         elif target.max_flows and len(target.flows) >= target.max_flows:
@@ -288,6 +292,7 @@
     def _probe(self) -> None:
         now = self.clock.now()
         for name, target in self.targets.items():
+            self.health.take_silence(name, self.detectors[name].hold_s)
             outcome = Outcome.OK if target.probe_outcome is None else target.probe_outcome
             for prober in PROBERS:
                 state = self.histories[name, prober].observe(outcome)
--- /dev/null
+++ b/pearwell/balancer.py
@@ -0,0 +1,265 @@
+"""Balancer: the service that sets the weights of the groups that this instance balances.
+
+Each group has one balancer in a zone, by rendezvous hash. It gets the load reports of the probers
+and the flow counts of all instances, and gossips what it decides, so that it needn't know which
+instance writes the placement.
+"""
+
+from collections import defaultdict
+
+import msgspec
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.entry_store import EntryStore, put_next
+from pearwell.group import TargetIntent, TargetSpec
+from pearwell.group_balance import Decisions, GroupBalance, policy_of
+from pearwell.kernel import QueuedService
+from pearwell.messages import (
+    ConfigurationChanged,
+    FlowsStarted,
+    Message,
+    PeerMessage,
+    SynRepeated,
+    TargetJudged,
+    ViewChanged,
+    WeightsChanged,
+)
+from pearwell.messages.gossip import Entry
+from pearwell.messages.local import EntryAdopted
+from pearwell.messages.targets import (
+    FlowCounts,
+    GroupLoad,
+    GroupWeights,
+    LoadReported,
+    OpenFlowsReported,
+    SilenceVerdict,
+    StartsCounted,
+)
+from pearwell.placement import TargetState
+from pearwell.rendezvous import rank
+from pearwell.service import FlowLimits, ServiceSpec
+from pearwell.transport import Transport
+from pearwell.zone_health import live_instances, silence_key
+
+__all__ = ["Balancer"]
+
+DECIDE_INTERVAL_S = 1.0
+COUNTS_INTERVAL_S = 2.0
+
+_WEIGHTS_DOMAIN = "weights"
+_LOAD_DOMAIN = "load"
+_WEIGHTS_DECODER = msgspec.msgpack.Decoder(GroupWeights)
+_LOAD_DECODER = msgspec.msgpack.Decoder(GroupLoad)
+
+_log = structlog.get_logger()
+
+
+class Balancer(QueuedService):
+    """The service "balancer".
+
+    Args:
+        instance: Own instance id.
+        zone: Own availability zone.
+        clock: Source of monotonic time.
+        store: Spreads weights in the zone.
+        transport: Carries counts and load reports to the balancer of a group.
+    """
+
+    name = "balancer"
+    accepts: tuple[type[Message], ...] = (
+        ConfigurationChanged,
+        EntryAdopted,
+        FlowsStarted,
+        PeerMessage,
+        SynRepeated,
+        TargetJudged,
+        ViewChanged,
+    )
+    interval_s = DECIDE_INTERVAL_S
+
+    def __init__(
+        self, instance: str, zone: str, clock: Clock, store: EntryStore, transport: Transport
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._zone = zone
+        self._clock = clock
+        self._store = store
+        self._transport = transport
+        self._configuration = Configuration()
+        self._instances: tuple[str, ...] = (instance,)
+        self._states: dict[tuple[str, str], TargetState] = {}
+        self._balances: dict[str, GroupBalance] = {}
+        self._counts: dict[str, dict[str, FlowCounts]] = defaultdict(dict)
+        self._counts_due = clock.now()
+
+    @property
+    def balanced(self) -> tuple[str, ...]:
+        """Groups that this instance balances."""
+        return tuple(self._balances)
+
+    async def handle(self, message: Message) -> None:
+        """Takes evidence, verdicts and changes of the zone."""
+        match message:
+            case ConfigurationChanged(configuration=configuration):
+                self._configuration = configuration
+                self._assign()
+            case ViewChanged(view=view):
+                self._instances = live_instances(view) or (self._instance,)
+                self._assign()
+            case TargetJudged(group=group, target=target, state=state):
+                self._states[group, target] = state
+                self._set_working(group)
+            case FlowsStarted(group=group, started=started, ended=ended):
+                self._count_flows(group, dict(started), dict(ended))
+            case SynRepeated(group=group, target=target, count=count):
+                self._count(group, FlowCounts(target, repeated=count))
+            case LoadReported(group=group):
+                self._send(group, message)
+            case PeerMessage(message=content):
+                self._take(content)
+            case EntryAdopted(entry=entry):
+                self._take_entry(entry)
+
+    async def tick(self) -> None:
+        """Sends counts and decides on the groups that this instance balances."""
+        now = self._clock.now()
+        if now >= self._counts_due:
+            self._counts_due = now + COUNTS_INTERVAL_S
+            self._send_counts()
+        for group, balance in self._balances.items():
+            self._spread(group, balance.decide())
+
+    def _assign(self) -> None:
+        """Takes over and gives up groups, and applies their configuration."""
+        wanted = {name for name in self._configuration.groups if self._leads(name)}
+        for group in self._balances.keys() - wanted:
+            del self._balances[group]
+        known = {(g.name, t.name) for g in self._configuration.groups.values() for t in g.targets}
+        self._states = {key: state for key, state in self._states.items() if key in known}
+        for group in sorted(wanted):
+            policy = policy_of(self._configuration, group)
+            balance = self._balances.get(group)
+            if balance is None:
+                balance = self._balances[group] = GroupBalance(self._clock, policy)
+                self._set_working(group)
+                self._adopt(group, balance)
+            balance.configure(self._targets(group), policy, self._seen_share(group))
+            self._set_working(group)
+
+    def _leads(self, group: str) -> bool:
+        return self._leader(group) == self._instance
+
+    def _leader(self, group: str) -> str:
+        return rank(f"balance/{group}", self._instances, 1)[0]
+
+    def _adopt(self, group: str, balance: GroupBalance) -> None:
+        entry = self._store.get(f"{_WEIGHTS_DOMAIN}/{group}")
+        weights = _decode_weights(entry) if entry is not None else None
+        if weights is not None:
+            balance.adopt(weights.weights)
+
+    def _targets(self, group: str) -> list[TargetSpec]:
+        spec = self._configuration.groups.get(group)
+        return [t for t in spec.targets if t.zone == self._zone] if spec else []
+
+    def _set_working(self, group: str) -> None:
+        balance = self._balances.get(group)
+        if balance is None:
+            return
+        balance.set_working(
+            target
+            for target in self._targets(group)
+            if target.intent is TargetIntent.SERVING
+            and self._states.get((group, target.name), TargetState.WORKING) is TargetState.WORKING
+        )
+
+    def _seen_share(self, group: str) -> float:
+        """Returns the share of repeated SYNs that is noticed; all where owners decide on starts."""
+        limited = any(s.limits != FlowLimits() for s in self._services(group))
+        return 1.0 if limited else 1.0 / len(self._instances)
+
+    def _services(self, group: str) -> list[ServiceSpec]:
+        return [s for s in self._configuration.services.values() if s.group == group]
+
+    def _count_flows(self, group: str, started: dict[str, int], ended: dict[str, int]) -> None:
+        for target in started.keys() | ended.keys():
+            counts = FlowCounts(target, started.get(target, 0), ended.get(target, 0))
+            self._count(group, counts)
+
+    def _count(self, group: str, counts: FlowCounts) -> None:
+        held = self._counts[group].get(counts.target, FlowCounts(counts.target))
+        self._counts[group][counts.target] = FlowCounts(
+            counts.target,
+            held.started + counts.started,
+            held.ended + counts.ended,
+            held.repeated + counts.repeated,
+        )
+
+    def _send_counts(self) -> None:
+        counted, self._counts = self._counts, defaultdict(dict)
+        for group, counts in counted.items():
+            if counts and group in self._configuration.groups:
+                self._send(group, StartsCounted(group, tuple(counts.values())))
+
+    def _send(self, group: str, message: Message) -> None:
+        leader = self._leader(group)
+        if leader == self._instance:
+            self._take(message)
+        else:
+            self._transport.send(leader, message)
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case LoadReported(group=group, target=target, report=report):
+                if group in self._balances:
+                    self._balances[group].take_report(target, report)
+            case StartsCounted(group=group, counts=counts):
+                if group in self._balances:
+                    self._balances[group].take_counts(counts)
+
+    def _take_entry(self, entry: Entry) -> None:
+        domain, _, group = entry.key.partition("/")
+        if domain == _WEIGHTS_DOMAIN:
+            weights = _decode_weights(entry)
+            if weights is not None:
+                self.kernel.publish(WeightsChanged(group, weights.weights))
+        elif domain == _LOAD_DOMAIN:
+            load = _decode_load(entry)
+            if load is not None:
+                self.kernel.publish(OpenFlowsReported(group, load.open_flows))
+
+    def _spread(self, group: str, decisions: Decisions) -> None:
+        for target, hold_s in decisions.silences.items():
+            _log.warning("target_silent", group=group, target=target, hold_s=round(hold_s, 1))
+            self._put(silence_key(group, target), SilenceVerdict(hold_s))
+        if decisions.weights is not None:
+            weights = tuple(sorted(decisions.weights.items()))
+            _log.info("weights_changed", group=group, weights=dict(weights))
+            self._put(f"{_WEIGHTS_DOMAIN}/{group}", GroupWeights(weights))
+        if decisions.open_flows is not None and self._limits_open_flows(group):
+            load = GroupLoad(tuple(sorted(decisions.open_flows.items())))
+            self._put(f"{_LOAD_DOMAIN}/{group}", load)
+
+    def _limits_open_flows(self, group: str) -> bool:
+        limits = [service.limits for service in self._services(group)]
+        return any(limit.open_flows or limit.target_open_flows for limit in limits)
+
+    def _put(self, key: str, value: msgspec.Struct) -> None:
+        put_next(self._store, key, self._instance, value)
+
+
+def _decode_weights(entry: Entry) -> GroupWeights | None:
+    try:
+        return _WEIGHTS_DECODER.decode(entry.payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def _decode_load(entry: Entry) -> GroupLoad | None:
+    try:
+        return _LOAD_DECODER.decode(entry.payload)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/pearwell/group_balance.py
@@ -0,0 +1,112 @@
+"""Balance of one group: its weights and the silence of its targets, from the zone's counts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.group import TargetSpec
+from pearwell.load_report import LoadReport
+from pearwell.messages.targets import FlowCounts
+from pearwell.service import Preference
+from pearwell.silence import SilenceDetector
+from pearwell.weights import POLICIES, WeightController, WeightPolicy
+
+__all__ = ["Decisions", "GroupBalance", "policy_of"]
+
+OPEN_FLOWS_INTERVAL_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Decisions:
+    """What changed for a group.
+
+    Attributes:
+        weights: Weights of all working targets, or None if they stay.
+        silences: Time in seconds for which targets count as silent from now, 0 for no longer.
+        open_flows: Open flows by target when they are due, or None.
+    """
+
+    weights: dict[str, int] | None = None
+    silences: dict[str, float] = field(default_factory=dict)
+    open_flows: dict[str, int] | None = None
+
+
+def policy_of(configuration: Configuration, group: str) -> WeightPolicy:
+    """Returns the weight policy of a group; evenness wins if any of its services prefers it."""
+    services = (s for s in configuration.services.values() if s.group == group)
+    even = any(service.preference is Preference.EVEN for service in services)
+    return POLICIES[Preference.EVEN if even else Preference.UNBROKEN]
+
+
+class GroupBalance:
+    """Balances one group on behalf of the zone; free of I/O.
+
+    Args:
+        clock: Source of monotonic time.
+        policy: How weights follow load.
+    """
+
+    def __init__(self, clock: Clock, policy: WeightPolicy) -> None:
+        self._clock = clock
+        self._weights = WeightController(clock, policy)
+        self._detectors: dict[str, SilenceDetector] = {}
+        self._silent: set[str] = set()
+        self._seen_share = 1.0
+        self._open_flows_due = clock.now()
+
+    def configure(
+        self, targets: Iterable[TargetSpec], policy: WeightPolicy, seen_share: float
+    ) -> None:
+        """Applies configuration.
+
+        Args:
+            targets: The zone's targets of the group, working or not.
+            policy: How weights follow load.
+            seen_share: Share of the repeated SYNs that is noticed.
+        """
+        self._weights.set_policy(policy)
+        self._seen_share = seen_share
+        held = self._detectors
+        self._detectors = {
+            target.name: held.get(target.name) or SilenceDetector(self._clock) for target in targets
+        }
+        for detector in self._detectors.values():
+            detector.set_seen_share(seen_share)
+
+    def set_working(self, working: Iterable[TargetSpec]) -> None:
+        """Sets the targets that take new flows."""
+        self._weights.set_targets(working)
+
+    def adopt(self, weights: Iterable[tuple[str, int]]) -> None:
+        """Goes on from the weights in force when this instance takes the group over."""
+        self._weights.adopt(dict(weights))
+
+    def take_report(self, target: str, report: LoadReport) -> None:
+        """Takes the load of a target."""
+        self._weights.take_report(target, report)
+
+    def take_counts(self, counts: Iterable[FlowCounts]) -> None:
+        """Takes the flows that an instance saw."""
+        for count in counts:
+            self._weights.take_starts(count.target, count.started, count.ended)
+            detector = self._detectors.get(count.target)
+            if detector is not None:
+                detector.started(count.started)
+                detector.repeated(count.repeated)
+
+    def decide(self) -> Decisions:
+        """Returns what changed since the last call."""
+        silent = {name for name, detector in self._detectors.items() if detector.silent}
+        changed = silent ^ self._silent
+        self._silent = silent
+        detectors = ((n, self._detectors.get(n)) for n in sorted(changed))
+        silences = {n: detector.hold_s for n, detector in detectors if detector is not None}
+        return Decisions(self._weights.adjust(), silences, self._due_open_flows())
+
+    def _due_open_flows(self) -> dict[str, int] | None:
+        now = self._clock.now()
+        if now < self._open_flows_due:
+            return None
+        self._open_flows_due = now + OPEN_FLOWS_INTERVAL_S
+        return dict(self._weights.open_flows) or None
--- /dev/null
+++ b/pearwell/probe.py
@@ -0,0 +1,94 @@
+"""One probe of a target: its health endpoint, its load endpoint and its encapsulation port."""
+
+import asyncio
+import errno
+import socket
+
+import aiohttp
+from yarl import URL
+
+from pearwell.group import HealthCheck, TargetSpec
+from pearwell.load_report import LoadReport, LoadReportError, parse_load_report
+from pearwell.probe_history import Outcome
+
+__all__ = ["fetch_load", "probe_health"]
+
+MAX_LOAD_BYTES = 65_536
+PORT_CHECK_WAIT_S = 0.05
+# Decapsulators drop a packet whose first nibble is no IP version.
+_NO_PACKET = b"\0"
+
+
+async def probe_health(
+    session: aiohttp.ClientSession, target: TargetSpec, check: HealthCheck
+) -> Outcome:
+    """Probes the health endpoint of a target once.
+
+    Args:
+        session: Client session that doesn't reuse connections.
+        target: The target.
+        check: Port, path and timeout.
+
+    Returns:
+        What was found; never raises on account of the target.
+    """
+    try:
+        async with session.get(
+            _url(target, check.port, check.path), timeout=_timeout(check), allow_redirects=False
+        ) as response:
+            return Outcome.OK if response.status == 200 else Outcome.FAILING
+    except aiohttp.ConnectionTimeoutError:
+        return Outcome.SILENT
+    except TimeoutError:
+        return Outcome.HANGING
+    except aiohttp.ClientConnectorError as error:
+        if error.os_error.errno != errno.ECONNREFUSED:
+            return Outcome.SILENT
+        closed = await _is_port_closed(target.address, target.port)
+        return Outcome.GONE if closed else Outcome.REFUSED
+    except (aiohttp.ClientError, OSError, ValueError):
+        return Outcome.FAILING
+
+
+async def fetch_load(
+    session: aiohttp.ClientSession, target: TargetSpec, check: HealthCheck
+) -> LoadReport | None:
+    """Fetches the load report of a target; None if there is no usable one."""
+    try:
+        async with session.get(
+            _url(target, check.port, check.load_path),
+            timeout=_timeout(check),
+            allow_redirects=False,
+        ) as response:
+            if response.status != 200:
+                return None
+            return parse_load_report(await response.content.read(MAX_LOAD_BYTES))
+    except (aiohttp.ClientError, OSError, LoadReportError, ValueError):
+        return None
+
+
+async def _is_port_closed(address: str, port: int) -> bool:
+    """Whether the host answers a datagram to a UDP port with an ICMP error."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    with socket.socket(family, socket.SOCK_DGRAM) as sock:
+        sock.setblocking(False)
+        try:
+            sock.connect((address, port))
+            sock.send(_NO_PACKET)
+            await asyncio.sleep(PORT_CHECK_WAIT_S)
+            sock.recv(1)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
+def _url(target: TargetSpec, port: int, path: str) -> URL:
+    return URL.build(scheme="http", host=target.address, port=port, path=path)
+
+
+def _timeout(check: HealthCheck) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=2 * check.timeout_s, sock_connect=check.timeout_s, sock_read=check.timeout_s
+    )
--- /dev/null
+++ b/pearwell/prober.py
@@ -0,0 +1,163 @@
+"""Prober: the service that probes targets and judges them from the zone's verdicts."""
+
+import asyncio
+import random
+
+import aiohttp
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.entry_store import EntryStore, put_next
+from pearwell.group import HealthCheck, TargetSpec
+from pearwell.kernel import Kernel, QueuedService
+from pearwell.messages import ConfigurationChanged, Message, TargetJudged, ViewChanged
+from pearwell.messages.local import EntryAdopted
+from pearwell.messages.targets import LoadReported, TargetVerdict
+from pearwell.placement import TargetState
+from pearwell.probe import fetch_load, probe_health
+from pearwell.probe_history import ProbeHistory
+from pearwell.zone_health import Assignment, ZoneHealth, live_instances, verdict_key
+
+__all__ = ["Prober"]
+
+EVALUATE_INTERVAL_S = 0.25
+REFRESH_S = 30.0
+LOAD_INTERVAL_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class Prober(QueuedService):
+    """The service "prober".
+
+    Args:
+        instance: Own instance id.
+        zone: Own availability zone.
+        clock: Source of monotonic time.
+        rng: Spreads the probes over time.
+        store: Spreads verdicts in the zone.
+    """
+
+    name = "prober"
+    accepts: tuple[type[Message], ...] = (ConfigurationChanged, ViewChanged, EntryAdopted)
+    interval_s = EVALUATE_INTERVAL_S
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        clock: Clock,
+        rng: random.Random,
+        store: EntryStore,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._zone_health = ZoneHealth(instance, zone, clock)
+        self._probing: dict[Assignment, asyncio.Task[None]] = {}
+        self._probed: dict[Assignment, tuple[TargetSpec, HealthCheck]] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def probed(self) -> tuple[Assignment, ...]:
+        """Groups and targets that this instance probes."""
+        return tuple(self._probing)
+
+    @property
+    def distrusted(self) -> int:
+        """Number of targets in use against the evidence of their probes."""
+        return self._zone_health.distrusted
+
+    async def start(self, kernel: Kernel) -> None:
+        """Opens the HTTP client and starts."""
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        self._session = aiohttp.ClientSession(connector=connector)
+        await super().start(kernel)
+
+    async def stop(self) -> None:
+        """Stops all probes and closes the HTTP client."""
+        await super().stop()
+        tasks = list(self._probing.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._probing.clear()
+        if self._session is not None:
+            await self._session.close()
+
+    async def handle(self, message: Message) -> None:
+        """Applies configuration, views and verdicts."""
+        match message:
+            case ConfigurationChanged(configuration=configuration):
+                self._configure(configuration)
+            case ViewChanged(view=view):
+                self._zone_health.set_instances(live_instances(view))
+                self._assign()
+            case EntryAdopted(entry=entry):
+                self._zone_health.take_entry(entry)
+
+    async def tick(self) -> None:
+        """Judges all targets and publishes the changes."""
+        for group, target, state in self._zone_health.evaluate():
+            _log.info("target_judged", group=group, target=target, state=state.name.lower())
+            self.kernel.publish(TargetJudged(group, target, state))
+
+    def _configure(self, configuration: Configuration) -> None:
+        self._zone_health.configure(configuration)
+        self._assign()
+
+    def _assign(self) -> None:
+        """Starts and stops probes so that they match the assignments."""
+        wanted = dict(self._zone_health.assignments)
+        for key in self._probing.keys() - wanted.keys():
+            self._probing.pop(key).cancel()
+        for key, assignment in wanted.items():
+            if key not in self._probing:
+                self._probing[key] = asyncio.ensure_future(self._probe_forever(key))
+            self._probed[key] = assignment
+        self._probed = {key: self._probed[key] for key in wanted}
+
+    async def _probe_forever(self, key: Assignment) -> None:
+        group, target = key
+        held = self._zone_health.state_of(group, target)
+        initial = TargetState.WORKING if held is TargetState.LEAVING else held
+        check = self._probed[key][1]
+        history = ProbeHistory(check, self._clock, initial)
+        published: tuple[TargetState, float] | None = None
+        load_due = self._clock.now()
+        await asyncio.sleep(check.interval_s * self._rng.random())
+        while True:
+            began = self._clock.now()
+            state = await self._probe(key, history)
+            if published is None or self._is_due(published, state):
+                self._publish(group, target, state)
+                published = (state, began)
+            if began >= load_due:
+                load_due = began + LOAD_INTERVAL_S
+                await self._fetch_load(key)
+            spent = self._clock.now() - began
+            await asyncio.sleep(max(0.0, self._probed[key][1].interval_s - spent))
+
+    def _is_due(self, published: tuple[TargetState, float], state: TargetState) -> bool:
+        return state is not published[0] or self._clock.now() - published[1] >= REFRESH_S
+
+    async def _probe(self, key: Assignment, history: ProbeHistory) -> TargetState:
+        assert self._session is not None
+        spec, check = self._probed[key]
+        return history.observe(await probe_health(self._session, spec, check))
+
+    async def _fetch_load(self, key: Assignment) -> None:
+        assert self._session is not None
+        spec, check = self._probed[key]
+        if not check.load_path:
+            return
+        report = await fetch_load(self._session, spec, check)
+        if report is not None:
+            self.kernel.post("balancer", LoadReported(key[0], key[1], report))
+
+    def _publish(self, group: str, target: str, state: TargetState) -> None:
+        key = verdict_key(group, target, self._instance)
+        put_next(self._store, key, self._instance, TargetVerdict(state))
--- /dev/null
+++ b/pearwell/zone_health.py
@@ -0,0 +1,167 @@
+"""Health of all groups that a zone uses, from the entries that its probers gossip."""
+
+import contextlib
+from collections.abc import Iterator, Mapping
+
+import msgspec
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.group import HealthCheck, TargetSpec
+from pearwell.health import PROBERS_PER_TARGET, GroupHealth
+from pearwell.membership import MemberState, View
+from pearwell.messages.gossip import Entry
+from pearwell.messages.targets import SilenceVerdict, TargetVerdict
+from pearwell.placement import TargetState
+from pearwell.rendezvous import rank
+
+__all__ = [
+    "Assignment",
+    "ZoneHealth",
+    "live_instances",
+    "silence_key",
+    "spill_zones_of",
+    "verdict_key",
+]
+
+_VERDICT_DOMAIN = "verdict"
+_SILENCE_DOMAIN = "silence"
+_VERDICT_DECODER = msgspec.msgpack.Decoder(TargetVerdict)
+_SILENCE_DECODER = msgspec.msgpack.Decoder(SilenceVerdict)
+
+Assignment = tuple[str, str]
+"""Group and target that an instance has to probe."""
+
+
+def live_instances(view: View) -> tuple[str, ...]:
+    """Returns the members that take part in lasting work, so neither leaving nor dead ones."""
+    lasting = (MemberState.ALIVE, MemberState.SUSPECT)
+    return tuple(member.instance for member in view.members if member.state in lasting)
+
+
+def verdict_key(group: str, target: str, prober: str) -> str:
+    """Returns the gossip key of a prober's verdict."""
+    return f"{_VERDICT_DOMAIN}/{group}/{target}/{prober}"
+
+
+def silence_key(group: str, target: str) -> str:
+    """Returns the gossip key of the second signal about a target."""
+    return f"{_SILENCE_DOMAIN}/{group}/{target}"
+
+
+def spill_zones_of(configuration: Configuration, group: str) -> tuple[str, ...]:
+    """Returns the zones that any service of a group may spill over to, in order."""
+    services = (s for s in configuration.services.values() if s.group == group)
+    zones = dict.fromkeys(zone for service in services for zone in service.spill_zones)
+    return tuple(zones)
+
+
+class ZoneHealth:
+    """Assigns targets to probers and combines their verdicts; free of I/O.
+
+    Args:
+        instance: Own instance id.
+        zone: Own availability zone.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, instance: str, zone: str, clock: Clock) -> None:
+        self._instance = instance
+        self._zone = zone
+        self._clock = clock
+        self._instances: tuple[str, ...] = (instance,)
+        self._targets: dict[Assignment, TargetSpec] = {}
+        self._checks: dict[str, HealthCheck] = {}
+        self._health: dict[tuple[str, str], GroupHealth] = {}
+        self._waiting: dict[str, Entry] = {}
+
+    @property
+    def assignments(self) -> Mapping[Assignment, tuple[TargetSpec, HealthCheck]]:
+        """Targets that this instance probes."""
+        return {
+            key: (spec, self._checks[key[0]])
+            for key, spec in self._targets.items()
+            if self._checks[key[0]].port and self._instance in self._probers(key)
+        }
+
+    @property
+    def distrusted(self) -> int:
+        """Number of targets in use against the evidence of their probes."""
+        return sum(len(health.distrusted) for health in self._health.values())
+
+    def state_of(self, group: str, target: str) -> TargetState:
+        """Returns the zone's verdict on a target; working if there is none."""
+        spec = self._targets.get((group, target))
+        health = self._health.get((group, spec.zone)) if spec else None
+        states = health.states if health else {}
+        return states.get(target, TargetState.WORKING)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes the groups of a configuration."""
+        known, self._health = self._health, {}
+        self._targets = {}
+        self._checks = {}
+        for name, group in configuration.groups.items():
+            spill_zones = spill_zones_of(configuration, name)
+            self._checks[name] = group.health
+            for zone in (self._zone, *spill_zones):
+                targets = [target for target in group.targets if target.zone == zone]
+                may_spill = bool(spill_zones) and zone == self._zone
+                health = known.get((name, zone)) or GroupHealth(self._clock, may_spill)
+                health.set_targets(targets)
+                self._health[name, zone] = health
+                self._targets |= {(name, target.name): target for target in targets}
+        self._assign()
+        self._retry_waiting()
+
+    def set_instances(self, instances: tuple[str, ...]) -> None:
+        """Sets the live instances of the zone, which share the probing."""
+        self._instances = instances or (self._instance,)
+        self._assign()
+
+    def take_entry(self, entry: Entry) -> None:
+        """Takes a gossiped verdict; other entries are ignored."""
+        domain, _, path = entry.key.partition("/")
+        names = path.split("/")
+        if domain == _VERDICT_DOMAIN and len(names) == 3:
+            self._take_verdict(entry, *names)
+        elif domain == _SILENCE_DOMAIN and len(names) == 2:
+            self._take_silence(entry, *names)
+
+    def evaluate(self) -> Iterator[tuple[str, str, TargetState]]:
+        """Judges all targets anew and yields group, target and state of those that changed."""
+        for (group, _), health in self._health.items():
+            for target, state in health.evaluate().items():
+                yield group, target, state
+
+    def _take_verdict(self, entry: Entry, group: str, target: str, prober: str) -> None:
+        spec = self._targets.get((group, target))
+        if spec is None:
+            self._waiting[entry.key] = entry
+            return
+        with contextlib.suppress(msgspec.DecodeError):
+            verdict = _VERDICT_DECODER.decode(entry.payload)
+            self._health[group, spec.zone].take_verdict(target, prober, verdict.state)
+
+    def _take_silence(self, entry: Entry, group: str, target: str) -> None:
+        spec = self._targets.get((group, target))
+        if spec is None:
+            return
+        with contextlib.suppress(msgspec.DecodeError):
+            verdict = _SILENCE_DECODER.decode(entry.payload)
+            self._health[group, spec.zone].take_silence(target, verdict.hold_s)
+
+    def _retry_waiting(self) -> None:
+        """Takes verdicts that came before the configuration that names their target."""
+        waiting, self._waiting = self._waiting, {}
+        for entry in waiting.values():
+            group, target = entry.key.split("/")[1:3]
+            if (group, target) in self._targets:
+                self.take_entry(entry)
+
+    def _assign(self) -> None:
+        for (group, target), spec in self._targets.items():
+            self._health[group, spec.zone].set_probers(target, self._probers((group, target)))
+
+    def _probers(self, key: Assignment) -> tuple[str, ...]:
+        return rank(f"probe/{key[0]}/{key[1]}", self._instances, PROBERS_PER_TARGET)
--- /dev/null
+++ b/tests/test_probe_history.py
@@ -0,0 +1,50 @@
+"""Tests of pearwell.probe_history."""
+
+import pytest
+
+from pearwell.clock import ManualClock
+from pearwell.group import HealthCheck
+from pearwell.placement import TargetState
+from pearwell.probe_history import Outcome, ProbeHistory
+
+W, S, D = TargetState.WORKING, TargetState.SUSPECT, TargetState.DEAD
+OUTCOMES = {
+    ".": Outcome.OK,
+    "f": Outcome.FAILING,
+    "h": Outcome.HANGING,
+    "r": Outcome.REFUSED,
+    "s": Outcome.SILENT,
+    "g": Outcome.GONE,
+}
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "expected"),
+    [
+        ("..", W),
+        ("ff.ff.", W),
+        ("fff", S),
+        ("ffffffffffff", S),
+        ("hhhhhhhhhhhh", S),
+        ("rrrrrrrrrrrr", S),
+        ("sss", S),
+        ("sssss", S),
+        ("ssssss", D),
+        ("gggggg", D),
+        ("sssssf", S),
+        ("ssssss.", D),
+        ("ssssss..", W),
+        ("ssssssfff", S),
+        ("fff.f.", S),
+        ("fff..", W),
+        ("fff..fff..", S),
+        ("fff..fff....", W),
+    ],
+)
+def test_opinion_has_hysteresis_and_only_silence_is_death(outcomes, expected):
+    clock = ManualClock()
+    history = ProbeHistory(HealthCheck(), clock)
+    for letter in outcomes:
+        clock.advance(1.0)
+        state = history.observe(OUTCOMES[letter])
+    assert state is expected
