--- /dev/null
+++ b/pearwell/gossip.py
@@ -0,0 +1,344 @@
+"""Gossip: spreads versioned entries over a zone and knows which instance holds what."""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from xxhash import xxh3_64_intdigest
+
+from pearwell.clock import Clock
+from pearwell.messages import (
+    Digest,
+    Entry,
+    EntryVersion,
+    Held,
+    HoldersQuery,
+    Message,
+    Pull,
+    Push,
+)
+from pearwell.ring import successors
+from pearwell.transport import Transport
+
+__all__ = ["URGENT_DOMAINS", "Gossip"]
+
+SHARD_COUNT = 128
+PUSH_CHUNK_BYTES = 32_768
+PUSH_BYTES_PER_S = 8_000
+PUSH_BURST_BYTES = 64_000
+COMPARE_INTERVAL_S = 0.5
+STRANGER_INTERVAL_S = 5.0
+QUERY_INTERVAL_S = 0.5
+INTEREST_S = 10.0
+ENTRY_OVERHEAD_BYTES = 16
+
+# Entries whose key starts with one of these path elements are pushed whatever the budget.
+URGENT_DOMAINS = frozenset({"config", "placement"})
+
+
+@dataclass(slots=True)
+class _Interest:
+    """An instance's wish to know the holders of a key."""
+
+    until: float
+    queried_at: float = float("-inf")
+    holders: dict[str, EntryVersion] = field(default_factory=dict)
+
+
+class Gossip:
+    """Holds the entries of one instance and exchanges them with its peers.
+
+    A new entry is pushed along the rings at once. What a push misses is repaired by comparing
+    checksums: first of all entries, then of shards of the key space, then versions.
+
+    Args:
+        instance: Id of the own instance.
+        transport: Sends messages to peers.
+        clock: Source of monotonic time.
+        rng: Source of random choices of peers.
+        adopted: Called with every entry that is adopted, also with the instance's own.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+        adopted: Callable[[Entry], None],
+    ) -> None:
+        self._instance = instance
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._adopted = adopted
+        self._entries: dict[str, Entry] = {}
+        self._shards = [0] * SHARD_COUNT
+        self._shard_keys: list[set[str]] = [set() for _ in range(SHARD_COUNT)]
+        self._domains: dict[str, int] = {}
+        self._peers: tuple[str, ...] = ()
+        self._neighbours: tuple[str, ...] = ()
+        self._outbox: dict[str, Entry] = {}
+        self._tokens = float(PUSH_BURST_BYTES)
+        self._tokens_at = clock.now()
+        self._compare_at = clock.now()
+        self._stranger_at = clock.now() + STRANGER_INTERVAL_S * rng.random()
+        self._interests: dict[str, _Interest] = {}
+        self._watchers: dict[str, dict[str, float]] = {}
+        self._handlers: dict[type[Message], Callable[[str, Any], None]] = {
+            Push: self._on_push,
+            Digest: self._on_digest,
+            Pull: self._on_pull,
+            HoldersQuery: self._on_holders_query,
+            Held: self._on_held,
+        }
+
+    @property
+    def message_types(self) -> tuple[type[Message], ...]:
+        """Types of messages that handle takes."""
+        return tuple(self._handlers)
+
+    @property
+    def neighbours(self) -> tuple[str, ...]:
+        """Peers that new entries are pushed to."""
+        return self._neighbours
+
+    def put(self, entry: Entry) -> bool:
+        """Adopts an entry that is higher than the held one and pushes it to peers.
+
+        Returns:
+            Whether it was adopted.
+        """
+        if not self._adopt(entry):
+            return False
+        self._spread([entry], without="")
+        return True
+
+    def get(self, key: str) -> Entry | None:
+        """Returns the held entry of a key, or None."""
+        return self._entries.get(key)
+
+    def entries(self, prefix: str) -> list[Entry]:
+        """Returns all held entries whose key starts with a prefix, in order of key."""
+        return [self._entries[key] for key in sorted(self._entries) if key.startswith(prefix)]
+
+    def checksum(self, domain: str) -> int:
+        """Returns a hash over the keys and versions with the same first path element."""
+        return self._domains.get(domain, 0)
+
+    def holders(self, key: str) -> dict[str, EntryVersion]:
+        """Returns the version of a key that each instance is known to hold.
+
+        The first call for a key starts to ask the peers; call it again until it is complete.
+        """
+        now = self._clock.now()
+        interest = self._interests.setdefault(key, _Interest(until=now))
+        interest.until = now + INTEREST_S
+        if now - interest.queried_at >= QUERY_INTERVAL_S:
+            self._query([key])
+        held = self._entries.get(key)
+        own = {self._instance: held.version} if held else {}
+        return interest.holders | own
+
+    def set_peers(self, instances: Iterable[str]) -> None:
+        """Sets the other members of the zone.
+
+        Args:
+            instances: Instance ids; the own one may be among them.
+        """
+        self._peers = tuple(sorted(set(instances) - {self._instance}))
+        self._neighbours = successors(self._instance, self._peers)
+        for interest in self._interests.values():
+            interest.holders = {
+                name: version for name, version in interest.holders.items() if name in self._peers
+            }
+
+    def compare(self, peer: str) -> None:
+        """Starts to compare all entries with a peer."""
+        self._transport.send(peer, Digest(self._checksum()))
+
+    def handle(self, sender: str, message: Message) -> None:
+        """Handles a message of a peer; types that aren't gossip's are ignored."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
+
+    def tick(self) -> None:
+        """Pushes what the budget held back, compares with a peer, asks for holders."""
+        now = self._clock.now()
+        self._flush()
+        if now >= self._compare_at and self._neighbours:
+            self._compare_at = now + COMPARE_INTERVAL_S
+            self.compare(self._rng.choice(self._neighbours))
+        if now >= self._stranger_at and self._peers:
+            self._stranger_at = now + STRANGER_INTERVAL_S
+            self.compare(self._rng.choice(self._peers))
+        self._forget(now)
+        self._query([key for key, i in self._interests.items() if self._is_due(i, now)])
+
+    def _adopt(self, entry: Entry) -> bool:
+        held = self._entries.get(entry.key)
+        if held is not None and entry.version <= held.version:
+            return False
+        shard = _shard_of(entry.key)
+        domain = entry.key.partition("/")[0]
+        change = _fingerprint(entry) ^ (_fingerprint(held) if held else 0)
+        self._shards[shard] ^= change
+        self._domains[domain] = self._domains.get(domain, 0) ^ change
+        self._shard_keys[shard].add(entry.key)
+        self._entries[entry.key] = entry
+        self._adopted(entry)
+        return True
+
+    def _checksum(self) -> int:
+        total = 0
+        for checksum in self._shards:
+            total ^= checksum
+        return total
+
+    def _spread(self, entries: list[Entry], without: str) -> None:
+        self._refill()
+        urgent = [e for e in entries if e.key.partition("/")[0] in URGENT_DOMAINS]
+        self._push_to_neighbours(urgent, without)
+        others = [e for e in entries if e.key.partition("/")[0] not in URGENT_DOMAINS]
+        if self._tokens > 0 and not self._outbox:
+            self._push_to_neighbours(others, without)
+        else:
+            self._outbox.update((entry.key, entry) for entry in others)
+        self._notify_watchers(entries)
+
+    def _push_to_neighbours(self, entries: list[Entry], without: str) -> None:
+        for peer in self._neighbours:
+            if peer != without:
+                self._tokens -= self._push(peer, entries)
+
+    def _flush(self) -> None:
+        self._refill()
+        room = self._tokens / max(1, len(self._neighbours))
+        batch: list[Entry] = []
+        while self._outbox and room > 0:
+            entry = self._outbox.pop(next(iter(self._outbox)))
+            room -= _size_of(entry)
+            batch.append(entry)
+        self._push_to_neighbours(batch, without="")
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        earned = (now - self._tokens_at) * PUSH_BYTES_PER_S
+        self._tokens = min(PUSH_BURST_BYTES, self._tokens + earned)
+        self._tokens_at = now
+
+    def _push(self, peer: str, entries: Iterable[Entry]) -> int:
+        """Sends entries in chunks; returns their approximate size in bytes."""
+        sent = 0
+        chunk: list[Entry] = []
+        chunk_bytes = 0
+        for entry in entries:
+            chunk.append(entry)
+            chunk_bytes += _size_of(entry)
+            if chunk_bytes >= PUSH_CHUNK_BYTES:
+                self._transport.send(peer, Push(tuple(chunk)))
+                sent, chunk, chunk_bytes = sent + chunk_bytes, [], 0
+        if chunk:
+            self._transport.send(peer, Push(tuple(chunk)))
+        return sent + chunk_bytes
+
+    def _on_push(self, sender: str, message: Push) -> None:
+        news = [entry for entry in message.entries if self._adopt(entry)]
+        if news:
+            self._spread(news, without=sender)
+
+    def _on_digest(self, sender: str, message: Digest) -> None:
+        if message.checksum == self._checksum():
+            return
+        if message.listed:
+            self._reconcile(sender, message)
+        elif message.shards:
+            self._transport.send(sender, self._list_versions(message))
+        else:
+            answer = Digest(self._checksum(), shards=tuple(self._shards))
+            self._transport.send(sender, answer)
+
+    def _list_versions(self, message: Digest) -> Digest:
+        pairs = zip(self._shards, message.shards, strict=False)
+        listed = tuple(index for index, (own, other) in enumerate(pairs) if own != other)
+        keys = [key for index in listed for key in self._shard_keys[index]]
+        versions = tuple((key, self._entries[key].version) for key in keys)
+        return Digest(self._checksum(), versions=versions, listed=listed)
+
+    def _reconcile(self, sender: str, message: Digest) -> None:
+        theirs = dict(message.versions)
+        wanted = tuple(key for key, version in theirs.items() if self._is_lower(key, version))
+        shards = [index for index in message.listed if 0 <= index < SHARD_COUNT]
+        held = [self._entries[key] for index in shards for key in self._shard_keys[index]]
+        self._push(sender, [e for e in held if e.key not in theirs or theirs[e.key] < e.version])
+        if wanted:
+            self._transport.send(sender, Pull(wanted))
+
+    def _is_lower(self, key: str, version: EntryVersion) -> bool:
+        held = self._entries.get(key)
+        return held is None or held.version < version
+
+    def _on_pull(self, sender: str, message: Pull) -> None:
+        self._push(sender, [self._entries[key] for key in message.keys if key in self._entries])
+
+    def _query(self, keys: list[str]) -> None:
+        by_peer: dict[str, list[str]] = {}
+        for key in keys:
+            interest = self._interests[key]
+            interest.queried_at = self._clock.now()
+            held = self._entries.get(key)
+            for peer in self._peers:
+                version = interest.holders.get(peer)
+                if version is None or (held is not None and version < held.version):
+                    by_peer.setdefault(peer, []).append(key)
+        for peer, lacking in by_peer.items():
+            self._transport.send(peer, HoldersQuery(tuple(lacking)))
+
+    def _is_due(self, interest: _Interest, now: float) -> bool:
+        return now - interest.queried_at >= QUERY_INTERVAL_S
+
+    def _forget(self, now: float) -> None:
+        self._interests = {k: i for k, i in self._interests.items() if i.until > now}
+        for key in list(self._watchers):
+            live = {peer: until for peer, until in self._watchers[key].items() if until > now}
+            if live:
+                self._watchers[key] = live
+            else:
+                del self._watchers[key]
+
+    def _on_holders_query(self, sender: str, message: HoldersQuery) -> None:
+        until = self._clock.now() + INTEREST_S
+        for key in message.keys:
+            self._watchers.setdefault(key, {})[sender] = until
+        held = [self._entries[key] for key in message.keys if key in self._entries]
+        self._transport.send(sender, Held(tuple((e.key, e.version) for e in held)))
+
+    def _notify_watchers(self, entries: list[Entry]) -> None:
+        by_peer: dict[str, list[tuple[str, EntryVersion]]] = {}
+        for entry in entries:
+            for peer in self._watchers.get(entry.key, ()):
+                by_peer.setdefault(peer, []).append((entry.key, entry.version))
+        for peer, versions in by_peer.items():
+            self._transport.send(peer, Held(tuple(versions)))
+
+    def _on_held(self, sender: str, message: Held) -> None:
+        for key, version in message.versions:
+            interest = self._interests.get(key)
+            known = interest.holders.get(sender) if interest else None
+            if interest is not None and (known is None or known < version):
+                interest.holders[sender] = version
+
+
+def _shard_of(key: str) -> int:
+    return xxh3_64_intdigest(key.encode()) % SHARD_COUNT
+
+
+def _size_of(entry: Entry) -> int:
+    return len(entry.payload) + len(entry.key) + ENTRY_OVERHEAD_BYTES
+
+
+def _fingerprint(entry: Entry) -> int:
+    version = entry.version
+    return xxh3_64_intdigest(f"{entry.key}\0{version.counter}\0{version.instance}".encode())
--- a/pearwell/messages/gossip.py
+++ b/pearwell/messages/gossip.py
@@ -4,7 +4,7 @@
 
 from pearwell.messages.base import Message, wire
 
-__all__ = ["Digest", "Entry", "EntryVersion", "Pull", "Push"]
+__all__ = ["Digest", "Entry", "EntryVersion", "Held", "HoldersQuery", "Pull", "Push"]
 
 
 class EntryVersion(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -42,15 +42,19 @@
 
 @wire
 class Digest(Message, frozen=True):
-    """Versions that the sender holds; the receiver answers with Push and Pull.
+    """Summary of the entries that the sender holds, finer with every round of a comparison.
 
     Attributes:
         checksum: Hash over all keys and versions; equal ones need no answer.
-        versions: Versions by key; empty while only checksums are compared.
+        versions: Versions by key in the listed shards; the receiver answers with Push and Pull.
+        shards: Checksum of each shard of the key space; empty in the first round.
+        listed: Indices of the shards whose versions are given; empty before the last round.
     """
 
     checksum: int
     versions: tuple[tuple[str, EntryVersion], ...] = ()
+    shards: tuple[int, ...] = ()
+    listed: tuple[int, ...] = ()
 
 
 @wire
@@ -58,3 +62,17 @@
     """Asks for entries by key."""
 
     keys: tuple[str, ...]
+
+
+@wire
+class HoldersQuery(Message, frozen=True):
+    """Asks which versions the receiver holds, now and whenever they rise in the next seconds."""
+
+    keys: tuple[str, ...]
+
+
+@wire
+class Held(Message, frozen=True):
+    """Versions that the sender holds, as an answer to HoldersQuery."""
+
+    versions: tuple[tuple[str, EntryVersion], ...]
--- /dev/null
+++ b/tests/test_swim.py
@@ -0,0 +1,194 @@
+"""Tests of pearwell.swim in virtual time."""
+
+import random
+
+import pytest
+
+from pearwell.clock import ManualClock
+from pearwell.membership import Member, MemberState
+from pearwell.messages import Ping
+from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
+from pearwell.transport import MemoryNetwork
+
+
+def member(number):
+    return Member(f"i{number}", f"127.40.0.{number + 1}", 20001, 20002)
+
+
+class Zone:
+    """Membership cores on an in-memory network; instances may stop, pause and be cut off."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.cut = lambda sender, to: False
+        self.network = MemoryNetwork(self.clock, lambda s, t, m: () if self.cut(s, t) else (0.001,))
+        self.seeds = [member(number) for number in range(min(count, 3))]
+        self.cores, self.views, self.renewed = {}, {}, {}
+        self.paused, self.held_back = set(), {}
+        for number in range(count):
+            self.start(number)
+
+    def start(self, number):
+        name = f"i{number}"
+        self.views[name] = []
+
+        def receive(sender, message):
+            if name in self.paused:
+                self.held_back.setdefault(name, []).append((sender, message))
+            else:
+                core.handle(sender, message)
+
+        transport = self.network.attach(name, receive)
+        events = SwimEvents(
+            changed=self.views[name].append,
+            renewed=lambda heard_at: self.renewed.__setitem__(name, heard_at),
+        )
+        core = Swim(member(number), transport, self.clock, random.Random(number), events)
+        core.seed(self.seeds)
+        self.cores[name] = core
+        self._tick(name, core)
+        return core
+
+    def kill(self, name):
+        self.network.detach(name)
+        del self.cores[name]
+
+    def resume(self, name):
+        self.paused.discard(name)
+        for sender, message in self.held_back.pop(name, []):
+            self.cores[name].handle(sender, message)
+
+    def _tick(self, name, core):
+        if self.cores.get(name) is not core:
+            return
+        if name not in self.paused:
+            core.tick()
+        when = self.clock.now() + TICK_INTERVAL_S
+        self.network.call_at(when, lambda: self._tick(name, core))
+
+    def run(self, seconds):
+        self.network.run_until(self.clock.now() + seconds)
+
+    def views_now(self):
+        return {
+            tuple((m.instance, m.state) for m in core.view.members) for core in self.cores.values()
+        }
+
+    def assert_all_alive(self):
+        expected = tuple((name, MemberState.ALIVE) for name in sorted(self.cores))
+        assert self.views_now() == {expected}
+
+
+@pytest.mark.parametrize("count", [1, 2, 7, 40])
+def test_instances_that_start_together_agree(count):
+    zone = Zone(count)
+    zone.run(8.0)
+    zone.assert_all_alive()
+    lease = [zone.clock.now() - zone.renewed[name] for name in zone.cores]
+    assert max(lease) < 1.0
+
+
+@pytest.mark.parametrize("killed", [["i4"], ["i1", "i5", "i6"], [f"i{n}" for n in range(0, 18, 2)]])
+def test_dead_instances_leave_every_view(killed):
+    zone = Zone(18)
+    zone.run(8.0)
+    for name in killed:
+        zone.kill(name)
+    zone.run(9.0)
+    zone.assert_all_alive()
+
+
+def test_every_instance_replaced_within_a_minute():
+    zone = Zone(12)
+    zone.run(8.0)
+    for number in range(12):
+        zone.seeds = [core.view.find(name) for name, core in zone.cores.items()]
+        zone.start(number + 100)
+        zone.run(2.5)
+        zone.kill(f"i{number}")
+        zone.run(2.5)
+    zone.run(9.0)
+    zone.assert_all_alive()
+
+
+def test_a_restarted_instance_refutes_its_old_death():
+    zone = Zone(6)
+    zone.run(8.0)
+    zone.kill("i4")
+    zone.run(6.0)
+    zone.start(4)
+    zone.run(3.0)
+    zone.assert_all_alive()
+    assert zone.cores["i0"].view.find("i4").incarnation > 0
+
+
+@pytest.mark.parametrize("pause_s", [1.0, 2.0, 20.0])
+def test_a_paused_instance_accuses_no_one_and_renews_its_view(pause_s):
+    zone = Zone(10)
+    zone.run(8.0)
+    for views in zone.views.values():
+        views.clear()
+    zone.paused.add("i3")
+    zone.run(pause_s)
+    resumed_at = zone.clock.now()
+    assert zone.renewed["i3"] <= resumed_at - pause_s + TICK_INTERVAL_S
+    zone.resume("i3")
+    assert zone.renewed["i3"] <= resumed_at - pause_s + TICK_INTERVAL_S
+    zone.run(2.0)
+    zone.assert_all_alive()
+    assert zone.cores["i3"].pauses == 1
+    assert zone.renewed["i3"] > resumed_at
+    seen = [m for views in zone.views.values() for view in views for m in view.members]
+    assert {m.instance for m in seen if m.state is not MemberState.ALIVE} <= {"i3"}
+
+
+def test_a_lost_link_between_two_instances_kills_no_one():
+    zone = Zone(10)
+    zone.run(8.0)
+    victim = zone.cores["i0"].neighbours[0]
+    zone.cut = lambda sender, to: {sender, to} == {"i0", victim}
+    zone.run(10.0)
+    zone.assert_all_alive()
+
+
+def test_a_split_zone_goes_on_in_halves_and_heals():
+    zone = Zone(12)
+    zone.run(8.0)
+    half = {f"i{number}" for number in range(6)}
+    zone.cut = lambda sender, to: (sender in half) != (to in half)
+    zone.run(12.0)
+    assert {len(core.view.members) for core in zone.cores.values()} == {6}
+    lease = [zone.clock.now() - zone.renewed[name] for name in zone.cores]
+    assert max(lease) < 1.0
+    for views in zone.views.values():
+        views.clear()
+    zone.cut = lambda sender, to: False
+    zone.run(20.0)
+    zone.assert_all_alive()
+    shrunk = min(len(view.members) for views in zone.views.values() for view in views)
+    assert shrunk >= 6
+
+
+def test_leaving_is_seen_at_once_and_then_the_instance_is_gone():
+    zone = Zone(8)
+    zone.run(8.0)
+    zone.cores["i2"].leave()
+    zone.run(0.1)
+    states = {core.view.find("i2").state for core in zone.cores.values()}
+    assert states == {MemberState.LEAVING}
+    zone.cores["i2"].stop()
+    zone.kill("i2")
+    zone.run(0.1)
+    zone.assert_all_alive()
+
+
+def test_cost_of_an_instance_does_not_grow_with_the_zone():
+    pings = {}
+    for count in (10, 80):
+        zone = Zone(count)
+        zone.run(10.0)
+        seen = []
+        zone.network._delivery = lambda s, t, m, seen=seen: (seen.append(m), (0.001,))[1]
+        zone.run(4.0)
+        pings[count] = sum(isinstance(m, Ping) for m in seen) / count
+    assert pings[10] == pings[80] == 4.0 / TICK_INTERVAL_S
