--- a/pearwell/admission.py
+++ b/pearwell/admission.py
@@ -13,7 +13,9 @@
 
 from pearwell.clock import Clock
 from pearwell.configuration import Configuration
+from pearwell.drain import TargetDrain
 from pearwell.errors import Code, InvariantError
+from pearwell.group import TargetIntent
 from pearwell.rate_limit import OpenFlowLimit, RateLimit, RecentAnswers
 from pearwell.service import FlowLimits
 
@@ -37,9 +39,11 @@
         self._salt = rng.getrandbits(64)
         self._live_instances = 1
         self._services: dict[str, _ServiceLimits] = {}
+        self._drains = _Drains(clock)
 
     def configure(self, configuration: Configuration) -> None:
         """Applies the limits of all services; unchanged ones keep their state."""
+        self._drains.configure(configuration)
         known = self._services
         self._services = {}
         for name, service in configuration.services.items():
@@ -50,6 +54,7 @@
                 held = _ServiceLimits(name, service.limits, self._salt, self._clock.now())
                 held.share(self._live_instances)
             group = configuration.groups.get(service.group)
+            held.group = service.group
             held.keep_targets({target.name for target in group.targets} if group else set())
             self._services[name] = held
 
@@ -60,8 +65,8 @@
             limits.share(self._live_instances)
 
     def limited(self, service: str) -> bool:
-        """Whether a service has any limit, so that its flow starts go to their owner."""
-        return service in self._services
+        """Whether a service has a limit or a leaving target, so that owners decide on starts."""
+        return service in self._services or service in self._drains.services
 
     def admit(self, service: str, caller_prefix: bytes, target: str, flow_hash: int) -> Code:
         """Decides on a flow start; a repeated one gets the answer it got before.
@@ -77,11 +82,13 @@
         """
         limits = self._services.get(service)
         if limits is None:
-            return Code.OK if target else Code.REFUSED_NO_TARGET
+            return self._check_target(service, target)
         now = self._clock.now()
         answer = limits.answers.find(flow_hash, now)
         if answer is None:
-            answer = limits.decide(caller_prefix, target, flow_hash, now)
+            answer = self._check_target(service, target)
+            if answer is Code.OK:
+                answer = limits.decide(caller_prefix, target, flow_hash, now)
             limits.answers.remember(flow_hash, answer, now)
         return answer
 
@@ -91,11 +98,11 @@
         if limits is not None:
             limits.ended(target)
 
-    def report_open_flows(self, service: str, open_flows: Mapping[str, int]) -> None:
-        """Takes the open flows of a service in the zone, by target."""
-        limits = self._services.get(service)
-        if limits is not None:
-            limits.report(open_flows)
+    def report_open_flows(self, group: str, open_flows: Mapping[str, int]) -> None:
+        """Takes the open flows of a group in the zone, by target."""
+        for limits in self._services.values():
+            if limits.group == group:
+                limits.report(open_flows)
 
     def check_forwarded(self, service: str, flow_hash: int) -> None:
         """Asserts that a flow whose packet goes to a target wasn't refused.
@@ -109,12 +116,57 @@
             detail = f"a refused flow of {service} reaches a target"
             raise InvariantError(Code.INVARIANT_VIOLATED, detail)
 
+    def _check_target(self, service: str, target: str) -> Code:
+        """Refuses a flow that has no target, or one that has been leaving for its grace time."""
+        if target and self._drains.takes_new(service, target):
+            return Code.OK
+        return Code.REFUSED_NO_TARGET
+
+
+class _Drains:
+    """The leaving targets of all services.
+
+    The placement moves new flows away within the grace time; this holds where it was too late.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_group: dict[str, dict[str, TargetDrain]] = {}
+        self._groups: dict[str, str] = {}
+
+    @property
+    def services(self) -> Mapping[str, str]:
+        """Groups of the services that have a leaving target."""
+        return self._groups
+
+    def configure(self, configuration: Configuration) -> None:
+        known, self._by_group = self._by_group, {}
+        for name, group in configuration.groups.items():
+            held = known.get(name, {})
+            leaving = (t.name for t in group.targets if t.intent is TargetIntent.LEAVING)
+            drains = {target: held.get(target) or self._start(target) for target in leaving}
+            if drains:
+                self._by_group[name] = drains
+        services = configuration.services.values()
+        self._groups = {s.name: s.group for s in services if s.group in self._by_group}
+
+    def takes_new(self, service: str, target: str) -> bool:
+        group = self._groups.get(service, "")
+        drain = self._by_group.get(group, {}).get(target)
+        return drain is None or drain.takes_new
+
+    def _start(self, target: str) -> TargetDrain:
+        drain = TargetDrain(target, self._clock)
+        drain.leave()
+        return drain
+
 
 class _ServiceLimits:
     """The limits of one service and the answers given under them."""
 
     def __init__(self, name: str, limits: FlowLimits, salt: int, now: float) -> None:
         self.limits = limits
+        self.group = ""
         self.answers = RecentAnswers()
         self._seed = xxh3_64_intdigest(name.encode())
         self._live = 1
@@ -138,8 +190,6 @@
 
     def decide(self, prefix: bytes, target: str, flow_hash: int, now: float) -> Code:
         """Asks the narrowest limit first, so that what it refuses doesn't load the wider ones."""
-        if not target:
-            return Code.REFUSED_NO_TARGET
         key = flow_hash.to_bytes(8, "big")
         passed: list[RateLimit] = []
         if not self._prefixes.offer(prefix, self._position(key, 1), now, passed):
--- a/pearwell/balancer.py
+++ b/pearwell/balancer.py
@@ -39,7 +39,7 @@
 )
 from pearwell.placement import TargetState
 from pearwell.rendezvous import rank
-from pearwell.service import FlowLimits, ServiceSpec
+from pearwell.service import ServiceSpec
 from pearwell.transport import Transport
 from pearwell.zone_health import live_instances, silence_key
 
@@ -146,7 +146,7 @@
                 balance = self._balances[group] = GroupBalance(self._clock, policy)
                 self._set_working(group)
                 self._adopt(group, balance)
-            balance.configure(self._targets(group), policy, self._seen_share(group))
+            balance.configure(self._targets(group), policy)
             self._set_working(group)
 
     def _leads(self, group: str) -> bool:
@@ -176,11 +176,6 @@
             and self._states.get((group, target.name), TargetState.WORKING) is TargetState.WORKING
         )
 
-    def _seen_share(self, group: str) -> float:
-        """Returns the share of repeated SYNs that is noticed; all where owners decide on starts."""
-        limited = any(s.limits != FlowLimits() for s in self._services(group))
-        return 1.0 if limited else 1.0 / len(self._instances)
-
     def _services(self, group: str) -> list[ServiceSpec]:
         return [s for s in self._configuration.services.values() if s.group == group]
 
--- a/pearwell/group_balance.py
+++ b/pearwell/group_balance.py
@@ -52,27 +52,20 @@
         self._weights = WeightController(clock, policy)
         self._detectors: dict[str, SilenceDetector] = {}
         self._silent: set[str] = set()
-        self._seen_share = 1.0
         self._open_flows_due = clock.now()
 
-    def configure(
-        self, targets: Iterable[TargetSpec], policy: WeightPolicy, seen_share: float
-    ) -> None:
+    def configure(self, targets: Iterable[TargetSpec], policy: WeightPolicy) -> None:
         """Applies configuration.
 
         Args:
             targets: The zone's targets of the group, working or not.
             policy: How weights follow load.
-            seen_share: Share of the repeated SYNs that is noticed.
         """
         self._weights.set_policy(policy)
-        self._seen_share = seen_share
         held = self._detectors
         self._detectors = {
             target.name: held.get(target.name) or SilenceDetector(self._clock) for target in targets
         }
-        for detector in self._detectors.values():
-            detector.set_seen_share(seen_share)
 
     def set_working(self, working: Iterable[TargetSpec]) -> None:
         """Sets the targets that take new flows."""
--- a/pearwell/health.py
+++ b/pearwell/health.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from pearwell.clock import Clock
+from pearwell.drain import TargetDrain
 from pearwell.group import TargetIntent, TargetSpec
 from pearwell.placement import TargetState
 
@@ -33,6 +34,7 @@
 
     Attributes:
         spec: Its configuration.
+        drain: Whether it is leaving, and since when.
         silent_until: End of the time in which the second signal calls it silent, in seconds.
         silent: Whether it was so at the last evaluation.
         verdicts: Verdicts by prober.
@@ -44,6 +46,7 @@
     """
 
     spec: TargetSpec
+    drain: TargetDrain
     silent_until: float = -math.inf
     silent: bool = False
     verdicts: dict[str, _Held] = field(default_factory=dict)
@@ -90,8 +93,10 @@
         known = self._targets
         self._targets = {}
         for spec in targets:
-            tracked = known.get(spec.name) or _Tracked(spec)
+            drain = TargetDrain(spec.name, self._clock)
+            tracked = known.get(spec.name) or _Tracked(spec, drain)
             tracked.spec = spec
+            _apply_intent(tracked)
             self._targets[spec.name] = tracked
 
     def set_probers(self, target: str, probers: tuple[str, ...]) -> None:
@@ -183,18 +188,21 @@
     return sorted(states, reverse=True)[needed - 1]
 
 
+def _apply_intent(tracked: _Tracked) -> None:
+    """Starts or cancels the drain as the operator wants it."""
+    if tracked.spec.intent is TargetIntent.LEAVING:
+        tracked.drain.leave(tracked.spec.drain_deadline_s)
+    else:
+        tracked.drain.cancel()
+
+
 def _final_state(tracked: _Tracked) -> TargetState:
-    """Returns the state that the placement acts on."""
+    """Returns the state that the placement acts on; a drain's deadline ends like a death."""
+    leaving = tracked.spec.intent is TargetIntent.LEAVING
+    if leaving and not tracked.drain.keeps_old:
+        return TargetState.DEAD
     if tracked.distrusted:
-        return _INTENDED[tracked.spec.intent]
+        return TargetState.LEAVING if leaving else TargetState.WORKING
     if tracked.evidence is TargetState.DEAD:
         return TargetState.DEAD
-    if tracked.spec.intent is TargetIntent.LEAVING:
-        return TargetState.LEAVING
-    return tracked.evidence
-
-
-_INTENDED: Mapping[TargetIntent, TargetState] = {
-    TargetIntent.SERVING: TargetState.WORKING,
-    TargetIntent.LEAVING: TargetState.LEAVING,
-}
+    return TargetState.LEAVING if leaving else tracked.evidence
--- a/pearwell/silence.py
+++ b/pearwell/silence.py
@@ -8,7 +8,7 @@
 
 RELAPSE_WINDOW_S = 60.0
 SILENCE_WINDOW_S = 10.0
-MIN_REPEATED_SYNS = 3
+MIN_REPEATED_SYNS = 24
 MIN_REPEAT_RATIO = 0.3
 SILENCE_HOLD_S = 10.0
 MAX_SILENCE_HOLD_S = 80.0
@@ -22,13 +22,10 @@
 
     Args:
         clock: Source of monotonic time.
-        seen_share: Share of the repeated SYNs that is noticed; the fabric may hand a repeated SYN
-            to an instance that doesn't know the first one.
     """
 
-    def __init__(self, clock: Clock, seen_share: float = 1.0) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._seen_share = seen_share
         self._window_start = clock.now()
         self._started = 0
         self._repeated = 0
@@ -45,10 +42,6 @@
         """Time in seconds for which the target goes on to count as silent."""
         return max(0.0, self._silent_until - self._clock.now())
 
-    def set_seen_share(self, seen_share: float) -> None:
-        """Changes the share of the repeated SYNs that is noticed."""
-        self._seen_share = seen_share
-
     def started(self, count: int) -> None:
         """Takes a number of flow starts towards the target."""
         self._roll()
@@ -58,8 +51,7 @@
         """Takes a number of repeated SYNs towards the target."""
         self._roll()
         self._repeated += count
-        wanted = MIN_REPEAT_RATIO * self._seen_share * self._started
-        if self._repeated >= max(MIN_REPEATED_SYNS, wanted):
+        if self._repeated >= max(MIN_REPEATED_SYNS, MIN_REPEAT_RATIO * self._started):
             self._mark_silent()
 
     def _mark_silent(self) -> None:
--- a/pearwell/weights.py
+++ b/pearwell/weights.py
@@ -21,8 +21,8 @@
 __all__ = ["POLICIES", "WeightController", "WeightPolicy"]
 
 REPORT_LIFETIME_S = 30.0
-BUSY_TIME_CONSTANT_S = 600.0
-BUSY_KNOWN_S = 300.0
+BUSY_TIME_CONSTANT_S = 1800.0
+BUSY_KNOWN_S = 900.0
 MIN_BUSY_S = 1.0
 BUSY_SIGNIFICANT = 0.3
 PLAUSIBLE_FACTOR = 1.25
@@ -64,7 +64,7 @@
 
 POLICIES: Mapping[Preference, WeightPolicy] = {
     Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 0.5, 1.5, 0.1, 0.2, 0.03),
-    Preference.EVEN: WeightPolicy(0.02, 4.0, 0.5, 3.0, 0.3, 1.0, 0.04),
+    Preference.EVEN: WeightPolicy(0.02, 4.0, 0.5, 3.0, 0.2, 1.0, 0.04),
 }
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -113,3 +113,23 @@
             health.take_verdict(target, prober, S)
     health.evaluate()
     assert set(health.states.values()) == {expected}
+
+
+@pytest.mark.parametrize(
+    ("deadline_s", "after_s", "expected"),
+    [(0.0, 1e6, L), (30.0, 29.0, L), (30.0, 30.0, D)],
+)
+def test_flows_of_a_leaving_target_are_reset_at_its_deadline(deadline_s, after_s, expected):
+    clock = ManualClock(100.0)
+    health = GroupHealth(clock)
+    leaving = TargetSpec(
+        "t0", "10.0.0.1", "z", intent=TargetIntent.LEAVING, drain_deadline_s=deadline_s
+    )
+    health.set_targets([leaving, TargetSpec("t1", "10.0.0.2", "z")])
+    health.evaluate()
+    clock.advance(after_s)
+    health.evaluate()
+    assert health.states["t0"] is expected
+    health.set_targets([TargetSpec("t0", "10.0.0.1", "z"), TargetSpec("t1", "10.0.0.2", "z")])
+    health.evaluate()
+    assert health.states["t0"] is W
