--- a/pearwell/admin.py
+++ b/pearwell/admin.py
@@ -13,6 +13,7 @@
 from pearwell.audit_reader import AuditPage, AuditReader
 from pearwell.configuration import Kind
 from pearwell.configuration_reader import ConfigurationReader
+from pearwell.document import Document
 from pearwell.editor import MAX_PAGE_SIZE, ConfigurationEditor, WriteOutcome, WriteRequest
 from pearwell.edits import Edit
 from pearwell.errors import ConfigurationError, PearwellError
@@ -55,6 +56,7 @@
         editor: Reads and changes the configuration in the platform.
         state: What the instance knows.
         in_force: Knows which instances hold which version.
+        written: Called with each object that this instance has just written.
     """
 
     def __init__(
@@ -62,10 +64,12 @@
         editor: ConfigurationEditor,
         state: InstanceState,
         in_force: InForceSource | None = None,
+        written: Callable[[Document], None] = lambda document: None,
     ) -> None:
         self._editor = editor
         self._state = state
         self._in_force = in_force or NoZones()
+        self._written = written
         self._refusals = RefusalLog()
         self._audit = AuditReader(editor, self._refusals)
         self._reader = ConfigurationReader(editor, lambda: state.configuration)
@@ -277,6 +281,8 @@
         except ConfigurationError as error:
             self._record_refusal(order, error)
             raise
+        if not outcome.repeated:
+            self._written(outcome.document)
         _log.info("configuration_changed", **_labels(order), version=outcome.version)
         if not request.write.wait_s:
             return outcome, None
--- a/pearwell/admin_codec.py
+++ b/pearwell/admin_codec.py
@@ -165,7 +165,7 @@
         pb.ZoneInForce(
             zone=zone.zone,
             instances=zone.instances,
-            holding=zone.instances - len(zone.lagging),
+            holding=zone.holding,
             lagging=zone.lagging[:MAX_LAGGING],
             age_s=zone.age_s,
         )
--- a/pearwell/admin_server.py
+++ b/pearwell/admin_server.py
@@ -1,5 +1,6 @@
 """Server of the admin API, with gRPC health and reflection, and its kernel service."""
 
+from collections.abc import Callable
 from typing import Any
 
 import grpc
@@ -8,6 +9,7 @@
 from grpc_reflection.v1alpha import reflection
 
 from pearwell.admin import AdminServicer
+from pearwell.document import Document
 from pearwell.editor import ConfigurationEditor
 from pearwell.errors import Code, SettingsError
 from pearwell.in_force import InForceSource
@@ -104,6 +106,7 @@
         port: TCP port to listen on.
         in_force: Knows which instances hold which version.
         credentials: TLS credentials; None listens in plaintext.
+        written: Called with each object that this instance has just written.
     """
 
     name = "admin"
@@ -117,10 +120,11 @@
         port: int,
         in_force: InForceSource | None = None,
         credentials: grpc.ServerCredentials | None = None,
+        written: Callable[[Document], None] = lambda document: None,
     ) -> None:
         super().__init__()
         self._state = state
-        servicer = AdminServicer(editor, state, in_force)
+        servicer = AdminServicer(editor, state, in_force, written)
         self._server = AdminServer(servicer, address, port, credentials)
 
     async def start(self, kernel: Kernel) -> None:
--- /dev/null
+++ b/pearwell/applied.py
@@ -0,0 +1,131 @@
+"""Applied configuration: the highest version of each object, as one instance holds it."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from pearwell.configuration import Configuration, Kind
+from pearwell.errors import Code, ConfigurationError, InvariantError
+from pearwell.group import GroupSpec
+from pearwell.messages.gossip import Entry, EntryVersion
+from pearwell.object_store import StoredObject
+from pearwell.schema import Spec, from_document
+from pearwell.service import ServiceSpec
+
+__all__ = [
+    "CONFIG_PREFIX",
+    "AppliedConfiguration",
+    "entry_of",
+    "is_tombstone",
+    "key_of",
+    "tombstone",
+]
+
+CONFIG_PREFIX = "config/"
+
+# Payload of an entry whose object was deleted.
+_TOMBSTONE = b"null"
+
+
+@dataclass(frozen=True, slots=True)
+class _Versioned:
+    kind: Kind
+    name: str
+    version: int
+    spec: Spec | None
+
+
+class AppliedConfiguration:
+    """Holds services and groups; a lower version never replaces a higher one."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, ServiceSpec] = {}
+        self._groups: dict[str, GroupSpec] = {}
+        self._versions: dict[tuple[Kind, str], int] = {}
+
+    @property
+    def snapshot(self) -> Configuration:
+        """An immutable copy of what is applied."""
+        return Configuration(dict(self._services), dict(self._groups), dict(self._versions))
+
+    def apply(self, entry: Entry) -> bool:
+        """Applies an entry if its version is higher than the applied one.
+
+        Args:
+            entry: An entry whose key starts with CONFIG_PREFIX.
+
+        Returns:
+            Whether it was applied.
+
+        Raises:
+            ConfigurationError: Its value isn't valid for this release; what is applied stays.
+            InvariantError: It has the applied version with another value.
+        """
+        found = _parse(entry)
+        key = (found.kind, found.name)
+        applied = self._versions.get(key, 0)
+        if found.version == applied and found.spec != self._find(*key):
+            detail = f"{found.kind} {found.name} has two values of version {applied}"
+            raise InvariantError(Code.INVARIANT_VIOLATED, detail)
+        if found.version <= applied:
+            return False
+        self._replace(found)
+        self._versions[key] = found.version
+        return True
+
+    def _find(self, kind: Kind, name: str) -> Spec | None:
+        return self._services.get(name) if kind is Kind.SERVICE else self._groups.get(name)
+
+    def _replace(self, found: _Versioned) -> None:
+        if isinstance(found.spec, ServiceSpec):
+            self._services[found.name] = found.spec
+        elif isinstance(found.spec, GroupSpec):
+            self._groups[found.name] = found.spec
+        elif found.kind is Kind.SERVICE:
+            self._services.pop(found.name, None)
+        else:
+            self._groups.pop(found.name, None)
+
+
+def key_of(kind: str, name: str) -> str:
+    """Returns the key of an object's entry."""
+    return f"{CONFIG_PREFIX}{kind}/{name}"
+
+
+def entry_of(stored: StoredObject) -> Entry:
+    """Returns the entry of an object in the platform: its value as stored, without its audit trail.
+
+    The value isn't translated, so that instances of different releases spread the same bytes.
+
+    Raises:
+        ConfigurationError: CONFIG_INVALID if it is no configuration object.
+    """
+    key = key_of(stored.kind, stored.name)
+    if not isinstance(stored.value.get("spec", ""), dict | None):
+        raise ConfigurationError(Code.CONFIG_INVALID, f"{key} has no spec")
+    payload = msgspec.json.encode(stored.value["spec"], order="sorted")
+    return Entry(key, EntryVersion(stored.version), payload)
+
+
+def tombstone(key: str, version: int) -> Entry:
+    """Returns the entry of a deleted object."""
+    return Entry(key, EntryVersion(version), _TOMBSTONE)
+
+
+def is_tombstone(entry: Entry) -> bool:
+    """Returns whether an entry says that its object was deleted."""
+    return entry.payload == _TOMBSTONE
+
+
+def _parse(entry: Entry) -> _Versioned:
+    try:
+        kind_name, _, name = entry.key.removeprefix(CONFIG_PREFIX).partition("/")
+        kind = Kind(kind_name)
+        value: Any = msgspec.json.decode(entry.payload)
+    except (ValueError, msgspec.DecodeError) as error:
+        raise ConfigurationError(Code.CONFIG_INVALID, f"{entry.key}: {error}") from error
+    spec = None if value is None else from_document(kind, value)
+    if spec is not None and spec.name != name:
+        raise ConfigurationError(Code.CONFIG_INVALID, f"{entry.key} holds {spec.name}")
+    return _Versioned(kind, name, entry.version.counter, spec)
--- /dev/null
+++ b/pearwell/configuration_service.py
@@ -0,0 +1,232 @@
+"""Configuration service: applies entries, watches the platform as a relay, reports for the zone."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import structlog
+
+from pearwell.applied import CONFIG_PREFIX, AppliedConfiguration, entry_of
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration, Kind
+from pearwell.document import Document, encode_document
+from pearwell.entry_table import EntryTable
+from pearwell.errors import Code, PearwellError, PlatformError
+from pearwell.kernel import Kernel, QueuedService
+from pearwell.membership import View
+from pearwell.messages import ConfigurationChanged, Message, ViewChanged
+from pearwell.messages.gossip import Entry
+from pearwell.messages.local import EntryAdopted
+from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.platform_watch import PlatformWatch
+from pearwell.relay import Relay, relays
+from pearwell.status_store import StatusStore
+from pearwell.zone_status import StatusReporter
+
+__all__ = ["ConfigurationService"]
+
+# Time that an instance waits for its peers' entries before it asks the platform itself.
+PEER_GRACE_S = 2.0
+MAX_PEER_GRACE_S = 30.0
+# Time from the first entry to the first configuration, so that a stale peer isn't the only source.
+SETTLE_S = 1.2
+# Time for which the view must name the instance as a relay before it watches.
+RELAY_DELAY_S = 1.0
+TICK_INTERVAL_S = 0.25
+# Pause after a report that the platform didn't take.
+REPORT_RETRY_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class ConfigurationService(QueuedService):
+    """The kernel service "configuration".
+
+    Args:
+        instance: Id of the own instance.
+        zone: Its availability zone.
+        table: The zone's entries.
+        store: The platform, with retries.
+        clock: Source of monotonic time.
+        rng: Random source.
+        wall_time: Returns Unix time in seconds.
+    """
+
+    name = "configuration"
+    accepts = (EntryAdopted, ViewChanged)
+    interval_s = TICK_INTERVAL_S
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        table: EntryTable,
+        store: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        wall_time: Callable[[], float] = time.time,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._zone = zone
+        self._table = table
+        self._wall_time = wall_time
+        self._view = View()
+        self._relays = relays(zone, self._view, instance)
+        self._applied = AppliedConfiguration()
+        self._published = Configuration()
+        self._clock = clock
+        self._rng = rng
+        self._dirty = False
+        self._settled_at: float | None = None
+        self._relay_from: float | None = None
+        self._report_at = clock.now()
+        self._reporting: asyncio.Future[None] = asyncio.Future()
+        self._reporting.set_result(None)
+        relay = Relay(table, self._reject)
+        self._watches = [PlatformWatch(kind, store, relay, clock, rng) for kind in Kind]
+        self._watching: list[asyncio.Task[None]] = []
+        self._reporter = StatusReporter(zone, table)
+        self._statuses = StatusStore(store)
+        self._rejected = 0
+
+    @property
+    def configuration(self) -> Configuration:
+        """What this instance applies."""
+        return self._published
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this instance watches the platform for its zone."""
+        return bool(self._watching)
+
+    @property
+    def platform_reachable(self) -> bool:
+        """Whether the platform answered this instance's latest calls."""
+        return not self._watching or all(watch.reachable for watch in self._watches)
+
+    @property
+    def rejected(self) -> int:
+        """Number of objects that weren't applied because they are invalid."""
+        return self._rejected
+
+    async def start(self, kernel: Kernel) -> None:
+        """Applies what the zone's entries hold already, and starts."""
+        await super().start(kernel)
+        for entry in self._table.entries(CONFIG_PREFIX):
+            self._apply(entry)
+        self._spawn(self._ask_platform_if_alone())
+
+    async def stop(self) -> None:
+        """Stops watching and reporting."""
+        await super().stop()
+        self._reporting.cancel()
+        tasks = [*self._cancel_watching(), self._reporting]
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def handle(self, message: Message) -> None:
+        """Applies an adopted entry, or takes a new view."""
+        match message:
+            case EntryAdopted(entry) if entry.key.startswith(CONFIG_PREFIX):
+                self._apply(entry)
+            case ViewChanged(view):
+                self._view = view
+                self._relays = relays(self._zone, view, self._instance)
+        # Entries that arrive together are published together.
+        if self._queue.empty():
+            self._publish()
+
+    async def tick(self) -> None:
+        """Starts or stops the relay's work, and reports the zone's status if that is its task."""
+        self._publish()
+        self._choose_role()
+        if self._relays[0] != self._instance:
+            self._reporter.stop()
+        elif self._clock.now() >= self._report_at and self._reporting.done():
+            # In a task of its own, so that a slow platform doesn't hold up the zone's entries.
+            self._reporting = asyncio.ensure_future(self._try_report())
+
+    def written(self, document: Document) -> None:
+        """Spreads a change that this instance has just written, ahead of the watches."""
+        value = encode_document(document)
+        stored = StoredObject(document.kind, document.name, document.version, value)
+        self._table.put(entry_of(stored))
+
+    def members(self) -> tuple[str, ...]:
+        """Returns the members of the zone, at least the own instance."""
+        return tuple(m.instance for m in self._view.members) or (self._instance,)
+
+    def _apply(self, entry: Entry) -> None:
+        try:
+            applied = self._applied.apply(entry)
+        except PearwellError as error:
+            self._reject(error)
+            return
+        if self._settled_at is None:
+            self._settled_at = self._clock.now() + SETTLE_S
+        self._reporter.adopted(entry)
+        self._dirty = self._dirty or applied
+
+    def _publish(self) -> None:
+        if not self._dirty or self._settled_at is None or self._clock.now() < self._settled_at:
+            return
+        self._dirty = False
+        self._published = self._applied.snapshot
+        self.kernel.publish(ConfigurationChanged(self._published))
+
+    def _choose_role(self) -> None:
+        wanted = self._instance in self._relays
+        now = self._clock.now()
+        self._relay_from = (self._relay_from or now + RELAY_DELAY_S) if wanted else None
+        if self._relay_from is not None and now >= self._relay_from and not self._watching:
+            self._watching = [asyncio.ensure_future(watch.run()) for watch in self._watches]
+            _log.info("relay_started", zone=self._zone)
+        elif not wanted and self._watching:
+            self._cancel_watching()
+            _log.info("relay_stopped", zone=self._zone)
+
+    def _cancel_watching(self) -> list[asyncio.Task[None]]:
+        cancelled, self._watching = self._watching, []
+        for task in cancelled:
+            task.cancel()
+        return cancelled
+
+    async def _ask_platform_if_alone(self) -> None:
+        grace = PEER_GRACE_S
+        while True:
+            await asyncio.sleep(grace * self._rng.uniform(0.8, 1.2))
+            if self.is_relay or self._settled_at is not None:
+                return
+            try:
+                for watch in self._watches:
+                    await watch.list_once()
+                return
+            except PlatformError as error:
+                _log.warning("no_configuration", code=int(error.code))
+            grace = min(MAX_PEER_GRACE_S, grace * 2)
+
+    async def _try_report(self) -> None:
+        try:
+            await self._report()
+        except PlatformError as error:
+            self._report_at = self._clock.now() + REPORT_RETRY_S * self._rng.uniform(0.5, 1.5)
+            _log.debug("status_not_written", code=int(error.code))
+
+    async def _report(self) -> None:
+        if not self._reporter.active:
+            self._reporter.take_over(await self._statuses.read(self._zone))
+        status = self._reporter.look(self.members(), self._wall_time())
+        if not self._reporter.is_due(status):
+            return
+        if await self._statuses.write(status):
+            self._reporter.wrote(status)
+        else:
+            self._reporter.stop()
+
+    def _reject(self, error: PearwellError) -> None:
+        self._rejected += 1
+        violated = error.code is Code.INVARIANT_VIOLATED
+        log = _log.critical if violated else _log.error
+        event = "invariant_violated" if violated else "configuration_unusable"
+        log(event, code=int(error.code), detail=error.detail)
--- a/pearwell/editor.py
+++ b/pearwell/editor.py
@@ -29,8 +29,8 @@
 # Attempts of a change that may start from any version.
 MAX_ATTEMPTS = 8
 MAX_PAGE_SIZE = 500
-# Pause before an object is read again that the platform showed in an old state.
-STALE_PAUSE_S = 0.2
+# Longest pause before the second attempt, after a lost race or an old answer; it grows with each.
+RACE_PAUSE_S = 0.1
 
 _LOST_RACE = frozenset(
     {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
@@ -103,6 +103,7 @@
         wall_time: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
+        self._rng = rng
         self._instance = instance
         self._wall_time = wall_time
         self._claims = Claims(store, rng, self)
@@ -146,13 +147,14 @@
                 the same key tells.
         """
         _check_request(request)
-        for _ in range(MAX_ATTEMPTS):
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(self._rng.uniform(0, RACE_PAUSE_S * attempt))
             document = await self.read(request.kind, request.name)
             earlier = find_entry(document.entries, request.key)
             if earlier is not None:
                 return _repeat(request, document, earlier)
             if _is_stale(request, document):
-                await asyncio.sleep(STALE_PAUSE_S)
                 continue
             _check_version(request, document)
             changed = self._change(request, document, edit(document.spec))
--- a/pearwell/in_force.py
+++ b/pearwell/in_force.py
@@ -23,12 +23,14 @@
     Attributes:
         zone: Availability zone.
         instances: Number of its members.
-        lagging: Members that don't hold the version yet.
+        holding: Number of members that hold the version or a later one.
+        lagging: Known members that don't.
         age_s: Age of the report in seconds.
     """
 
     zone: str
     instances: int
+    holding: int
     lagging: tuple[str, ...] = ()
     age_s: float = 0.0
 
@@ -43,7 +45,7 @@
     @property
     def everywhere(self) -> bool:
         """Whether every member of every zone holds the version or a later one."""
-        return bool(self.zones) and not any(zone.lagging for zone in self.zones)
+        return bool(self.zones) and all(zone.holding >= zone.instances for zone in self.zones)
 
 
 class InForceSource(Protocol):
--- a/pearwell/messages/local.py
+++ b/pearwell/messages/local.py
@@ -3,11 +3,13 @@
 from pearwell.configuration import Configuration
 from pearwell.membership import View
 from pearwell.messages.base import Message
+from pearwell.messages.gossip import Entry
 from pearwell.placement import Placement, TargetState
 
 __all__ = [
     "BucketsClear",
     "ConfigurationChanged",
+    "EntryAdopted",
     "FlowsStarted",
     "PeerMessage",
     "PlacementChanged",
@@ -25,6 +27,12 @@
     configuration: Configuration
 
 
+class EntryAdopted(Message, frozen=True):
+    """A gossip entry of a higher version is held here; from "gossip"."""
+
+    entry: Entry
+
+
 class ViewChanged(Message, frozen=True):
     """The members of the zone changed; from "membership"."""
 
--- a/pearwell/object_store/__init__.py
+++ b/pearwell/object_store/__init__.py
@@ -2,6 +2,7 @@
 
 from pearwell.object_store.base import (
     MAX_VALUE_BYTES,
+    PAGE_SIZE,
     ObjectList,
     ObjectStore,
     StoredObject,
@@ -9,6 +10,7 @@
     WatchEvent,
     WatchEventType,
     check_size,
+    collect_pages,
     copy_value,
 )
 from pearwell.object_store.memory import Fault, FaultSwitches, MemoryObjectStore, Sleep
@@ -16,6 +18,7 @@
 
 __all__ = [
     "MAX_VALUE_BYTES",
+    "PAGE_SIZE",
     "Fault",
     "FaultSwitches",
     "MemoryObjectStore",
@@ -30,5 +33,6 @@
     "WatchEvent",
     "WatchEventType",
     "check_size",
+    "collect_pages",
     "copy_value",
 ]
--- a/pearwell/object_store/base.py
+++ b/pearwell/object_store/base.py
@@ -1,6 +1,6 @@
 """Object store: versioned objects with conditional updates and watches."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MAX_VALUE_BYTES",
+    "PAGE_SIZE",
     "ObjectList",
     "ObjectStore",
     "StoredObject",
@@ -18,11 +19,14 @@
     "WatchEvent",
     "WatchEventType",
     "check_size",
+    "collect_pages",
     "copy_value",
 ]
 
 # Largest encoded value that the platform holds.
 MAX_VALUE_BYTES = 1_000_000
+# Objects in one page of a list of all objects.
+PAGE_SIZE = 100
 
 Value = Mapping[str, Any]
 
@@ -119,6 +123,24 @@
         """
 
 
+async def collect_pages(page: Callable[[str], Awaitable[ObjectList]]) -> ObjectList:
+    """Joins all pages of a list.
+
+    Args:
+        page: Returns the page that starts at a token, of which the first one is empty.
+
+    Returns:
+        All objects, with the lowest version of the pages, so that a watch from it misses nothing.
+    """
+    found = await page("")
+    items, version = list(found.items), found.version
+    while found.next_token:
+        found = await page(found.next_token)
+        items.extend(found.items)
+        version = min(version, found.version)
+    return ObjectList(tuple(items), version)
+
+
 def copy_value(value: Value) -> dict[str, Any]:
     """Returns an independent copy of a JSON value."""
     return msgspec.json.decode(msgspec.json.encode(value))
--- a/pearwell/object_store/retrying.py
+++ b/pearwell/object_store/retrying.py
@@ -8,8 +8,16 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code, PlatformError
-from pearwell.object_store.base import ObjectList, ObjectStore, StoredObject, Value, WatchEvent
-from pearwell.object_store.base import copy_value as _copy_value
+from pearwell.object_store.base import (
+    PAGE_SIZE,
+    ObjectList,
+    ObjectStore,
+    StoredObject,
+    Value,
+    WatchEvent,
+    collect_pages,
+    copy_value,
+)
 
 __all__ = ["RetryBudget", "RetryPolicy", "RetryingObjectStore"]
 
@@ -112,8 +120,14 @@
         return await self._call(lambda: self._inner.get(kind, name))
 
     async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
-        """Returns the objects of a kind, or a page of them."""
-        return await self._call(lambda: self._inner.list(kind, limit=limit, token=token))
+        """Returns the objects of a kind, or a page of them; each page has its own deadline."""
+
+        def page(size: int, start: str) -> Awaitable[ObjectList]:
+            return self._call(lambda: self._inner.list(kind, limit=size, token=start))
+
+        if limit:
+            return await page(limit, token)
+        return await collect_pages(lambda start: page(PAGE_SIZE, start or token))
 
     async def create(self, kind: str, name: str, value: Value) -> StoredObject:
         """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is another one."""
@@ -189,7 +203,7 @@
             if reading.code is Code.PLATFORM_NOT_FOUND:
                 raise error from reading
             raise
-        if stored.value == _copy_value(value):
+        if stored.value == copy_value(value):
             return stored
         raise error
 
--- a/pearwell/platform_client.py
+++ b/pearwell/platform_client.py
@@ -10,12 +10,14 @@
 
 from pearwell.errors import Code, PlatformError
 from pearwell.object_store import (
+    PAGE_SIZE,
     ObjectList,
     StoredObject,
     Value,
     WatchEvent,
     WatchEventType,
     check_size,
+    collect_pages,
 )
 
 __all__ = ["API_GROUP", "API_VERSION", "PlatformClient", "collection_path", "to_resource"]
@@ -26,14 +28,13 @@
 
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 5.0
-# The platform ends a watch after this time; the client then resumes it.
-WATCH_DURATION_S = 60
-# Silence after which a watch counts as lost; bookmarks come more often.
-WATCH_IDLE_TIMEOUT_S = 15.0
+# The platform ends a watch after this time; the client then resumes it. Short, since it bounds the
+# time for which a watch may be cut off unnoticed.
+WATCH_DURATION_S = 5
+# Silence after which a watch counts as lost.
+WATCH_IDLE_TIMEOUT_S = 6.0
 # Longest line of a watch: an object of the largest size with its metadata.
 MAX_LINE_BYTES = 4_000_000
-# Objects in one page of a list without a limit.
-PAGE_SIZE = 500
 
 _GONE = 410
 
@@ -103,17 +104,9 @@
 
     async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
         """Returns the objects of a kind, fetched in pages unless one page is asked for."""
-        page = await self._page(kind, limit or PAGE_SIZE, token)
         if limit:
-            return page
-        items = list(page.items)
-        version = page.version
-        while page.next_token:
-            page = await self._page(kind, PAGE_SIZE, page.next_token)
-            items.extend(page.items)
-            # A watch from the earliest page's version misses no change between the pages.
-            version = min(version, page.version)
-        return ObjectList(tuple(items), version)
+            return await self._page(kind, limit, token)
+        return await collect_pages(lambda start: self._page(kind, PAGE_SIZE, start or token))
 
     async def create(self, kind: str, name: str, value: Value) -> StoredObject:
         """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is one."""
@@ -234,7 +227,10 @@
     try:
         metadata = resource["metadata"]
         version = int(metadata["resourceVersion"])
-        return StoredObject(kind, metadata.get("name", ""), version, resource.get("spec", {}))
+        value = resource.get("spec")
+        return StoredObject(
+            kind, metadata.get("name", ""), version, value if isinstance(value, dict) else {}
+        )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{kind}: {error!r}") from error
 
--- /dev/null
+++ b/pearwell/platform_watch.py
@@ -0,0 +1,109 @@
+"""Platform watch: lists and watches one kind of object for as long as it is a relay's task."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.configuration import Kind
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store import ObjectStore
+from pearwell.relay import Relay
+
+__all__ = ["PlatformWatch"]
+
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.5
+# Pause between the end of a watch and the next one.
+MAX_RESUME_PAUSE_S = 0.05
+# A full list now and then repairs whatever a watch may have missed.
+RELIST_INTERVAL_S = 600.0
+
+_log = structlog.get_logger()
+
+
+class PlatformWatch:
+    """Feeds one kind of object to a relay.
+
+    Args:
+        kind: The kind.
+        store: The platform, with retries.
+        relay: Takes what the platform shows.
+        clock: Clock for the intervals.
+        rng: Random source for the jitter.
+        relisted: Called after each full list.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        store: ObjectStore,
+        relay: Relay,
+        clock: Clock,
+        rng: random.Random,
+        relisted: Callable[[Kind], None] = lambda kind: None,
+    ) -> None:
+        self._kind = kind
+        self._store = store
+        self._relay = relay
+        self._clock = clock
+        self._rng = rng
+        self._relisted = relisted
+        self._relist_at = clock.now()
+        self._failures = 0
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the latest call to the platform succeeded."""
+        return self._failures == 0
+
+    async def run(self) -> None:
+        """Lists and watches until cancelled; a later run resumes where this one ended."""
+        while True:
+            try:
+                await self._step()
+            except PlatformError as error:
+                await self._recover(error)
+
+    async def list_once(self) -> int:
+        """Lists all objects; returns the number that were news.
+
+        Raises:
+            PlatformError: The platform failed.
+        """
+        found = await self._store.list(self._kind)
+        news = self._relay.listed(self._kind, found)
+        self._answered()
+        self._relist_at = self._clock.now() + RELIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+        self._relisted(self._kind)
+        return news
+
+    async def _step(self) -> None:
+        cursor = self._relay.cursor(self._kind)
+        if cursor is None or self._clock.now() >= self._relist_at:
+            await self.list_once()
+            return
+        async for event in self._store.watch(self._kind, cursor):
+            self._answered()
+            self._relay.observed(self._kind, event)
+        self._answered()
+        await asyncio.sleep(self._rng.uniform(0, MAX_RESUME_PAUSE_S))
+
+    async def _recover(self, error: PlatformError) -> None:
+        if error.code is Code.PLATFORM_WATCH_EXPIRED:
+            self._relay.reset(self._kind)
+        elif not self._failures:
+            _log.warning("platform_lost", kind=self._kind, code=int(error.code))
+        await self._pause()
+
+    async def _pause(self) -> None:
+        bound = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self._failures, 10))
+        self._failures += 1
+        await asyncio.sleep(self._rng.uniform(bound / 2, bound))
+
+    def _answered(self) -> None:
+        if self._failures:
+            _log.info("platform_found", kind=self._kind, failures=self._failures)
+        self._failures = 0
--- /dev/null
+++ b/pearwell/relay.py
@@ -0,0 +1,114 @@
+"""Relay: turns what the platform shows into entries for the zone; versions only go up."""
+
+from collections.abc import Callable, Collection
+
+from pearwell.applied import CONFIG_PREFIX, entry_of, is_tombstone, key_of, tombstone
+from pearwell.configuration import Kind
+from pearwell.entry_table import EntryTable
+from pearwell.errors import Code, InvariantError, PearwellError
+from pearwell.membership import MemberState, View
+from pearwell.messages.gossip import Entry
+from pearwell.object_store import ObjectList, StoredObject, WatchEvent, WatchEventType
+from pearwell.rendezvous import rank
+
+__all__ = ["RELAY_COUNT", "Relay", "relays"]
+
+# Instances of a zone that watch the platform.
+RELAY_COUNT = 3
+
+
+def relays(zone: str, view: View, instance: str) -> tuple[str, ...]:
+    """Returns the instances that watch the platform for a zone, first the one that reports.
+
+    Args:
+        zone: Availability zone.
+        view: Members of the zone.
+        instance: The own instance, which is a member even before its view says so.
+    """
+    lasting = {m.instance for m in view.members if m.state < MemberState.LEAVING}
+    own = view.find(instance)
+    if own is None or own.state < MemberState.LEAVING or not lasting:
+        lasting.add(instance)
+    return rank(f"relay/{zone}", lasting, RELAY_COUNT)
+
+
+class Relay:
+    """The relay core of one instance: what to spread and where to resume each watch.
+
+    Args:
+        table: The zone's entries.
+        rejected: Called with the error of each object that isn't spread: CONFIG_INVALID if it is no
+            configuration object, INVARIANT_VIOLATED if a held version has another value.
+    """
+
+    def __init__(self, table: EntryTable, rejected: Callable[[PearwellError], None]) -> None:
+        self._table = table
+        self._rejected = rejected
+        self._cursors: dict[Kind, int] = {}
+
+    def cursor(self, kind: Kind) -> int | None:
+        """Returns the version from which the watch of a kind resumes; None to list first."""
+        return self._cursors.get(kind)
+
+    def reset(self, kind: Kind) -> None:
+        """Forgets the cursor of a kind, since the platform can't resume from it."""
+        self._cursors.pop(kind, None)
+
+    def listed(self, kind: Kind, found: ObjectList) -> int:
+        """Takes a full list of a kind.
+
+        A held object that the list doesn't show was removed, unless the list is older than it.
+
+        Args:
+            kind: The kind.
+            found: All its objects in the platform.
+
+        Returns:
+            The number of entries that were news.
+        """
+        news = sum(self._offer(stored) for stored in found.items)
+        removed = self._missing(kind, {stored.name for stored in found.items}, found.version)
+        self._cursors[kind] = found.version
+        return news + sum(self._table.put(entry) for entry in removed)
+
+    def observed(self, kind: Kind, event: WatchEvent) -> bool:
+        """Takes one event of a watch.
+
+        Args:
+            kind: The watched kind.
+            event: The event; it may be old or doubled.
+
+        Returns:
+            Whether it was news.
+        """
+        self._cursors[kind] = max(self._cursors.get(kind, 0), event.stored.version)
+        if event.type is WatchEventType.BOOKMARK:
+            return False
+        if event.type is WatchEventType.DELETED:
+            key = key_of(event.stored.kind, event.stored.name)
+            return self._table.put(tombstone(key, event.stored.version))
+        return self._offer(event.stored)
+
+    def _offer(self, stored: StoredObject) -> bool:
+        try:
+            entry = entry_of(stored)
+            self._check_value(entry)
+        except PearwellError as error:
+            self._rejected(error)
+            return False
+        return self._table.put(entry)
+
+    def _check_value(self, entry: Entry) -> None:
+        held = self._table.get(entry.key)
+        if held is not None and held.version == entry.version and held.payload != entry.payload:
+            detail = f"{entry.key} has two values of version {entry.version.counter}"
+            raise InvariantError(Code.INVARIANT_VIOLATED, detail)
+
+    # The table refuses a tombstone that is older than what it holds.
+    def _missing(self, kind: Kind, names: Collection[str], version: int) -> list[Entry]:
+        prefix = f"{CONFIG_PREFIX}{kind}/"
+        return [
+            tombstone(held.key, version)
+            for held in self._table.entries(prefix)
+            if held.key.removeprefix(prefix) not in names and not is_tombstone(held)
+        ]
--- /dev/null
+++ b/pearwell/status_store.py
@@ -0,0 +1,125 @@
+"""Status store: the zones' status objects in the platform, and what is in force where."""
+
+import time
+from collections.abc import Callable, Sequence
+
+from pearwell.applied import key_of
+from pearwell.configuration import Kind
+from pearwell.entry_table import EntryTable
+from pearwell.errors import Code, PlatformError
+from pearwell.in_force import ZoneReport
+from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.zone_status import (
+    EXPIRY_S,
+    ZONE_STATUS_KIND,
+    ZoneStatus,
+    decode_status,
+    encode_status,
+    own_report,
+)
+
+__all__ = ["PlatformInForce", "StatusStore"]
+
+_LOST_RACE = frozenset(
+    {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
+)
+
+
+class StatusStore:
+    """Reads and writes status objects, one for each zone.
+
+    Args:
+        store: The platform, with retries.
+    """
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+        self._held: StoredObject | None = None
+
+    async def read(self, zone: str) -> ZoneStatus | None:
+        """Returns the status of a zone, or None; raises PlatformError."""
+        try:
+            self._held = await self._store.get(ZONE_STATUS_KIND, zone)
+        except PlatformError as error:
+            if error.code is not Code.PLATFORM_NOT_FOUND:
+                raise
+            self._held = None
+            return None
+        return decode_status(self._held)
+
+    async def write(self, status: ZoneStatus) -> bool:
+        """Writes a status over the one that was read or written last.
+
+        Returns:
+            False if another instance wrote one; read it before the next attempt.
+
+        Raises:
+            PlatformError: The platform failed.
+        """
+        value = encode_status(status)
+        try:
+            if self._held is None:
+                self._held = await self._store.create(ZONE_STATUS_KIND, status.zone, value)
+            else:
+                version = self._held.version
+                self._held = await self._store.update(ZONE_STATUS_KIND, status.zone, value, version)
+        except PlatformError as error:
+            if error.code not in _LOST_RACE:
+                raise
+            return False
+        return True
+
+    async def all(self) -> list[ZoneStatus]:
+        """Returns the status of every zone; raises PlatformError."""
+        found = await self._store.list(ZONE_STATUS_KIND)
+        return [decode_status(stored) for stored in found.items]
+
+
+class PlatformInForce:
+    """An InForceSource: the own zone from its entries, other zones from their status objects.
+
+    Args:
+        zone: The own zone.
+        table: The own zone's entries.
+        members: Returns the members of the own zone.
+        statuses: Status objects of all zones.
+        wall_time: Returns Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        table: EntryTable,
+        members: Callable[[], Sequence[str]],
+        statuses: StatusStore,
+        wall_time: Callable[[], float] = time.time,
+    ) -> None:
+        self._zone = zone
+        self._table = table
+        self._members = members
+        self._statuses = statuses
+        self._wall_time = wall_time
+        self._last: list[ZoneStatus] = []
+
+    async def zones(self, kind: Kind, name: str, version: int) -> Sequence[ZoneReport]:
+        """Returns one report for each zone.
+
+        Raises:
+            PlatformError: The platform failed and no other zone's status is known.
+        """
+        now = self._wall_time()
+        own = own_report(self._zone, self._table, self._members(), key_of(kind, name), version)
+        others = [
+            status.report(version, now)
+            for status in await self._others()
+            if status.zone != self._zone and now - status.at < EXPIRY_S
+        ]
+        return sorted([own, *others], key=lambda report: report.zone)
+
+    async def _others(self) -> list[ZoneStatus]:
+        try:
+            self._last = await self._statuses.all()
+        except PlatformError:
+            if not self._last:
+                raise
+        return self._last
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -54,7 +54,7 @@
         lagging = tuple(self._lagging)
         if self._lagging:
             self._lagging.pop()
-        return [ZoneReport("pnw-a", self._size, lagging)]
+        return [ZoneReport("pnw-a", self._size, self._size - len(lagging), lagging)]
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/test_configuration_service.py
@@ -0,0 +1,476 @@
+"""Tests of pearwell.configuration_service in virtual time: a zone of instances and its platform."""
+
+import asyncio
+import contextlib
+import random
+from collections import deque
+
+import pytest
+
+from pearwell import edits
+from pearwell.applied import key_of
+from pearwell.audit import Action
+from pearwell.configuration import Kind
+from pearwell.configuration_service import ConfigurationService
+from pearwell.editor import ConfigurationEditor, WriteRequest
+from pearwell.entry_table import LocalEntryTable
+from pearwell.errors import PearwellError, PlatformError
+from pearwell.group import GroupSpec, TargetSpec
+from pearwell.in_force import wait_in_force
+from pearwell.kernel import Kernel
+from pearwell.membership import Member, View
+from pearwell.messages import ConfigurationChanged, ViewChanged
+from pearwell.messages.local import EntryAdopted
+from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore
+from pearwell.relay import RELAY_COUNT
+from pearwell.status_store import PlatformInForce, StatusStore
+from tests.virtual_time import run
+
+GROUP = GroupSpec("g", tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 4)))
+PUSH_DELAY_S = 0.02
+COMPARE_INTERVAL_S = 0.5
+IN_FORCE_S = 3.0
+
+
+class Recorder:
+    """A kernel service that checks that no applied version ever falls."""
+
+    name = "recorder"
+    accepts = (ConfigurationChanged,)
+
+    def __init__(self):
+        self.configuration = None
+
+    async def start(self, kernel):
+        pass
+
+    async def stop(self):
+        pass
+
+    def deliver(self, message):
+        found = message.configuration
+        if self.configuration is not None:
+            for key, version in self.configuration.versions.items():
+                assert found.versions[key] >= version, f"{key} fell from {version}"
+        self.configuration = found
+
+
+class Zone:
+    """Instances whose entry tables push to each other, and compare with one peer now and then."""
+
+    def __init__(self, store, names, seed=1, zone="pnw-a"):
+        self.zone, self.store, self.rng = zone, store, random.Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.instances = {}
+        self.cut_off = set()
+        self.names = list(names)
+        self.comparing = asyncio.ensure_future(self._compare_forever())
+
+    async def start(self, *names):
+        for name in names or self.names:
+            self.instances[name] = Instance(self, name)
+            await self.instances[name].kernel.start()
+        self.show_view()
+
+    async def stop(self, *names):
+        for name in names or tuple(self.instances):
+            await self.instances.pop(name).kernel.stop()
+        if not names:
+            self.comparing.cancel()
+
+    def show_view(self):
+        for name, instance in self.instances.items():
+            near = [n for n in self.instances if n == name or not self._is_cut(n, name)]
+            view = View(tuple(Member(n, "127.20.0.1", 1, 2) for n in sorted(near)), 1)
+            instance.kernel.publish(ViewChanged(view))
+
+    def push(self, sender, entry):
+        for name in self.instances:
+            delay = self.rng.uniform(0, PUSH_DELAY_S)
+            self.loop.call_later(delay, self._deliver, sender, name, entry)
+
+    def _deliver(self, sender, name, entry):
+        if name in self.instances and not self._is_cut(sender, name):
+            self.instances[name].table.put(entry)
+
+    def _is_cut(self, one, other):
+        return (one in self.cut_off) != (other in self.cut_off)
+
+    async def _compare_forever(self):
+        while True:
+            await asyncio.sleep(COMPARE_INTERVAL_S)
+            for name in list(self.instances):
+                peer = self.rng.choice([n for n in self.instances if n != name] or [name])
+                for entry in self.instances[peer].table.entries(""):
+                    self._deliver(peer, name, entry)
+
+
+class Instance:
+    """One instance of a zone."""
+
+    def __init__(self, zone, name):
+        self.kernel = Kernel()
+        self.table = LocalEntryTable(name, lambda entry: self._adopted(zone, name, entry))
+        self.table.holders = lambda key: {
+            n: i.table.get(key).version for n, i in zone.instances.items() if i.table.get(key)
+        }
+        rng = random.Random(f"{name}/{zone.rng.random()}")
+        self.store = RetryingObjectStore(zone.store, zone.loop, rng)
+        self.editor = ConfigurationEditor(self.store, rng, name, zone.loop.time)
+        self.service = ConfigurationService(
+            name, zone.zone, self.table, self.store, zone.loop, rng, zone.loop.time
+        )
+        self.recorder = Recorder()
+        self.kernel.add(self.recorder)
+        self.kernel.add(self.service)
+        self.in_force = PlatformInForce(
+            zone.zone, self.table, self.service.members, StatusStore(self.store), zone.loop.time
+        )
+
+    def _adopted(self, zone, name, entry):
+        self.kernel.publish(EntryAdopted(entry))
+        zone.push(name, entry)
+
+    async def drain(self, deadline_s, key):
+        request = WriteRequest(Kind.GROUP, "g", Action.DRAIN_TARGET, key, "f", "ada")
+        outcome = await self.editor.write(request, edits.drain_target("g", "t1", deadline_s))
+        if not outcome.repeated:
+            self.service.written(outcome.document)
+        return outcome.version
+
+    @property
+    def version(self):
+        found = self.recorder.configuration
+        return found.versions.get((Kind.GROUP, "g"), 0) if found else 0
+
+    @property
+    def deadline_s(self):
+        return self.recorder.configuration.groups["g"].targets[0].drain_deadline_s
+
+
+class Spy:
+    """Calls a function and remembers what could be seen after each call."""
+
+    def __init__(self, function, look):
+        self._function, self._look, self.seen = function, look, set()
+
+    def __call__(self):
+        self._function()
+        self.seen.add(self._look())
+
+
+def names(count, zone="pnw-a"):
+    return [f"{zone}-{n}" for n in range(1, count + 1)]
+
+
+async def prepared(count=5, **arguments):
+    store = MemoryObjectStore(**arguments)
+    editor = ConfigurationEditor(store, random.Random(1), "setup", lambda: 0.0)
+    request = WriteRequest(Kind.GROUP, "g", Action.CREATE, "setup", "f", "ada")
+    await editor.write(request, edits.create(GROUP))
+    zone = Zone(store, names(count))
+    await zone.start()
+    await asyncio.sleep(4.0)
+    assert [i.version for i in zone.instances.values()] == [1] * count
+    return store, zone, editor
+
+
+async def write_elsewhere(editor, deadline_s):
+    """A change made in another zone, so that only the watches can bring it."""
+    request = WriteRequest(Kind.GROUP, "g", Action.DRAIN_TARGET, f"k{deadline_s}", "f", "ada")
+    edit = edits.drain_target("g", "t1", deadline_s)
+    return (await editor.write(request, edit)).version
+
+
+def check_all(zone, version):
+    assert {name: i.version for name, i in zone.instances.items()} == dict.fromkeys(
+        zone.instances, version
+    )
+
+
+def test_calls_to_the_platform_dont_grow_with_instances():
+    async def scenario(count):
+        store, zone, _ = await prepared(count)
+        await asyncio.sleep(60.0)
+        watching = sum(i.service.is_relay for i in zone.instances.values())
+        await zone.stop()
+        return watching, store.calls
+
+    few, many = run(scenario(4)), run(scenario(12))
+    assert few[0] == many[0] == RELAY_COUNT
+    assert many[1]["watch"] == few[1]["watch"] == RELAY_COUNT * len(Kind)
+    assert sum(many[1].values()) <= sum(few[1].values()) + 2
+
+
+# What goes wrong, as switches of the platform, and when it ends.
+FAULTS = {
+    "none": {},
+    "outage": {"outage": True},
+    "slow": {"delay_s": 1.2},
+    "lost-requests": {"lose_requests": 9},
+    "doubled-events": {"duplicate_events": True},
+    "old-events": {"repeat_old_events": True},
+    "late-events": {"event_delay_s": 1.0},
+    "old-lists": {"stale": True},
+}
+MOMENTS = ["before-the-list", "while-watching"]
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_change_is_in_force_within_three_seconds_of_any_fault_of_the_platform(fault, moment):
+    async def scenario():
+        store, zone, editor = await prepared()
+        store.freeze()
+        versions = [await write_elsewhere(editor, n) for n in (1.0, 2.0)]
+        if moment == "before-the-list":
+            for watch in (w for i in zone.instances.values() for w in i.service._watches):
+                watch._relay.reset(watch._kind)
+            store.faults.outage = True
+            store.interrupt()
+            await asyncio.sleep(0.5)
+            store.faults.outage = False
+        for name, value in FAULTS[fault].items():
+            setattr(store.faults, name, value)
+        store.interrupt()
+        with contextlib.suppress(PearwellError):
+            await write_elsewhere(editor, 3.0)
+        await asyncio.sleep(10.0)
+        for name in FAULTS[fault]:
+            setattr(store.faults, name, type(FAULTS[fault][name])(0))
+        store.interrupt()
+        versions.append(await write_elsewhere(editor, 4.0))
+        await asyncio.sleep(IN_FORCE_S)
+        check_all(zone, versions[-1])
+        assert all(i.deadline_s == 4.0 for i in zone.instances.values())
+        assert all(i.service.rejected == 0 for i in zone.instances.values())
+        await zone.stop()
+
+    run(scenario())
+
+
+def test_a_watch_that_expired_lists_again():
+    async def scenario():
+        store, zone, editor = await prepared(history=3)
+        store.faults.outage = True
+        store.interrupt()
+        await asyncio.sleep(1.0)
+        store.faults.outage = False
+        for n in range(9):
+            version = await write_elsewhere(editor, float(n))
+        await asyncio.sleep(IN_FORCE_S)
+        check_all(zone, version)
+        await zone.stop()
+
+    run(scenario())
+
+
+def test_a_change_made_here_is_in_force_before_any_watch_shows_it():
+    async def scenario():
+        store, zone, _ = await prepared()
+        store.faults.event_delay_s = 60.0
+        version = await zone.instances["pnw-a-4"].drain(1.0, "k")
+        await asyncio.sleep(2 * PUSH_DELAY_S)
+        check_all(zone, version)
+        await zone.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("replaced", [1, 3, 5])
+@pytest.mark.parametrize("platform", ["up", "down", "old"])
+def test_replaced_instances_come_back_to_the_same_version(replaced, platform):
+    async def scenario():
+        store, zone, editor = await prepared()
+        store.freeze()
+        version = await write_elsewhere(editor, 7.0)
+        await asyncio.sleep(1.0)
+        store.faults.outage = platform == "down"
+        store.faults.stale = platform == "old"
+        store.interrupt()
+        victims = names(5)[:replaced]
+        for victim in victims:
+            await zone.stop(victim)
+        zone.show_view()
+        await asyncio.sleep(1.0)
+        await zone.start(*victims)
+        await asyncio.sleep(5.0)
+        found = {i.version for i in zone.instances.values()}
+        store.faults.outage = store.faults.stale = False
+        await asyncio.sleep(5.0)
+        later = {i.version for i in zone.instances.values()}
+        await zone.stop()
+        return version, found, later
+
+    version, found, later = run(scenario())
+    # Only with every instance gone is the platform the one source.
+    lost = {"up": {version}, "down": {0}, "old": {1, version}}[platform]
+    assert found <= (lost if replaced == 5 else {version})
+    assert later == {version}
+
+
+def test_a_joiner_whose_first_peer_is_out_of_date_never_applies_the_old_version():
+    async def scenario():
+        store, zone, editor = await prepared()
+        old = zone.instances["pnw-a-1"].table.entries("")
+        version = await write_elsewhere(editor, 7.0)
+        await asyncio.sleep(1.0)
+        await zone.stop("pnw-a-5")
+        zone.instances["pnw-a-5"] = joiner = Instance(zone, "pnw-a-5")
+        joiner.service._publish = publish = Spy(joiner.service._publish, lambda: joiner.version)
+        await joiner.kernel.start()
+        for entry in old:
+            joiner.table.put(entry)
+        await asyncio.sleep(IN_FORCE_S)
+        await zone.stop()
+        return version, publish.seen
+
+    version, seen = run(scenario())
+    assert seen == {0, version}
+
+
+def test_instances_that_start_make_no_calls_while_their_peers_answer():
+    async def scenario():
+        store, zone, _ = await prepared(12)
+        idle = [n for n, i in zone.instances.items() if not i.service.is_relay]
+        before = store.calls
+        for name in idle:
+            await zone.stop(name)
+            joiner = zone.instances[name] = Instance(zone, name)
+            await joiner.kernel.start()
+            # The view comes a little later, as from a membership that starts with itself.
+            joiner.kernel.publish(ViewChanged(View((Member(name, "127.20.0.1", 1, 2),), 1)))
+        await asyncio.sleep(0.6)
+        zone.show_view()
+        await asyncio.sleep(5.0)
+        after = store.calls
+        await zone.stop()
+        return [after[call] - before[call] for call in ("list", "watch")]
+
+    assert run(scenario()) == [0, 0]
+
+
+def test_a_healed_partition_ends_at_the_higher_version():
+    async def scenario():
+        store, zone, editor = await prepared()
+        zone.cut_off = {"pnw-a-1", "pnw-a-2"}
+        store.faults.event_delay_s = 5.0
+        version = await zone.instances["pnw-a-1"].drain(9.0, "k")
+        await asyncio.sleep(1.0)
+        assert {i.version for i in zone.instances.values()} == {1, version}
+        zone.cut_off = set()
+        await asyncio.sleep(IN_FORCE_S)
+        check_all(zone, version)
+        await zone.stop()
+
+    run(scenario())
+
+
+def test_what_is_in_force_is_known_in_every_zone():
+    async def scenario():
+        store, zone, _ = await prepared(4)
+        other = Zone(store, names(5, "pnw-b"), seed=2, zone="pnw-b")
+        await other.start()
+        await asyncio.sleep(5.0)
+        one = zone.instances["pnw-a-1"]
+        cut, two = (n for n, i in other.instances.items() if not i.service.is_relay)
+        two = other.instances[two]
+        version = await one.drain(3.0, "k")
+        report = await wait_in_force(one.in_force, Kind.GROUP, "g", version, 3.0)
+        assert report.everywhere
+        found = [(z.zone, z.holding, z.instances) for z in report.zones]
+        assert found == [("pnw-a", 4, 4), ("pnw-b", 5, 5)]
+        other.cut_off = {cut}
+        version = await one.drain(4.0, "k2")
+        report = await wait_in_force(two.in_force, Kind.GROUP, "g", version, 2.0)
+        found = {z.zone: (z.holding, z.instances, z.lagging) for z in report.zones}
+        assert found["pnw-a"] == (4, 4, ())
+        assert found["pnw-b"] == (4, 5, (cut,))
+        store.faults.outage = True
+        report = await wait_in_force(two.in_force, Kind.GROUP, "g", version, 0.0)
+        assert [z.zone for z in report.zones] == ["pnw-a", "pnw-b"]
+        assert not report.everywhere
+        with pytest.raises(PlatformError):
+            await zone.instances["pnw-a-4"].in_force.zones(Kind.GROUP, "g", version)
+        await zone.stop()
+        await other.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_random_faults_never_lower_a_version_and_end_with_one_configuration(seed):
+    async def scenario():
+        store, zone, _ = await prepared(6)
+        rng = random.Random(seed)
+        writers = [asyncio.ensure_future(operate(zone, rng, n)) for n in range(2)]
+        for _ in range(40):
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+            await disturb(store, zone, rng)
+        accepted = [version for versions in await asyncio.gather(*writers) for version in versions]
+        calm(store, zone)
+        await asyncio.sleep(IN_FORCE_S + 4.0)
+        final = (await store.get("group", "g")).version
+        check_all(zone, final)
+        assert len(accepted) == len(set(accepted)), "two accepted writes of one version"
+        assert all(i.service.rejected == 0 for i in zone.instances.values())
+        values = {i.table.get(key_of("group", "g")).payload for i in zone.instances.values()}
+        assert len(values) == 1
+        await zone.stop()
+        return len(accepted)
+
+    assert run(scenario()) >= 10
+
+
+async def operate(zone, rng, operator):
+    accepted = []
+    for turn in range(20):
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        for _ in range(6):
+            instance = rng.choice(list(zone.instances.values()))
+            try:
+                accepted.append(await instance.drain(float(turn), f"{operator}-{turn}"))
+                break
+            except PearwellError:
+                await asyncio.sleep(0.5)
+    return accepted
+
+
+async def disturb(store, zone, rng):
+    faults = store.faults
+    names_ = sorted(zone.instances)
+    faults.outage = faults.outage and rng.random() < 0.5
+    faults.stale = faults.stale and rng.random() < 0.5
+    match rng.randrange(8):
+        case 0:
+            faults.outage = True
+        case 1:
+            faults.delay_s = rng.choice([0.0, 0.3])
+        case 2:
+            faults.duplicate_events = not faults.duplicate_events
+            faults.repeat_old_events = not faults.repeat_old_events
+        case 3:
+            faults.event_delay_s = rng.choice([0.0, 1.0])
+        case 4:
+            store.freeze()
+            faults.plan = deque(rng.choices(list(Fault), k=5))
+        case 5:
+            faults.stale = True
+        case 6:
+            zone.cut_off = set(rng.sample(names_, rng.randrange(3)))
+        case 7:
+            victim = rng.choice(names_)
+            await zone.stop(victim)
+            await zone.start(victim)
+    store.interrupt()
+    zone.show_view()
+
+
+def calm(store, zone):
+    faults = store.faults
+    faults.outage = faults.stale = faults.duplicate_events = faults.repeat_old_events = False
+    faults.delay_s = faults.event_delay_s = 0.0
+    faults.plan.clear()
+    zone.cut_off = set()
+    store.interrupt()
+    zone.show_view()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,223 @@
+"""Tests of pearwell.relay, applied and zone_status: versions only go up."""
+
+import random
+
+import pytest
+
+from pearwell.applied import AppliedConfiguration, entry_of, key_of, tombstone
+from pearwell.configuration import Kind
+from pearwell.entry_table import LocalEntryTable
+from pearwell.errors import Code, PearwellError
+from pearwell.membership import Member, MemberState, View
+from pearwell.messages.gossip import Entry, EntryVersion
+from pearwell.object_store import ObjectList, StoredObject, WatchEvent, WatchEventType
+from pearwell.relay import RELAY_COUNT, Relay, relays
+from pearwell.zone_status import MAX_KEYS_PER_LOOK, RENEWAL_S, StatusReporter
+
+TARGET = {"name": "t1", "address": "10.0.0.1", "zone": "pnw-a"}
+ADDED, MODIFIED, DELETED, BOOKMARK = WatchEventType
+
+
+def spec(weight=100):
+    return {"name": "g", "targets": [TARGET | {"weight": weight}]}
+
+
+def stored(version, weight=100, name="g"):
+    value = {"spec": spec(weight) | {"name": name} if weight else None, "audit": []}
+    return StoredObject("group", name, version, value)
+
+
+class Instance:
+    """A relay with what it applies."""
+
+    def __init__(self):
+        self.applied = AppliedConfiguration()
+        self.rejected = []
+        self.table = LocalEntryTable("pnw-a-1", self.applied.apply)
+        self.relay = Relay(self.table, lambda error: self.rejected.append(error.code))
+
+    def state(self):
+        found = self.applied.snapshot
+        weights = {name: group.targets[0].weight for name, group in found.groups.items()}
+        return weights, {name: version for (_, name), version in found.versions.items()}
+
+
+@pytest.mark.parametrize(
+    ("events", "weight", "version"),
+    [
+        ([(ADDED, 5, 10), (MODIFIED, 7, 20)], 20, 7),
+        ([(ADDED, 5, 10), (ADDED, 5, 10)], 10, 5),
+        ([(MODIFIED, 7, 20), (ADDED, 5, 10)], 20, 7),
+        ([(ADDED, 5, 10), (MODIFIED, 7, None)], None, 7),
+        ([(ADDED, 5, 10), (DELETED, 8, 10)], None, 8),
+        ([(DELETED, 8, 10), (ADDED, 5, 10)], None, 8),
+        ([(ADDED, 5, 10), (DELETED, 8, 10), (ADDED, 9, 30)], 30, 9),
+        ([(ADDED, 5, 10), (BOOKMARK, 99, None)], 10, 5),
+    ],
+)
+def test_events_in_any_order_end_at_the_highest_version(events, weight, version):
+    instance = Instance()
+    for type_, at, value in events:
+        instance.relay.observed(Kind.GROUP, WatchEvent(type_, stored(at, value)))
+    weights, versions = instance.state()
+    assert (weights.get("g"), versions["g"]) == (weight, version)
+    assert instance.relay.cursor(Kind.GROUP) == max(at for _, at, _ in events)
+
+
+@pytest.mark.parametrize(
+    ("items", "version", "weights", "versions"),
+    [
+        ([stored(5, 10)], 6, {"g": 10}, {"g": 5}),
+        ([stored(4, 99)], 4, {"g": 10}, {"g": 5}),
+        ([], 9, {}, {"g": 9}),
+        ([], 4, {"g": 10}, {"g": 5}),
+        ([stored(7, None)], 9, {}, {"g": 7}),
+        ([stored(7, 30), stored(8, 40, "h")], 9, {"g": 30, "h": 40}, {"g": 7, "h": 8}),
+    ],
+    ids=["same", "old", "removed", "old-without", "deleted", "newer"],
+)
+def test_a_list_never_lowers_a_version(items, version, weights, versions):
+    instance = Instance()
+    instance.relay.observed(Kind.GROUP, WatchEvent(ADDED, stored(5, 10)))
+    instance.relay.listed(Kind.GROUP, ObjectList(tuple(items), version))
+    assert instance.state() == (weights, versions)
+    assert instance.relay.cursor(Kind.GROUP) == version
+    assert instance.rejected == []
+
+
+@pytest.mark.parametrize(
+    ("value", "code"),
+    [
+        ({"spec": spec(20)}, Code.INVARIANT_VIOLATED),
+        ({}, Code.CONFIG_INVALID),
+        ({"spec": "text"}, Code.CONFIG_INVALID),
+    ],
+)
+def test_a_rejected_object_leaves_what_is_applied_and_the_others_go_on(value, code):
+    instance = Instance()
+    instance.relay.observed(Kind.GROUP, WatchEvent(ADDED, stored(5, 10)))
+    bad = StoredObject("group", "g", 5, value)
+    instance.relay.listed(Kind.GROUP, ObjectList((bad, stored(6, 40, "h")), 9))
+    assert instance.state() == ({"g": 10, "h": 40}, {"g": 5, "h": 6})
+    assert instance.rejected == [code]
+
+
+@pytest.mark.parametrize(
+    ("entry", "code"),
+    [
+        (Entry(key_of("group", "g"), EntryVersion(5), b"null"), Code.INVARIANT_VIOLATED),
+        (Entry(key_of("group", "g"), EntryVersion(6), b"{}"), Code.CONFIG_BAD_NAME),
+        (Entry(key_of("group", "g"), EntryVersion(6), b"nonsense"), Code.CONFIG_INVALID),
+        (Entry(key_of("nonsense", "g"), EntryVersion(6), b"null"), Code.CONFIG_INVALID),
+        (Entry(key_of("group", "h"), EntryVersion(6), entry_of(stored(6)).payload), None),
+    ],
+)
+def test_an_invalid_entry_leaves_what_is_applied(entry, code):
+    applied = AppliedConfiguration()
+    applied.apply(entry_of(stored(5, 10)))
+    before = applied.snapshot
+    with pytest.raises(PearwellError) as refused:
+        applied.apply(entry)
+    assert refused.value.code is (code or Code.CONFIG_INVALID)
+    assert applied.snapshot == before
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_any_mix_of_old_doubled_and_missing_news_never_lowers_a_version(seed):
+    rng = random.Random(seed)
+    history = [stored(version, rng.choice([None, version])) for version in range(1, 40)]
+    instance = Instance()
+    applied = 0
+    for _ in range(300):
+        if rng.random() < 0.2:
+            at = rng.randrange(1, 40)
+            instance.relay.listed(Kind.GROUP, ObjectList((history[at - 1],), at))
+        else:
+            event = WatchEvent(rng.choice([ADDED, MODIFIED]), rng.choice(history))
+            instance.relay.observed(Kind.GROUP, event)
+        weights, versions = instance.state()
+        assert versions["g"] >= applied
+        applied = versions["g"]
+        assert weights.get("g") in (None, applied)
+    assert instance.rejected == []
+
+
+def members(states):
+    found = (Member(f"i{n}", "127.20.0.1", 1, 2, 0, state) for n, state in enumerate(states))
+    return View(tuple(found), 1)
+
+
+@pytest.mark.parametrize(
+    ("states", "count"),
+    [
+        ([], 1),
+        ([MemberState.ALIVE], 1),
+        ([MemberState.ALIVE, MemberState.SUSPECT], 2),
+        ([MemberState.ALIVE] * 20, RELAY_COUNT),
+        ([MemberState.ALIVE, MemberState.LEAVING, MemberState.ALIVE], 2),
+        ([MemberState.LEAVING], 1),
+    ],
+)
+def test_a_zone_has_at_most_three_relays_that_all_members_agree_on(states, count):
+    view = members(states)
+    chosen = {relays("pnw-a", view, member.instance) for member in view.members if member.state < 2}
+    found = chosen or {relays("pnw-a", view, "i0")}
+    assert len(found) == 1
+    assert [len(names) for names in found] == [count]
+
+
+class Table(LocalEntryTable):
+    """An entry table whose holders are set by the test."""
+
+    def __init__(self):
+        super().__init__("i0", lambda entry: None)
+        self.held = {}
+
+    def holders(self, key):
+        return {name: EntryVersion(version) for name, version in self.held.get(key, {}).items()}
+
+
+def test_a_reporter_names_who_lags_until_all_hold_the_version():
+    table = Table()
+    reporter = StatusReporter("pnw-a", table)
+    reporter.take_over(None)
+    for version, name in ((5, "g"), (8, "h")):
+        entry = entry_of(stored(version, 10, name))
+        table.put(entry)
+        reporter.adopted(entry)
+    key_g, key_h = key_of("group", "g"), key_of("group", "h")
+    table.held = {key_g: {"i0": 5, "i1": 5}, key_h: {"i0": 8, "i1": 3}}
+    status = reporter.look(["i0", "i1", "i2"], 100.0)
+    assert (status.seen, status.lagging) == (8, {"i2": 4, "i1": 7})
+    reports = [status.report(version, 103.0) for version in (4, 5, 8, 9)]
+    assert [(r.holding, set(r.lagging)) for r in reports] == [
+        (3, set()),
+        (2, {"i2"}),
+        (1, {"i1", "i2"}),
+        (0, {"i1", "i2"}),
+    ]
+    assert reports[0].age_s == 3.0
+    reporter.wrote(status)
+    assert not reporter.is_due(reporter.look(["i0", "i1", "i2"], 101.0))
+    table.held = {key: {"i0": 8, "i1": 8, "i2": 8} for key in (key_g, key_h)}
+    done = reporter.look(["i0", "i1", "i2"], 102.0)
+    assert (done.lagging, done.through, reporter.is_due(done)) == ({}, 8, True)
+    reporter.wrote(done)
+    assert reporter.is_due(reporter.look(["i0", "i1", "i2"], 102.0 + RENEWAL_S))
+
+
+def test_a_new_reporter_looks_only_at_what_its_forerunner_left_open():
+    table = Table()
+    for version in range(1, 2 * MAX_KEYS_PER_LOOK):
+        table.put(entry_of(stored(version, 10, f"g{version}")))
+    forerunner = StatusReporter("pnw-a", table)
+    forerunner.take_over(None)
+    table.held = {entry.key: {"i0": entry.version.counter} for entry in table.entries("")}
+    first = forerunner.look(["i0"], 1.0)
+    assert (first.through, first.lagging) == (MAX_KEYS_PER_LOOK, {"i0": MAX_KEYS_PER_LOOK})
+    second = forerunner.look(["i0"], 2.0)
+    assert second.through == second.seen == 2 * MAX_KEYS_PER_LOOK - 1
+    reporter = StatusReporter("pnw-a", table)
+    reporter.take_over(second)
+    table.put(tombstone(key_of("group", "g1"), 9999))
+    assert reporter.look(["i0"], 3.0).lagging == {}
