--- /dev/null
+++ b/pearwell/membership_service.py
@@ -0,0 +1,131 @@
+"""The kernel service that keeps the view of the zone."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.errors import PlatformError
+from pearwell.gossip import Gossip
+from pearwell.kernel import Kernel, QueuedService
+from pearwell.membership import Member, View
+from pearwell.messages import Message, PeerMessage, ViewChanged, ViewRenewed
+from pearwell.peers import Peers
+from pearwell.rendezvous import rank
+from pearwell.settings import Settings
+from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
+
+__all__ = ["MembershipService", "SeedSource", "own_member"]
+
+SEED_RETRY_S = 1.0
+SEED_INTERVAL_S = 30.0
+SHARED_DOMAIN = "placement"
+
+SeedSource = Callable[[], Awaitable[Iterable[Member]]]
+
+_log = structlog.get_logger()
+
+
+def own_member(settings: Settings) -> Member:
+    """Returns the member that an instance is by its settings."""
+    return Member(
+        settings.instance, settings.address, settings.peer_port, settings.control_port
+    )
+
+
+class MembershipService(QueuedService):
+    """The kernel service "membership".
+
+    Args:
+        settings: The own instance and the peers to start from.
+        peers: Carries the messages and learns the members' addresses.
+        gossip: Holds the state that the zone shares; compared with a peer when it differs.
+        clock: Source of monotonic time.
+        rng: Source of random choices.
+        listed: Reads the platform's list of instances; None without a platform.
+    """
+
+    name = "membership"
+    accepts = (PeerMessage,)
+    interval_s = TICK_INTERVAL_S
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: Peers,
+        gossip: Gossip,
+        clock: Clock,
+        rng: random.Random,
+        listed: SeedSource | None = None,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._listed = listed
+        self._configured = [
+            Member(peer.instance, peer.address, peer.peer_port, peer.control_port)
+            for peer in settings.peers
+        ]
+        events = SwimEvents(self._changed, self._renewed, gossip.compare, peers.introduce)
+        self._swim = Swim(
+            own_member(settings),
+            peers,
+            clock,
+            rng,
+            events,
+            state_checksum=lambda: gossip.checksum(SHARED_DOMAIN),
+        )
+
+    @property
+    def swim(self) -> Swim:
+        """The core."""
+        return self._swim
+
+    async def start(self, kernel: Kernel) -> None:
+        """Starts to join the zone."""
+        self._swim.seed(self._configured)
+        await super().start(kernel)
+        if self._listed is not None:
+            self._spawn(self._read_list(self._listed))
+
+    async def stop(self) -> None:
+        """Tells the neighbours that this instance is gone."""
+        self._swim.stop()
+        await super().stop()
+
+    def leave(self) -> None:
+        """Tells the zone that this instance leaves; it goes on until it stops."""
+        self._swim.leave()
+
+    async def handle(self, message: Message) -> None:
+        """Handles a message of another instance."""
+        if isinstance(message, PeerMessage):
+            self._swim.handle(message.sender, message.message)
+
+    async def tick(self) -> None:
+        """Does the periodic work of the protocol."""
+        self._swim.tick()
+
+    async def _read_list(self, listed: SeedSource) -> None:
+        """Reads the platform's list until the zone is joined, later at one instance only."""
+        while True:
+            if not self._swim.joined or self._reads_for_zone():
+                try:
+                    self._swim.seed([*self._configured, *await listed()])
+                except PlatformError as error:
+                    _log.info("instance_list_unavailable", code=error.code.name)
+            alone = len(self._swim.view.members) == 1
+            pause = SEED_RETRY_S if alone or not self._swim.joined else SEED_INTERVAL_S
+            await asyncio.sleep(pause)
+
+    def _reads_for_zone(self) -> bool:
+        members = [member.instance for member in self._swim.view.members]
+        return rank(self._settings.zone, members, 1) == (self._settings.instance,)
+
+    def _changed(self, view: View) -> None:
+        _log.info("view_changed", version=view.version, members=len(view.members))
+        self.kernel.publish(ViewChanged(view))
+
+    def _renewed(self, heard_at: float) -> None:
+        self.kernel.publish(ViewRenewed(heard_at))
--- a/pearwell/swim.py
+++ b/pearwell/swim.py
@@ -33,6 +33,7 @@
 JOIN_CONTACTS = 3
 JOIN_RETRY_S = 0.5
 ALONE_AFTER_S = 3.0
+NO_SEEDS_AFTER_S = 1.0
 RECONNECT_INTERVAL_S = 5.0
 EXCHANGE_INTERVAL_S = 1.0
 TOMBSTONE_S = 7_200.0
@@ -182,6 +183,8 @@
         for member in self._seeds.values():
             if member.instance not in self._members:
                 self._events.learned(member)
+        if len(self._view.members) == 1:
+            self._reconnect_at = self._clock.now()
 
     def leave(self) -> None:
         """Announces that this instance leaves; it stays in the view until it stops."""
@@ -221,7 +224,8 @@
     def _try_join(self, now: float) -> None:
         if self._joining_since is None:
             self._joining_since = now
-        if not self._seeds or now - self._joining_since >= ALONE_AFTER_S:
+        patience = ALONE_AFTER_S if self._seeds else NO_SEEDS_AFTER_S
+        if now - self._joining_since >= patience:
             self._finish_join()
             return
         if now < self._join_at:
--- /dev/null
+++ b/pearwell/tls.py
@@ -0,0 +1,117 @@
+"""Mutual TLS for gRPC, with certificates that are replaced while streams go on."""
+
+import ssl
+from dataclasses import dataclass
+from pathlib import Path
+
+import grpc
+import structlog
+
+from pearwell.errors import Code, SettingsError
+from pearwell.settings import TlsSettings
+
+__all__ = ["TlsCredentials", "load_tls"]
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class _Material:
+    """Certificate, key and authority as PEM, with the stamps of the files they came from."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+    stamps: tuple[tuple[int, int], ...]
+
+
+class TlsCredentials:
+    """Credentials of one instance from files that may be replaced at any time.
+
+    Each new connection, in or out, uses the files as they are then; established connections go
+    on with what they began with. While the files are unusable, as in the middle of a
+    replacement, the latest usable ones stay in use.
+
+    Args:
+        settings: Names of the files.
+
+    Raises:
+        SettingsError: SETTINGS_UNREADABLE if a file can't be read, SETTINGS_INVALID_VALUE if it
+            isn't PEM or the key doesn't fit the certificate.
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        self._settings = settings
+        self._material = self._load()
+
+    @property
+    def material(self) -> tuple[bytes, bytes, bytes]:
+        """The certificate, key and authority in use."""
+        return self._material.certificate, self._material.key, self._material.authority
+
+    def server(self) -> grpc.ServerCredentials:
+        """Returns credentials for a server that lets only certified clients in."""
+        return grpc.dynamic_ssl_server_credentials(
+            self._configuration(),
+            self._changed_configuration,
+            require_client_authentication=True,
+        )
+
+    def channel(self) -> grpc.ChannelCredentials:
+        """Returns credentials for one new channel."""
+        self.reload()
+        certificate, key, authority = self.material
+        return grpc.ssl_channel_credentials(authority, key, certificate)
+
+    def reload(self) -> bool:
+        """Takes over changed files; returns whether they were changed and usable."""
+        try:
+            if self._stamps() == self._material.stamps:
+                return False
+            self._material = self._load()
+        except SettingsError as error:
+            _log.warning("tls_reload_failed", code=error.code.name, detail=error.detail)
+            return False
+        _log.info("tls_reloaded", certificate=self._settings.certificate)
+        return True
+
+    def _changed_configuration(self) -> grpc.ServerCertificateConfiguration | None:
+        return self._configuration() if self.reload() else None
+
+    def _configuration(self) -> grpc.ServerCertificateConfiguration:
+        certificate, key, authority = self.material
+        return grpc.ssl_server_certificate_configuration([(key, certificate)], authority)
+
+    def _paths(self) -> tuple[Path, Path, Path]:
+        settings = self._settings
+        return Path(settings.certificate), Path(settings.key), Path(settings.authority)
+
+    def _stamps(self) -> tuple[tuple[int, int], ...]:
+        try:
+            stats = [path.stat() for path in self._paths()]
+        except OSError as error:
+            raise SettingsError(Code.SETTINGS_UNREADABLE, f"TLS file: {error}") from error
+        return tuple((stat.st_mtime_ns, stat.st_ino) for stat in stats)
+
+    def _load(self) -> _Material:
+        stamps = self._stamps()
+        certificate_path, key_path, authority_path = self._paths()
+        try:
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            context.load_cert_chain(certificate_path, key_path)
+            context.load_verify_locations(authority_path)
+            contents = [path.read_bytes() for path in self._paths()]
+        except ssl.SSLError as error:
+            raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"TLS file: {error}") from error
+        except OSError as error:
+            raise SettingsError(Code.SETTINGS_UNREADABLE, f"TLS file: {error}") from error
+        return _Material(contents[0], contents[1], contents[2], stamps)
+
+
+def load_tls(settings: TlsSettings | None) -> TlsCredentials | None:
+    """Returns the credentials that the settings name, or None for plaintext.
+
+    Raises:
+        SettingsError: A file is unreadable or unusable.
+    """
+    return TlsCredentials(settings) if settings is not None else None
--- /dev/null
+++ b/tests/zone_processes.py
@@ -0,0 +1,92 @@
+"""Instances with real gRPC between them, all in the test's process."""
+
+import asyncio
+import random
+
+from pearwell.clock import MonotonicClock
+from pearwell.gossip_service import GossipService
+from pearwell.kernel import Kernel
+from pearwell.membership_service import MembershipService
+from pearwell.messages import EntryAdopted, PeerMessage, ViewRenewed
+from pearwell.peers import Peers
+from pearwell.settings import Endpoint, PeerSettings, Settings
+from pearwell.tls import load_tls
+
+PORTS = {
+    "fabric_port": 20500,
+    "peer_port": 20501,
+    "control_port": 20502,
+    "admin_port": 20503,
+    "metrics_port": 20504,
+}
+
+
+def settings_of(number, seeds=(1,), octet=1, tls=None):
+    """Returns the settings of one instance; octet keeps the tests' addresses apart."""
+    peers = tuple(
+        PeerSettings(
+            instance=f"i{seed}",
+            address=f"127.40.{octet}.{seed}",
+            peer_port=PORTS["peer_port"],
+            control_port=PORTS["control_port"],
+        )
+        for seed in seeds
+    )
+    return Settings(
+        instance=f"i{number}",
+        region="pnw",
+        zone="pnw-a",
+        address=f"127.40.{octet}.{number}",
+        platform=Endpoint(address=f"127.40.{octet}.250", port=20510),
+        peers=peers,
+        tls=tls,
+        plaintext=tls is None,
+        **PORTS,
+    )
+
+
+class Instance:
+    """The services peers, gossip and membership of one instance."""
+
+    def __init__(self, settings):
+        clock, rng = MonotonicClock(), random.Random(settings.instance)
+        self.peers = Peers(settings, load_tls(settings.tls), clock, rng)
+        self.gossip = GossipService(settings.instance, self.peers, clock, rng)
+        core = self.gossip.gossip
+        self.membership = MembershipService(settings, self.peers, core, clock, rng)
+        self.recorder = Recorder()
+        self.kernel = Kernel()
+        for service in (self.peers, self.gossip, self.membership, self.recorder):
+            self.kernel.add(service)
+
+    @property
+    def members(self):
+        """Ids in the view."""
+        return [m.instance for m in self.membership.swim.view.members]
+
+
+class Recorder:
+    """A service that keeps the messages it gets."""
+
+    name = "recorder"
+    accepts = (EntryAdopted, PeerMessage, ViewRenewed)
+
+    def __init__(self):
+        self.messages = []
+
+    async def start(self, kernel):
+        """Starts nothing."""
+
+    async def stop(self):
+        """Stops nothing."""
+
+    def deliver(self, message):
+        """Keeps a message."""
+        self.messages.append(message)
+
+
+async def until(condition, timeout_s=15.0):
+    """Waits until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
