--- a/pearwell/membership_service.py
+++ b/pearwell/membership_service.py
@@ -30,9 +30,7 @@
 
 def own_member(settings: Settings) -> Member:
     """Returns the member that an instance is by its settings."""
-    return Member(
-        settings.instance, settings.address, settings.peer_port, settings.control_port
-    )
+    return Member(settings.instance, settings.address, settings.peer_port, settings.control_port)
 
 
 class MembershipService(QueuedService):
--- a/pearwell/tls.py
+++ b/pearwell/tls.py
@@ -53,7 +53,7 @@
         """Returns credentials for a server that lets only certified clients in."""
         return grpc.dynamic_ssl_server_credentials(
             self._configuration(),
-            self._changed_configuration,
+            self._changed_configuration,  # type: ignore[arg-type]  # None means unchanged
             require_client_authentication=True,
         )
 
--- a/tests/certificates.py
+++ b/tests/certificates.py
@@ -37,9 +37,7 @@
                 serialization.NoEncryption(),
             )
         )
-        return TlsSettings(
-            certificate=str(paths[0]), key=str(paths[1]), authority=str(self._path)
-        )
+        return TlsSettings(certificate=str(paths[0]), key=str(paths[1]), authority=str(self._path))
 
     def _sign(self, subject, key, extension):
         now = datetime.datetime.now(datetime.UTC)
