Agree on placements: planner, conditional writes, spread and merge

A change is prepared, activated once all members hold it or 1.5 s are over, and released by the owners' proofs. The first live instance by rendezvous plans; a write counts only under the version that it was made from. Without the platform the higher generation wins and is written back.

--- /dev/null
+++ b/bench/control_zone.py
@@ -0,0 +1,343 @@
+"""The control services of a zone's instances in one process, over memory or over gRPC."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from pearwell.clock import Clock
+from pearwell.configuration_service import ConfigurationService
+from pearwell.errors import Code, InvariantError, PlatformError
+from pearwell.gossip_service import GossipService
+from pearwell.kernel import Kernel, KernelService
+from pearwell.membership import Member
+from pearwell.membership_service import MembershipService, PeerDirectory
+from pearwell.messages import (
+    ConfigurationChanged,
+    Message,
+    PeerMessage,
+    PlacementChanged,
+    ViewChanged,
+    ViewRenewed,
+    decode,
+    encode,
+)
+from pearwell.object_store import (
+    MemoryObjectStore,
+    ObjectList,
+    RetryingObjectStore,
+    StoredObject,
+    Value,
+    WatchEvent,
+)
+from pearwell.peers import Peers
+from pearwell.placement import Generation
+from pearwell.placement_service import PlacementService
+from pearwell.placement_store import PlacementStore
+from pearwell.settings import Endpoint, Settings
+
+__all__ = ["ControlInstance", "ControlZone", "Faults", "Observer", "ReachableStore"]
+
+ZONE = "pnw-a"
+LATENCY_S = 0.0005
+CONTROL_PORT = 20602
+
+
+@dataclass
+class Faults:
+    """What happens to the messages between instances.
+
+    Attributes:
+        delivery: Delays in seconds of each copy of a message; none if it is lost.
+    """
+
+    delivery: Callable[[str, str, Message], tuple[float, ...]] = lambda sender, to, message: (
+        LATENCY_S,
+    )
+
+
+@dataclass
+class ReachableStore:
+    """The platform as one instance reaches it."""
+
+    inner: MemoryObjectStore
+    reachable: Callable[[], bool]
+
+    async def get(self, kind: str, name: str) -> StoredObject:
+        """Returns an object."""
+        self._check()
+        return await self.inner.get(kind, name)
+
+    async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
+        """Returns the objects of a kind."""
+        self._check()
+        return await self.inner.list(kind, limit=limit, token=token)
+
+    async def create(self, kind: str, name: str, value: Value) -> StoredObject:
+        """Creates an object."""
+        self._check()
+        return await self.inner.create(kind, name, value)
+
+    async def update(
+        self, kind: str, name: str, value: Value, expected_version: int
+    ) -> StoredObject:
+        """Replaces an object."""
+        self._check()
+        return await self.inner.update(kind, name, value, expected_version)
+
+    async def delete(self, kind: str, name: str, expected_version: int) -> None:
+        """Removes an object."""
+        self._check()
+        await self.inner.delete(kind, name, expected_version)
+
+    async def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
+        """Yields events."""
+        self._check()
+        async for event in self.inner.watch(kind, version):
+            self._check()
+            yield event
+
+    def _check(self) -> None:
+        if not self.reachable():
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, "cut off")
+
+
+@dataclass
+class Observer:
+    """A service that notes when what came into force, and that versions never fall.
+
+    Attributes:
+        configured: Time of each applied version of a configuration object.
+        placed: Time of each placement's generation, by group.
+        heard_at: Latest proof of the view.
+    """
+
+    clock: Clock
+    name: str = "observer"
+    accepts: tuple[type[Message], ...] = (ConfigurationChanged, PlacementChanged, ViewRenewed)
+    configured: dict[tuple[str, int], float] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+    placed: dict[str, dict[Generation, float]] = field(default_factory=dict)
+    heard_at: float = float("-inf")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Starts nothing."""
+
+    async def stop(self) -> None:
+        """Stops nothing."""
+
+    def deliver(self, message: Message) -> None:
+        """Notes a message.
+
+        Raises:
+            InvariantError: A version or generation fell.
+        """
+        match message:
+            case ConfigurationChanged(configuration=configuration):
+                for (_, name), version in configuration.versions.items():
+                    self._configured(name, version)
+            case PlacementChanged(placement=placement):
+                seen = self.placed.setdefault(placement.group, {})
+                if seen and placement.generation <= max(seen):
+                    raise InvariantError(Code.INVARIANT_VIOLATED, f"{placement.group} fell")
+                seen[placement.generation] = self.clock.now()
+            case ViewRenewed(heard_at=heard_at):
+                self.heard_at = max(self.heard_at, heard_at)
+
+    def _configured(self, name: str, version: int) -> None:
+        held = self.versions.get(name, 0)
+        if version < held:
+            raise InvariantError(Code.INVARIANT_VIOLATED, f"{name} fell from {held}")
+        if version > held:
+            self.versions[name] = version
+            self.configured[name, version] = self.clock.now()
+
+
+class _MemoryPeers:
+    """The service "peers" over the zone's memory network."""
+
+    name = "peers"
+    accepts: tuple[type[Message], ...] = (ViewChanged,)
+
+    def __init__(self, zone: "ControlZone", instance: str) -> None:
+        self._zone = zone
+        self._instance = instance
+        self._kernel = Kernel()
+        self.bytes_sent = 0
+        self.messages_sent = 0
+
+    async def start(self, kernel: Kernel) -> None:
+        """Joins the network."""
+        self._kernel = kernel
+        self._zone.receivers[self._instance] = self._receive
+
+    async def stop(self) -> None:
+        """Leaves the network."""
+        self._zone.receivers.pop(self._instance, None)
+
+    def deliver(self, message: Message) -> None:
+        """Needs no view."""
+
+    def introduce(self, member: Member) -> None:
+        """Needs no addresses."""
+
+    def send(self, to: str, message: Message) -> None:
+        """Sends a message to an instance."""
+        payload = encode(message)
+        self.bytes_sent += len(payload)
+        self.messages_sent += 1
+        self._zone.carry(self._instance, to, message, payload)
+
+    def _receive(self, sender: str, payload: bytes) -> None:
+        self._kernel.publish(PeerMessage(sender, decode(payload)))
+
+
+class ControlInstance:
+    """Peers, gossip, membership, configuration and placement of one instance."""
+
+    def __init__(self, zone: "ControlZone", number: int) -> None:
+        self.name = f"i{number}"
+        settings = zone.settings(number)
+        rng = random.Random(f"{zone.seed}/{self.name}")
+        clock = zone.clock
+        self.peers: _MemoryPeers | Peers = (
+            Peers(settings, None, clock, rng) if zone.grpc else _MemoryPeers(zone, self.name)
+        )
+        self.platform = ReachableStore(zone.platform, lambda: self.name not in zone.cut_off)
+        store = RetryingObjectStore(self.platform, clock, rng)
+        gossip = GossipService(self.name, self.peers, clock, rng)
+        self.gossip = gossip.gossip
+        directory: PeerDirectory = self.peers
+        self.membership = MembershipService(
+            settings, directory, self.gossip, clock, rng, zone.listed
+        )
+        self.configuration = ConfigurationService(self.name, ZONE, self.gossip, store, clock, rng)
+        self.placement = PlacementService(
+            self.name,
+            ZONE,
+            self.gossip,
+            self.peers,
+            PlacementStore(self.platform, ZONE, clock),
+            clock,
+            zone.wall_time,
+        )
+        self.observer = Observer(clock)
+        self.kernel = Kernel()
+        services: list[KernelService] = [
+            self.peers,
+            gossip,
+            self.membership,
+            self.configuration,
+            self.placement,
+            self.observer,
+        ]
+        for service in services:
+            self.kernel.add(service)
+
+    @property
+    def members(self) -> list[str]:
+        """Ids in the view."""
+        return [member.instance for member in self.membership.swim.view.members]
+
+
+class ControlZone:
+    """Instances of one zone and their platform.
+
+    Args:
+        clock: Source of time; the event loop's for virtual time.
+        seed: Seed of all random choices.
+        grpc: Whether instances talk over gRPC on loopback addresses.
+    """
+
+    def __init__(self, clock: Clock, seed: int, grpc: bool = False) -> None:
+        self.clock = clock
+        self.seed = seed
+        self.grpc = grpc
+        self.platform = MemoryObjectStore()
+        self.instances: dict[str, ControlInstance] = {}
+        self.receivers: dict[str, Callable[[str, bytes], None]] = {}
+        self.cut_off: set[str] = set()
+        self.faults = Faults()
+        self.lost: Counter[str] = Counter()
+
+    def wall_time(self) -> float:
+        """Returns a Unix time that moves with the clock."""
+        return 1_700_000_000 + self.clock.now()
+
+    def settings(self, number: int) -> Settings:
+        """Returns the settings of an instance."""
+        return Settings(
+            instance=f"i{number}",
+            region="pnw",
+            zone=ZONE,
+            address=f"127.40.{20 + number // 250}.{1 + number % 250}",
+            fabric_port=20600,
+            peer_port=20601,
+            control_port=CONTROL_PORT,
+            admin_port=20603,
+            metrics_port=20604,
+            platform=Endpoint(address="127.40.20.254", port=20610),
+            plaintext=True,
+        )
+
+    async def listed(self) -> list[Member]:
+        """Returns the platform's list, which shows all running instances."""
+        if self.platform.faults.outage:
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, "outage")
+        members = []
+        for name in self.instances:
+            settings = self.settings(int(name[1:]))
+            address = settings.address
+            members.append(Member(name, address, settings.peer_port, settings.control_port))
+        return members
+
+    async def start(self, *numbers: int) -> None:
+        """Starts instances."""
+        started = [ControlInstance(self, number) for number in numbers]
+        for instance in started:
+            self.instances[instance.name] = instance
+        for instance in started:
+            await instance.kernel.start()
+
+    async def kill(self, *names: str) -> None:
+        """Ends instances without a word to the others."""
+        for name in names:
+            self.receivers.pop(name, None)
+            instance = self.instances.pop(name)
+            instance.peers.send = lambda to, message: None  # type: ignore[method-assign]
+            await instance.kernel.stop()
+
+    async def stop(self) -> None:
+        """Ends all instances."""
+        await self.kill(*self.instances)
+
+    def carry(self, sender: str, to: str, message: Message, payload: bytes) -> None:
+        """Delivers copies of a message after their delays."""
+        loop = asyncio.get_running_loop()
+        for delay in self.faults.delivery(sender, to, message):
+            loop.call_later(delay, self._arrive, sender, to, payload)
+
+    def _arrive(self, sender: str, to: str, payload: bytes) -> None:
+        receiver = self.receivers.get(to)
+        if receiver is not None:
+            receiver(sender, payload)
+
+    async def until(self, condition: Callable[[], bool], timeout_s: float = 30.0) -> float:
+        """Waits until a condition holds and returns the time it took in seconds.
+
+        Raises:
+            TimeoutError: It doesn't hold in time.
+        """
+        began = self.clock.now()
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+        return self.clock.now() - began
+
+    async def until_joined(self, timeout_s: float = 60.0) -> float:
+        """Waits until every instance sees all others."""
+        return await self.until(
+            lambda: all(len(i.members) == len(self.instances) for i in self.instances.values()),
+            timeout_s,
+        )
--- a/pearwell/configuration_service.py
+++ b/pearwell/configuration_service.py
@@ -54,7 +54,7 @@
     """
 
     name = "configuration"
-    accepts = (EntryAdopted, ViewChanged)
+    accepts: tuple[type[Message], ...] = (EntryAdopted, ViewChanged)
     interval_s = TICK_INTERVAL_S
 
     def __init__(
--- a/pearwell/gossip_service.py
+++ b/pearwell/gossip_service.py
@@ -24,7 +24,7 @@
     """
 
     name = "gossip"
-    accepts = (PeerMessage, ViewChanged)
+    accepts: tuple[type[Message], ...] = (PeerMessage, ViewChanged)
     interval_s = TICK_INTERVAL_S
 
     def __init__(
--- a/pearwell/membership_service.py
+++ b/pearwell/membership_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
 
 import structlog
 
@@ -12,12 +13,12 @@
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.membership import Member, View
 from pearwell.messages import Message, PeerMessage, ViewChanged, ViewRenewed
-from pearwell.peers import Peers
 from pearwell.rendezvous import rank
 from pearwell.settings import Settings
 from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
+from pearwell.transport import Transport
 
-__all__ = ["MembershipService", "SeedSource", "own_member"]
+__all__ = ["MembershipService", "PeerDirectory", "SeedSource", "own_member"]
 
 SEED_RETRY_S = 1.0
 SEED_INTERVAL_S = 30.0
@@ -25,6 +26,14 @@
 
 SeedSource = Callable[[], Awaitable[Iterable[Member]]]
 
+
+class PeerDirectory(Transport, Protocol):
+    """A transport that has to know addresses before it can send."""
+
+    def introduce(self, member: Member) -> None:
+        """Makes the addresses of an instance known, before or while it is a member."""
+
+
 _log = structlog.get_logger()
 
 
@@ -46,13 +55,13 @@
     """
 
     name = "membership"
-    accepts = (PeerMessage,)
+    accepts: tuple[type[Message], ...] = (PeerMessage,)
     interval_s = TICK_INTERVAL_S
 
     def __init__(
         self,
         settings: Settings,
-        peers: Peers,
+        peers: PeerDirectory,
         gossip: Gossip,
         clock: Clock,
         rng: random.Random,
--- a/pearwell/messages/local.py
+++ b/pearwell/messages/local.py
@@ -2,7 +2,7 @@
 
 from pearwell.configuration import Configuration
 from pearwell.membership import View
-from pearwell.messages.base import Message
+from pearwell.messages.base import Message, wire
 from pearwell.messages.gossip import Entry
 from pearwell.placement import Placement, TargetState
 
@@ -55,8 +55,12 @@
     placement: Placement
 
 
+@wire
 class BucketsClear(Message, frozen=True):
-    """No live flow is left off the current target of these buckets; from "packets"."""
+    """No live flow is left off the current target of these buckets; from "packets".
+
+    It is passed on to the instance that plans for the group.
+    """
 
     group: str
     buckets: tuple[int, ...]
--- a/pearwell/peers.py
+++ b/pearwell/peers.py
@@ -60,7 +60,7 @@
     """
 
     name = "peers"
-    accepts = (ViewChanged,)
+    accepts: tuple[type[Message], ...] = (ViewChanged,)
     interval_s = HOUSEKEEPING_INTERVAL_S
 
     def __init__(
--- /dev/null
+++ b/pearwell/placement_codec.py
@@ -0,0 +1,108 @@
+"""Encoded forms of a placement: for gossip and for the platform."""
+
+import base64
+import binascii
+import zlib
+from typing import Any
+
+import msgspec
+
+from pearwell.errors import Code, PeerError, PlatformError
+from pearwell.messages import Entry, EntryVersion
+from pearwell.object_store import StoredObject, Value
+from pearwell.placement import Placement
+
+__all__ = [
+    "PLACEMENT_DOMAIN",
+    "PLACEMENT_KIND",
+    "decode_entry",
+    "decode_stored",
+    "encode_entry",
+    "encode_value",
+    "entry_key",
+    "object_name",
+]
+
+PLACEMENT_DOMAIN = "placement"
+PLACEMENT_KIND = "placement"
+MAX_DECODED_BYTES = 4_000_000
+
+_DECODER = msgspec.msgpack.Decoder(Placement)
+
+
+def entry_key(group: str) -> str:
+    """Returns the gossip key of a group's placement."""
+    return f"{PLACEMENT_DOMAIN}/{group}"
+
+
+def object_name(group: str, zone: str) -> str:
+    """Returns the name of the platform object of a group's placement in a zone."""
+    return f"{group}.{zone}"
+
+
+def encode_entry(placement: Placement) -> Entry:
+    """Returns a placement as gossip entry."""
+    generation = placement.generation
+    version = EntryVersion(generation.counter, generation.instance)
+    return Entry(entry_key(placement.group), version, _pack(placement))
+
+
+def decode_entry(entry: Entry) -> Placement:
+    """Returns the placement of a gossip entry.
+
+    Raises:
+        PeerError: PEER_BAD_MESSAGE if it is malformed or of another key or version.
+    """
+    try:
+        placement = _unpack(entry.payload)
+    except (msgspec.DecodeError, zlib.error, ValueError) as error:
+        raise PeerError(Code.PEER_BAD_MESSAGE, f"{entry.key}: {error}") from error
+    generation = placement.generation
+    version = EntryVersion(generation.counter, generation.instance)
+    if (entry_key(placement.group), version) != (entry.key, entry.version):
+        raise PeerError(Code.PEER_BAD_MESSAGE, f"{entry.key} holds another placement")
+    return placement
+
+
+def encode_value(placement: Placement) -> dict[str, Any]:
+    """Returns a placement as the platform's JSON value."""
+    return {
+        "group": placement.group,
+        "zone": placement.zone,
+        "counter": placement.generation.counter,
+        "instance": placement.generation.instance,
+        "phase": placement.phase.name.lower(),
+        "placement": base64.b64encode(_pack(placement)).decode(),
+    }
+
+
+def decode_stored(stored: StoredObject) -> Placement:
+    """Returns the placement of a platform object.
+
+    Raises:
+        PlatformError: PLATFORM_BAD_ANSWER if it is malformed.
+    """
+    try:
+        return _unpack(base64.b64decode(_payload(stored.value), validate=True))
+    except (msgspec.DecodeError, zlib.error, binascii.Error, ValueError) as error:
+        detail = f"{stored.kind}/{stored.name}: {error}"
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
+
+
+def _payload(value: Value) -> str:
+    payload = value.get("placement")
+    if not isinstance(payload, str):
+        raise ValueError("no placement")
+    return payload
+
+
+def _pack(placement: Placement) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(placement))
+
+
+def _unpack(payload: bytes) -> Placement:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(payload, MAX_DECODED_BYTES)
+    if not decompressor.eof:
+        raise ValueError("truncated or too large")
+    return _DECODER.decode(content)
--- /dev/null
+++ b/pearwell/placement_service.py
@@ -0,0 +1,390 @@
+"""The kernel service that agrees on placements and spreads them."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.configuration import Configuration
+from pearwell.drain import TargetDrain, TargetDrainState
+from pearwell.errors import PearwellError, PlatformError
+from pearwell.gossip import Gossip
+from pearwell.group import GroupSpec, TargetIntent
+from pearwell.kernel import Kernel, QueuedService
+from pearwell.membership import View
+from pearwell.messages import (
+    BucketsClear,
+    ConfigurationChanged,
+    Entry,
+    EntryAdopted,
+    EntryVersion,
+    Message,
+    PeerMessage,
+    PlacementChanged,
+    TargetJudged,
+    ViewChanged,
+    ViewRenewed,
+    WeightsChanged,
+)
+from pearwell.placement import Phase, Placement, TargetState
+from pearwell.placement_codec import PLACEMENT_DOMAIN, decode_entry, encode_entry, entry_key
+from pearwell.placement_store import PlacementStore, Saved, SaveOutcome
+from pearwell.planner import (
+    ACKNOWLEDGED_WAIT_S,
+    PREPARE_WAIT_S,
+    GroupPlanner,
+    Pace,
+    placed_targets,
+    planner_of,
+)
+from pearwell.service import TransportProtocol
+from pearwell.spill import SpillOver
+from pearwell.transport import Transport
+from pearwell.zone_health import spill_zones_of
+
+__all__ = ["PlacementService"]
+
+TICK_INTERVAL_S = 0.1
+VIEW_LEASE_S = 1.0
+JOIN_GRACE_S = 1.0
+FORGOTTEN_GRACE_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class PlacementService(QueuedService):
+    """The kernel service "placement".
+
+    Every instance follows the placements of its zone. Of each group, the first live instance by
+    rendezvous hash plans changes. It never relies on still being the first: a change counts only
+    once the platform took it under the version that it was made from. Without the platform, the
+    higher generation wins.
+
+    Args:
+        instance: Own instance id.
+        zone: Own availability zone.
+        gossip: Spreads placements and knows which instance holds which.
+        transport: Carries proofs of clear buckets to the planner.
+        store: Writes placements to the platform.
+        clock: Source of monotonic time.
+        wall_time: Returns Unix time in seconds, for counters of forgotten placements.
+    """
+
+    name = "placement"
+    accepts: tuple[type[Message], ...] = (
+        BucketsClear,
+        ConfigurationChanged,
+        EntryAdopted,
+        PeerMessage,
+        TargetJudged,
+        ViewChanged,
+        ViewRenewed,
+        WeightsChanged,
+    )
+    interval_s = TICK_INTERVAL_S
+
+    def __init__(
+        self,
+        instance: str,
+        zone: str,
+        gossip: Gossip,
+        transport: Transport,
+        store: PlacementStore,
+        clock: Clock,
+        wall_time: Callable[[], float] = time.time,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._zone = zone
+        self._gossip = gossip
+        self._transport = transport
+        self._store = store
+        self._clock = clock
+        self._wall_time = wall_time
+        self._configuration = Configuration()
+        self._view = View()
+        self._joined_at: float | None = None
+        self._heard_at = float("-inf")
+        self._planners: dict[str, GroupPlanner] = {}
+        self._spills: dict[str, tuple[tuple[str, ...], SpillOver]] = {}
+        self._drains: dict[tuple[str, str], TargetDrain] = {}
+        self._states: dict[str, dict[str, TargetState]] = {}
+        self._weights: dict[str, dict[str, int]] = {}
+        self._led: set[str] = set()
+        self._unsaved: set[str] = set()
+        self._busy: dict[str, asyncio.Task[None]] = {}
+        self._written = 0
+        self._handlers: dict[type[Message], Callable[[Any], None]] = {
+            BucketsClear: self._on_clear,
+            ConfigurationChanged: self._on_configuration,
+            EntryAdopted: self._on_entry,
+            PeerMessage: self._on_peer_message,
+            TargetJudged: self._on_judged,
+            ViewChanged: self._on_view,
+            ViewRenewed: self._on_renewed,
+            WeightsChanged: self._on_weights,
+        }
+
+    @property
+    def written(self) -> int:
+        """Placements that this instance planned so far."""
+        return self._written
+
+    @property
+    def unsaved(self) -> int:
+        """Groups whose placement this instance has still to write to the platform."""
+        return len(self._unsaved)
+
+    def placement(self, group: str) -> Placement | None:
+        """Returns the placement of a group in force here, or None."""
+        planner = self._planners.get(group)
+        return planner.placement if planner else None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Takes over the entries that are there, and starts."""
+        await super().start(kernel)
+        for entry in self._gossip.entries(f"{PLACEMENT_DOMAIN}/"):
+            self._take(entry)
+
+    async def stop(self) -> None:
+        """Stops all writes."""
+        for task in self._busy.values():
+            task.cancel()
+        await asyncio.gather(*self._busy.values(), return_exceptions=True)
+        await super().stop()
+
+    async def handle(self, message: Message) -> None:
+        """Takes evidence, placements and changes of the zone."""
+        self._handlers[type(message)](message)
+
+    async def tick(self) -> None:
+        """Plans the next step of every group that this instance leads."""
+        self._lead()
+        if not self._may_plan():
+            return
+        for group in sorted(self._led - self._busy.keys()):
+            self._advance(group)
+
+    # Messages.
+
+    def _on_entry(self, message: EntryAdopted) -> None:
+        if message.entry.key.startswith(f"{PLACEMENT_DOMAIN}/"):
+            self._take(message.entry)
+
+    def _take(self, entry: Entry) -> None:
+        try:
+            placement = decode_entry(entry)
+        except PearwellError as error:
+            _log.error("placement_rejected", key=entry.key, code=error.code.name)
+            return
+        if placement.zone == self._zone and self._planner(placement.group).adopt(placement):
+            self.kernel.publish(PlacementChanged(placement))
+
+    def _on_configuration(self, message: ConfigurationChanged) -> None:
+        self._configuration = message.configuration
+        known = {
+            (group.name, target.name)
+            for group in self._configuration.groups.values()
+            for target in group.targets
+        }
+        self._drains = {key: drain for key, drain in self._drains.items() if key in known}
+        for group in self._configuration.groups.values():
+            self._follow_drains(group)
+
+    def _on_judged(self, message: TargetJudged) -> None:
+        self._states.setdefault(message.group, {})[message.target] = message.state
+
+    def _on_weights(self, message: WeightsChanged) -> None:
+        self._weights[message.group] = dict(message.weights)
+
+    def _on_view(self, message: ViewChanged) -> None:
+        self._view = message.view
+        if self._joined_at is None:
+            self._joined_at = self._clock.now()
+
+    def _on_renewed(self, message: ViewRenewed) -> None:
+        self._heard_at = max(self._heard_at, message.heard_at)
+
+    def _on_peer_message(self, message: PeerMessage) -> None:
+        if isinstance(message.message, BucketsClear):
+            self._planner_clear(message.message)
+
+    def _on_clear(self, message: BucketsClear) -> None:
+        leader = planner_of(message.group, self._view)
+        if leader == self._instance:
+            self._planner_clear(message)
+        elif leader is not None:
+            self._transport.send(leader, message)
+
+    def _planner_clear(self, message: BucketsClear) -> None:
+        planner = self._planners.get(message.group)
+        if planner is not None:
+            planner.clear(message.buckets, message.generation)
+
+    # Planning.
+
+    def _may_plan(self) -> bool:
+        """Whether the view is current, and was so for long enough to hear of placements."""
+        if self._joined_at is None:
+            return False
+        now = self._clock.now()
+        alone = len(self._view.members) <= 1
+        settled = alone or now - self._joined_at >= JOIN_GRACE_S
+        return settled and now - self._heard_at < VIEW_LEASE_S
+
+    def _lead(self) -> None:
+        """Finds the groups that this instance plans for; new ones are to be saved again."""
+        led = {
+            group
+            for group in self._configuration.groups
+            if planner_of(group, self._view) == self._instance
+        }
+        self._unsaved = (self._unsaved | (led - self._led)) & led
+        self._led = led
+
+    def _advance(self, group: str) -> None:
+        planner = self._planner(group)
+        self._want(planner, self._configuration.groups[group])
+        if planner.placement is None:
+            self._begin(group, self._find_first(group, planner))
+            return
+        following = planner.next(self._is_acknowledged(planner.placement))
+        if following is not None:
+            self._begin(group, self._put(following))
+        elif group in self._unsaved and self._store.reachable:
+            self._begin(group, self._save_again(group, planner.placement))
+
+    def _want(self, planner: GroupPlanner, group: GroupSpec) -> None:
+        states = self._states_of(group)
+        taking = self._spill(group).choose(group, states)
+        weights = self._weights.get(group.name, {})
+        targets = placed_targets(group, self._zone, taking, states, weights)
+        planner.want(targets, group.seed, self._pace(group.name))
+
+    def _states_of(self, group: GroupSpec) -> dict[str, TargetState]:
+        """Returns what is known of the targets; one whose drain deadline is over counts as dead."""
+        self._follow_drains(group)
+        states = dict(self._states.get(group.name, {}))
+        for target in group.targets:
+            drain = self._drains.get((group.name, target.name))
+            if drain is not None and drain.state is TargetDrainState.EXPIRED:
+                states[target.name] = TargetState.DEAD
+        return states
+
+    def _follow_drains(self, group: GroupSpec) -> None:
+        for target in group.targets:
+            key = (group.name, target.name)
+            if target.intent is TargetIntent.LEAVING:
+                drain = self._drains.setdefault(key, TargetDrain(target.name, self._clock))
+                drain.leave(target.drain_deadline_s)
+                drain.tick()
+            else:
+                self._drains.pop(key, None)
+
+    def _spill(self, group: GroupSpec) -> SpillOver:
+        zones = spill_zones_of(self._configuration, group.name)
+        known = self._spills.get(group.name)
+        if known is None or known[0] != zones:
+            known = (zones, SpillOver(self._zone, zones, self._clock))
+            self._spills[group.name] = known
+        return known[1]
+
+    def _pace(self, group: str) -> Pace:
+        learning_s = max(
+            (
+                service.learning_time_s
+                for service in self._configuration.services.values()
+                if service.group == group and service.protocol is TransportProtocol.UDP
+            ),
+            default=0.0,
+        )
+        return Pace(max(ACKNOWLEDGED_WAIT_S, learning_s), max(PREPARE_WAIT_S, learning_s))
+
+    def _is_acknowledged(self, placement: Placement) -> bool:
+        if placement.phase is not Phase.PREPARED:
+            return False
+        holders = self._gossip.holders(entry_key(placement.group))
+        generation = placement.generation
+        version = EntryVersion(generation.counter, generation.instance)
+        nothing = EntryVersion(0)
+        return all(holders.get(m.instance, nothing) >= version for m in self._view.members)
+
+    # Writing.
+
+    def _begin(self, group: str, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._busy[group] = task
+        task.add_done_callback(lambda done: self._finished(group, done))
+
+    def _finished(self, group: str, task: asyncio.Task[None]) -> None:
+        self._busy.pop(group, None)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("placement_failed", group=group, error=repr(task.exception()))
+
+    async def _find_first(self, group: str, planner: GroupPlanner) -> None:
+        """Takes a group's placement from the platform, or plans the first one."""
+        try:
+            stored = await self._store.load(group) if self._store.reachable else None
+            reached = self._store.reachable
+        except PlatformError as error:
+            _log.info("placement_not_loaded", group=group, code=error.code.name)
+            stored, reached = None, False
+        if stored is not None:
+            self._spread(stored)
+        elif planner.placement is None and (reached or self._is_forgotten(group)):
+            first = planner.next(acknowledged=False)
+            if first is not None:
+                await self._put(first)
+
+    def _is_forgotten(self, group: str) -> bool:
+        """Whether no instance of the zone holds a placement, as far as can be known."""
+        holders = self._gossip.holders(entry_key(group))
+        joined_at = self._joined_at if self._joined_at is not None else self._clock.now()
+        return not holders and self._clock.now() - joined_at >= FORGOTTEN_GRACE_S
+
+    async def _put(self, placement: Placement) -> None:
+        saved = await self._store.save(placement, fresh=True)
+        if saved.outcome is SaveOutcome.SUPERSEDED:
+            self._accept(saved)
+            return
+        if saved.outcome is SaveOutcome.UNREACHABLE:
+            self._unsaved.add(placement.group)
+        else:
+            self._unsaved.discard(placement.group)
+        self._written += 1
+        self._spread(placement)
+        _log.info(
+            "placement_written",
+            group=placement.group,
+            generation=placement.generation.counter,
+            phase=placement.phase.name,
+            saved=saved.outcome is SaveOutcome.SAVED,
+        )
+
+    async def _save_again(self, group: str, placement: Placement) -> None:
+        """Writes back what was agreed without the platform, or learns what it holds."""
+        saved = await self._store.save(placement, fresh=False)
+        if saved.outcome is not SaveOutcome.UNREACHABLE:
+            self._unsaved.discard(group)
+        self._accept(saved)
+
+    def _accept(self, saved: Saved) -> None:
+        if saved.stored is not None:
+            self._spread(saved.stored)
+
+    def _spread(self, placement: Placement) -> None:
+        entry = encode_entry(placement)
+        self._gossip.put(entry)
+        self._take(entry)
+
+    def _planner(self, group: str) -> GroupPlanner:
+        planner = self._planners.get(group)
+        if planner is None:
+            planner = GroupPlanner(
+                group, self._zone, self._instance, self._clock, lambda: int(self._wall_time())
+            )
+            self._planners[group] = planner
+        return planner
--- /dev/null
+++ b/pearwell/placement_store.py
@@ -0,0 +1,140 @@
+"""Placement store: writes placements to the platform, never over a higher generation."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import structlog
+
+from pearwell.clock import Clock
+from pearwell.errors import Code, PlatformError
+from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.placement import Generation, Placement
+from pearwell.placement_codec import PLACEMENT_KIND, decode_stored, encode_value, object_name
+
+__all__ = ["PlacementStore", "SaveOutcome", "Saved"]
+
+ATTEMPT_TIMEOUT_S = 0.6
+OUTAGE_PAUSE_S = 2.0
+MAX_CONFLICTS = 3
+
+_LOST_RACE = frozenset(
+    {Code.PLATFORM_CONFLICT, Code.PLATFORM_ALREADY_EXISTS, Code.PLATFORM_NOT_FOUND}
+)
+
+_log = structlog.get_logger()
+
+
+class SaveOutcome(Enum):
+    """What became of a write."""
+
+    SAVED = auto()
+    SUPERSEDED = auto()
+    UNREACHABLE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Saved:
+    """Result of a write.
+
+    Attributes:
+        outcome: Whether the platform holds it, holds a higher generation, or didn't answer.
+        stored: The higher placement that the platform holds, if superseded.
+    """
+
+    outcome: SaveOutcome
+    stored: Placement | None = None
+
+
+class PlacementStore:
+    """Writes placements of one zone conditionally on the version that was last seen.
+
+    Args:
+        store: The platform.
+        zone: Own availability zone.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, store: ObjectStore, zone: str, clock: Clock) -> None:
+        self._store = store
+        self._zone = zone
+        self._clock = clock
+        self._versions: dict[str, int] = {}
+        self._retry_at = float("-inf")
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the platform may be asked; after a failure only when a pause is over."""
+        return self._clock.now() >= self._retry_at
+
+    async def save(self, placement: Placement, *, fresh: bool) -> Saved:
+        """Writes a placement unless the platform holds a later one.
+
+        Args:
+            placement: The placement.
+            fresh: Whether it has just been planned. If so, another one with the same counter was
+                planned from the same state and has won; if not, the higher generation wins.
+        """
+        if not self.reachable:
+            return Saved(SaveOutcome.UNREACHABLE)
+        try:
+            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                return await self._save(placement, fresh)
+        except TimeoutError:
+            self._note_outage("timeout")
+        except PlatformError as error:
+            self._note_outage(error.code.name)
+        return Saved(SaveOutcome.UNREACHABLE)
+
+    async def load(self, group: str) -> Placement | None:
+        """Returns the placement that the platform holds, or None if there is none.
+
+        Raises:
+            PlatformError: The platform didn't answer, or with something else.
+        """
+        stored = await self._read(group)
+        return None if stored is None else decode_stored(stored)
+
+    async def _save(self, placement: Placement, fresh: bool) -> Saved:
+        for _ in range(MAX_CONFLICTS):
+            try:
+                await self._write(placement)
+                return Saved(SaveOutcome.SAVED)
+            except PlatformError as error:
+                if error.code not in _LOST_RACE:
+                    raise
+            held = await self.load(placement.group)
+            if held is not None and held.generation == placement.generation:
+                return Saved(SaveOutcome.SAVED)
+            if held is not None and _supersedes(held.generation, placement.generation, fresh):
+                return Saved(SaveOutcome.SUPERSEDED, held)
+        raise PlatformError(Code.PLATFORM_CONFLICT, f"{PLACEMENT_KIND}/{placement.group}")
+
+    async def _write(self, placement: Placement) -> None:
+        name = object_name(placement.group, self._zone)
+        value = encode_value(placement)
+        version = self._versions.get(placement.group)
+        if version is None:
+            stored = await self._store.create(PLACEMENT_KIND, name, value)
+        else:
+            stored = await self._store.update(PLACEMENT_KIND, name, value, version)
+        self._versions[placement.group] = stored.version
+
+    async def _read(self, group: str) -> StoredObject | None:
+        try:
+            stored = await self._store.get(PLACEMENT_KIND, object_name(group, self._zone))
+        except PlatformError as error:
+            if error.code is Code.PLATFORM_NOT_FOUND:
+                self._versions.pop(group, None)
+                return None
+            raise
+        self._versions[group] = stored.version
+        return stored
+
+    def _note_outage(self, reason: str) -> None:
+        self._retry_at = self._clock.now() + OUTAGE_PAUSE_S
+        _log.info("placement_not_saved", zone=self._zone, reason=reason)
+
+
+def _supersedes(held: Generation, own: Generation, fresh: bool) -> bool:
+    return held.counter >= own.counter if fresh else held > own
--- /dev/null
+++ b/tests/test_placement_service.py
@@ -0,0 +1,180 @@
+"""Tests of pearwell.placement_service with its neighbours, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from bench.control_zone import ControlZone
+from pearwell.configuration import Kind
+from pearwell.document import Document, encode_document
+from pearwell.errors import PlatformError
+from pearwell.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.messages import BucketsClear, TargetJudged
+from pearwell.placement import Phase, TargetState
+from tests.virtual_time import run
+
+
+def group(*targets, leaving=()):
+    return GroupSpec(
+        "g",
+        tuple(
+            TargetSpec(
+                name,
+                f"10.0.0.{name[1:]}",
+                "pnw-a",
+                intent=TargetIntent.LEAVING if name in leaving else TargetIntent.SERVING,
+            )
+            for name in targets
+        ),
+    )
+
+
+async def configure(zone, spec):
+    value = encode_document(Document(Kind.GROUP, spec.name, spec=spec))
+    try:
+        stored = await zone.platform.get("group", spec.name)
+    except PlatformError:
+        return (await zone.platform.create("group", spec.name, value)).version
+    return (await zone.platform.update("group", spec.name, value, stored.version)).version
+
+
+def placements(zone):
+    return {i.placement.placement("g") for i in zone.instances.values()}
+
+
+def agreed(zone, check):
+    def condition():
+        held = placements(zone)
+        return len(held) == 1 and None not in held and check(*held)
+
+    return condition
+
+
+def names(placement, table):
+    return {placement.targets[index].name for index in table}
+
+
+async def started(count=4, seed=1):
+    zone = ControlZone(asyncio.get_running_loop(), seed)
+    await zone.start(*range(count))
+    await zone.until_joined()
+    await configure(zone, group("t1", "t2"))
+    await zone.until(agreed(zone, lambda p: names(p, p.current) == {"t1", "t2"}))
+    return zone
+
+
+async def join_target():
+    zone = await started()
+    await configure(zone, group("t1", "t2", "t3"))
+    prepared = await zone.until(agreed(zone, lambda p: p.phase is Phase.PREPARED))
+    active = await zone.until(agreed(zone, lambda p: p.phase is Phase.ACTIVE))
+    (placement,) = placements(zone)
+    assert names(placement, placement.base) == {"t1", "t2"}
+    assert names(placement, placement.current) == {"t1", "t2", "t3"}
+    assert 0.1 <= active < 0.5 and prepared < 3.0
+    instance = next(iter(zone.instances.values()))
+    moving = tuple(b for b, t in enumerate(placement.base) if t != placement.current[b])
+    stale = BucketsClear("g", moving, placement.generation.counter - 1)
+    instance.kernel.publish(stale)
+    await asyncio.sleep(1.0)
+    assert placements(zone) == {placement}
+    instance.kernel.publish(BucketsClear("g", moving, placement.generation.counter))
+    await zone.until(agreed(zone, lambda p: p.phase is Phase.STABLE))
+    await zone.stop()
+
+
+def test_a_joining_target_goes_through_both_phases_and_the_release():
+    run(join_target())
+
+
+async def leave_target():
+    zone = await started()
+    await configure(zone, group("t1", "t2", leaving=["t2"]))
+    took = await zone.until(agreed(zone, lambda p: names(p, p.current) == {"t1"}))
+    assert took < 3.0
+    await zone.stop()
+
+
+def test_a_leaving_target_gets_no_new_flows_within_seconds():
+    run(leave_target())
+
+
+async def lose_target():
+    zone = await started()
+    for instance in zone.instances.values():
+        instance.kernel.publish(TargetJudged("g", "t1", TargetState.DEAD))
+    took = await zone.until(agreed(zone, lambda p: names(p, p.current) == {"t2"}))
+    assert took < 0.3
+    await zone.stop()
+
+
+def test_a_dead_target_is_replaced_at_once():
+    run(lose_target())
+
+
+async def wait_for_silent_member():
+    zone = await started()
+    deaf = set(zone.instances) - {"i0"}
+    zone.faults.delivery = lambda sender, to, message: (
+        () if to == "i0" and type(message).__name__ in ("Push", "Digest", "Offer") else (0.001,)
+    )
+    await configure(zone, group("t1", "t2", "t3"))
+    hearing = [zone.instances[name] for name in deaf]
+    phase = lambda p: p is not None and p.phase  # noqa: E731
+    await zone.until(
+        lambda: all(phase(i.placement.placement("g")) is Phase.PREPARED for i in hearing)
+    )
+    took = await zone.until(
+        lambda: all(phase(i.placement.placement("g")) is Phase.ACTIVE for i in hearing)
+    )
+    assert 1.3 < took < 2.0
+    await zone.stop()
+
+
+def test_activation_waits_for_a_member_that_acknowledges_nothing_but_not_for_ever():
+    run(wait_for_silent_member())
+
+
+async def write_back():
+    zone = await started()
+    zone.platform.faults.outage = True
+    for instance in zone.instances.values():
+        instance.kernel.publish(TargetJudged("g", "t1", TargetState.DEAD))
+    await zone.until(agreed(zone, lambda p: names(p, p.current) == {"t2"}))
+    (placement,) = placements(zone)
+    zone.platform.faults.outage = False
+    await zone.until(lambda: all(i.placement.unsaved == 0 for i in zone.instances.values()))
+    stored = await zone.platform.get("placement", "g.pnw-a")
+    assert stored.value["counter"] == placement.generation.counter
+    assert placements(zone) == {placement}
+    await zone.stop()
+
+
+def test_without_the_platform_the_zone_goes_on_and_writes_back_later():
+    run(write_back())
+
+
+async def split(seed):
+    zone = await started(6, seed)
+    half = {"i0", "i1", "i2"}
+    zone.cut_off = set(half)
+    zone.faults.delivery = lambda s, t, m: () if (s in half) != (t in half) else (0.001,)
+    await zone.until(lambda: all(len(i.members) == 3 for i in zone.instances.values()))
+    for name in half:
+        zone.instances[name].kernel.publish(TargetJudged("g", "t1", TargetState.SUSPECT))
+    await configure(zone, group("t1", "t2", "t3"))
+    await asyncio.sleep(5.0)
+    zone.cut_off = set()
+    zone.faults.delivery = lambda s, t, m: (0.001,)
+    for name in half:
+        zone.instances[name].kernel.publish(TargetJudged("g", "t1", TargetState.WORKING))
+    await zone.until(
+        agreed(zone, lambda p: names(p, p.upcoming) == {"t1", "t2", "t3"}), timeout_s=40.0
+    )
+    await zone.until(agreed(zone, lambda p: p.phase is not Phase.PREPARED))
+    await zone.stop()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_halves_of_a_split_zone_merge_to_the_accepted_configuration(seed):
+    run(split(seed))
