--- a/pearwell/admission.py
+++ b/pearwell/admission.py
@@ -54,7 +54,6 @@
                 held = _ServiceLimits(name, service.limits, self._salt, self._clock.now())
                 held.share(self._live_instances)
             group = configuration.groups.get(service.group)
-            held.group = service.group
             held.keep_targets({target.name for target in group.targets} if group else set())
             self._services[name] = held
 
@@ -98,11 +97,11 @@
         if limits is not None:
             limits.ended(target)
 
-    def report_open_flows(self, group: str, open_flows: Mapping[str, int]) -> None:
-        """Takes the open flows of a group in the zone, by target."""
-        for limits in self._services.values():
-            if limits.group == group:
-                limits.report(open_flows)
+    def report_open_flows(self, service: str, open_flows: Mapping[str, int]) -> None:
+        """Takes the open flows of a service in the zone, by target."""
+        limits = self._services.get(service)
+        if limits is not None:
+            limits.report(open_flows)
 
     def check_forwarded(self, service: str, flow_hash: int) -> None:
         """Asserts that a flow whose packet goes to a target wasn't refused.
@@ -166,7 +165,6 @@
 
     def __init__(self, name: str, limits: FlowLimits, salt: int, now: float) -> None:
         self.limits = limits
-        self.group = ""
         self.answers = RecentAnswers()
         self._seed = xxh3_64_intdigest(name.encode())
         self._live = 1
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -65,7 +65,7 @@
     clock, rng = ManualClock(), random.Random(3)
     admission = make(limits, clock)
     offer(admission, clock, rng, 500, 1.0, target="t0")
-    admission.report_open_flows("g", {"t0": reported})
+    admission.report_open_flows("s", {"t0": reported})
     answers = offer(admission, clock, rng, 500, 1.0, target="t0")
     assert answers.count(Code.OK) == pytest.approx(admitted, abs=1)
     assert answers.count(refusal) == 500 - answers.count(Code.OK)
