Tie proofs of clear buckets to the target, not the generation; drop the trust in copies

A new owner ahead of its predecessor dropped the proof, sent starts to the base again, and a replica that had kept the proof later erased their records.

--- a/bench/steering_schemes.py
+++ b/bench/steering_schemes.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from bench.steering_zone import GROUP, ZONE, Zone
+from bench.steering_zone import GROUP, ZONE, SchemeFactory, Zone
 from pearwell.configuration import Configuration
 from pearwell.membership import View
 from pearwell.messages import Message
@@ -42,6 +42,11 @@
         """Memory of the flow state in bytes."""
         return self.core.state_bytes
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return self.core.records
+
     @property
     def handed_over(self) -> bool:
         """Whether the instance may stop."""
@@ -90,6 +95,11 @@
         """Memory of the flow state in bytes."""
         return 0
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return 0
+
     @property
     def handed_over(self) -> bool:
         """Whether the instance may stop."""
@@ -137,6 +147,11 @@
         """Memory of the flow state in bytes."""
         return sys.getsizeof(self._flows) + len(self._flows) * _KEY_BYTES
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return len(self._flows)
+
     def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
         """Decides on one packet."""
         verdict = self._flows.get(flow_hash)
@@ -148,4 +163,8 @@
         return verdict
 
 
-SCHEMES = {"stateless": Stateless, "flow_table": FlowTable, "pearwell": Pearwell}
+SCHEMES: dict[str, SchemeFactory] = {
+    "stateless": Stateless,
+    "flow_table": FlowTable,
+    "pearwell": Pearwell,
+}
--- a/bench/steering_zone.py
+++ b/bench/steering_zone.py
@@ -42,6 +42,10 @@
     def state_bytes(self) -> int:
         """Memory of the flow state in bytes."""
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+
     def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
         """Decides on one packet."""
 
@@ -229,6 +233,7 @@
         self.passed = 0
         self.misrouted = 0
         self.state_bytes_peak = 0
+        self.bytes_per_record = 0.0
         self._scheme = scheme
         self._view_lag_s = view_lag_s
         self._version = 0
@@ -370,8 +375,10 @@
         for node in self.live:
             if not node.paused:
                 node.scheme.tick()
-        states = (node.scheme.state_bytes for node in self.live)
-        self.state_bytes_peak = max(self.state_bytes_peak, max(states, default=0))
+        fullest = max(self.live, key=lambda node: node.scheme.records, default=None)
+        if fullest is not None and fullest.scheme.state_bytes > self.state_bytes_peak:
+            self.state_bytes_peak = fullest.scheme.state_bytes
+            self.bytes_per_record = self.state_bytes_peak / fullest.scheme.records
 
     def _spread_to(self, node: Node, placement: Placement, lag_s: float | None) -> None:
         def apply() -> None:
--- a/pearwell/messages/steering.py
+++ b/pearwell/messages/steering.py
@@ -27,14 +27,14 @@
         group: Name of the group.
         generation: Generation of the sender's placement.
         watched: Bucket and whole seconds since its owners began to see all of its packets.
-        cleared: Buckets proven to have no flow off their current target.
+        cleared: Bucket and target tag, where no flow is left off that target.
         records: Packed flow records.
     """
 
     group: str
     generation: Generation
     watched: tuple[tuple[int, int], ...] = ()
-    cleared: tuple[int, ...] = ()
+    cleared: tuple[tuple[int, int], ...] = ()
     records: bytes = b""
 
 
@@ -48,12 +48,19 @@
 
 @wire
 class ClearMark(Message, frozen=True, tag="c"):
-    """Buckets proven clear, for the backup, which acknowledges the sequence number."""
+    """Proofs for the backup, which acknowledges the sequence number.
+
+    Attributes:
+        sequence: Sequence number.
+        group: Name of the group.
+        generation: Generation of the sender's placement.
+        cleared: Bucket and target tag, where no flow is left off that target.
+    """
 
     sequence: int
     group: str
     generation: Generation
-    buckets: tuple[int, ...]
+    cleared: tuple[tuple[int, int], ...]
 
 
 @wire
--- a/pearwell/owner.py
+++ b/pearwell/owner.py
@@ -93,11 +93,10 @@
     def decide_as_backup(
         self, group: SteeredGroup, flow_hash: int, event: FlowEvent, from_peer: bool
     ) -> Verdict | None:
-        """Decides on a packet by copied records, where they suffice.
+        """Decides on a flow's first packet by a copied record.
 
         The primary passes a flow's first packet on by the backup, so that the target gets it only
-        after both owners have the record. The backup of a lost primary may decide on everything
-        but new flows before it serves.
+        after both owners have the record.
 
         Args:
             group: Group of the packet.
@@ -108,18 +107,11 @@
         Returns:
             A verdict, or None if the packet is for the server of its shard.
         """
-        kind = _kind_of(event)
-        value = group.records.find(flow_hash)
-        if kind is _PacketKind.START:
-            fresh = value is not None and self._is_fresh(group, value)
-            return group.record_verdict(value) if from_peer and fresh and value else None
-        if not self._ownership.trusted(flow_hash % SHARDS):
-            return None
-        if value is not None:
-            return group.record_verdict(value)
-        if kind is _PacketKind.DATAGRAM or group.behind:
+        if not (from_peer and event & FlowEvent.START):
             return None
-        return group.base_verdict(flow_hash & group.table.mask)
+        value = group.records.find(flow_hash)
+        fresh = value is not None and self._is_fresh(group, value)
+        return group.record_verdict(value) if value is not None and fresh else None
 
     def _is_fresh(self, group: SteeredGroup, value: int) -> bool:
         return (group.records.stamp - stamp_of(value)) * STAMP_S <= COPY_FRESH_S
@@ -176,8 +168,6 @@
     ) -> Verdict:
         """Records a UDP flow; while the bucket is being learned, it counts as an old one."""
         target = group.start_target(bucket, group.learning_time_s)
-        if bucket in group.cleared:
-            target = group.placement.current[bucket]
         if group.placement.targets[target].state is TargetState.DEAD:
             return group.table.verdicts[target]
         self._record(group, flow_hash, target)
--- a/pearwell/ownership.py
+++ b/pearwell/ownership.py
@@ -125,7 +125,6 @@
         self._lease_s = lease_s
         self._keeper = keeper
         self._roles = [Role.NONE] * SHARDS
-        self._trusted = [False] * SHARDS
         self._owners: list[tuple[str, ...]] = [()] * SHARDS
         self._members: dict[str, Member] = {}
         self._dropped: set[str] = set()
@@ -156,10 +155,6 @@
         """Tells whether this instance decides for a shard."""
         return self._roles[shard] is Role.SERVING
 
-    def trusted(self, shard: int) -> bool:
-        """Tells whether this instance was the backup of a server that was lost."""
-        return self._trusted[shard]
-
     def holder(self, shard: int) -> Member | None:
         """Returns the member to pass a shard's packets to, or None if none is known."""
         pull = self._pulls.get(shard)
@@ -204,7 +199,6 @@
         self._pulls.clear()
         for shard in range(SHARDS):
             self._roles[shard] = Role.NONE
-            self._trusted[shard] = False
 
     def resume(self) -> None:
         """Asks for the shards that are due here, as the view is up to date again."""
@@ -247,13 +241,11 @@
         if self._primary(shard) != self._instance:
             self._pulls.pop(shard, None)
             self._roles[shard] = Role.NONE
-            self._trusted[shard] = False
             return
         pull = self._pulls.get(shard) or self._start(shard)
         pull.waiting -= dropped
         if lost:
             pull.not_before = self._clock.now() + self._lease_s
-            self._trusted[shard] = earlier[1:2] == (self._instance,) and not lost_twice
         if lost_twice:
             self._keeper.orphaned(shard)
 
@@ -277,7 +269,7 @@
         asked: dict[tuple[str, int], list[int]] = {}
         for shard, pull in due.items():
             pull.sent_at = now
-            for instance in (*pull.waiting, *also):
+            for instance in sorted({*pull.waiting, *also}):
                 asked.setdefault((instance, pull.round), []).append(shard)
         for (instance, number), shards in asked.items():
             self._transport.send(instance, OwnershipPull(number, bytes(shards)))
@@ -300,7 +292,6 @@
     def _serve(self, shard: int, granted_by: str = "") -> None:
         self._pulls.pop(shard, None)
         self._roles[shard] = Role.SERVING
-        self._trusted[shard] = False
         self._claims.granted.pop(shard, None)
         self._keeper.begin(shard, bool(granted_by))
         backup = self.backup(shard)
--- a/pearwell/record.py
+++ b/pearwell/record.py
@@ -7,6 +7,7 @@
 from xxhash import xxh3_64_intdigest
 
 __all__ = [
+    "PARTITIONS",
     "RECORD_BYTES",
     "SHARDS",
     "SHARD_BITS",
@@ -21,10 +22,14 @@
 
 SHARD_BITS = 8
 SHARDS = 1 << SHARD_BITS
+# Shards that share a dictionary, so that few records don't cost a dictionary each.
+PARTITION_BITS = 4
+PARTITIONS = 1 << PARTITION_BITS
 RECORD_BYTES = 14
 STAMP_S = 1.0
 
-_SHARD_MASK = SHARDS - 1
+_PARTITION_MASK = PARTITIONS - 1
+_SHARD_KEY_MASK = (SHARDS >> PARTITION_BITS) - 1
 _FLAG_BITS = 4
 _FLAG_MASK = (1 << _FLAG_BITS) - 1
 _INDEX_BITS = 16
@@ -33,7 +38,7 @@
 _TAG_MASK = (1 << 44) - 1
 _HASH_BITS = 64
 _HASH_MASK = (1 << _HASH_BITS) - 1
-# A key of 56 bits is an int object of 32 bytes.
+# A key of 60 bits is an int object of 32 bytes.
 _KEY_BYTES = 32
 
 
@@ -77,7 +82,7 @@
 class FlowRecords:
     """The flow records of one group at one instance.
 
-    A record is a dictionary entry from the upper 56 bits of the flow hash to an integer of
+    A record is a dictionary entry from the upper 60 bits of the flow hash to an integer of
     time stamp, target index and flags. Equal values share one integer object.
 
     Args:
@@ -86,7 +91,7 @@
 
     def __init__(self, group: str) -> None:
         self._group = group
-        self._shards: dict[int, dict[int, int]] = {}
+        self._partitions: list[dict[int, int]] = [{} for _ in range(PARTITIONS)]
         self._tags: list[int] = []
         self._indices: dict[int, int] = {}
         self._stamp = 0
@@ -105,14 +110,15 @@
     @property
     def size(self) -> int:
         """Number of records."""
-        return sum(len(shard) for shard in self._shards.values())
+        return sum(map(len, self._partitions))
 
     @property
     def state_bytes(self) -> int:
         """Memory of the records in bytes, with the interpreter's overhead."""
-        tables = sum(sys.getsizeof(shard) for shard in self._shards.values())
-        values = {id(value): value for shard in self._shards.values() for value in shard.values()}
-        shared = sum(sys.getsizeof(value) for value in values.values())
+        used = [partition for partition in self._partitions if partition]
+        tables = sum(map(sys.getsizeof, used))
+        values = {id(value): value for partition in used for value in partition.values()}
+        shared = sum(map(sys.getsizeof, values.values()))
         return tables + shared + self.size * _KEY_BYTES
 
     def advance(self, now: float) -> None:
@@ -132,42 +138,47 @@
 
     def find(self, flow_hash: int) -> int | None:
         """Returns the value of a flow's record, or None."""
-        shard = self._shards.get(flow_hash & _SHARD_MASK)
-        return None if shard is None else shard.get(flow_hash >> SHARD_BITS)
+        return self._partitions[flow_hash & _PARTITION_MASK].get(flow_hash >> PARTITION_BITS)
 
     def put(self, flow_hash: int, index: int, flags: int) -> None:
         """Records a flow, or replaces its record."""
-        shard = self._shards.setdefault(flow_hash & _SHARD_MASK, {})
-        shard[flow_hash >> SHARD_BITS] = self._value(index, flags)
+        partition = self._partitions[flow_hash & _PARTITION_MASK]
+        partition[flow_hash >> PARTITION_BITS] = self._value(index, flags)
 
     def touch(self, flow_hash: int, value: int, flags: int) -> None:
         """Notes a packet of a recorded flow and adds flags."""
         fresh = self._value(index_of(value), flags_of(value) | flags)
         if fresh is not value:
-            self._shards[flow_hash & _SHARD_MASK][flow_hash >> SHARD_BITS] = fresh
+            partition = self._partitions[flow_hash & _PARTITION_MASK]
+            partition[flow_hash >> PARTITION_BITS] = fresh
 
     def discard(self, flow_hash: int) -> None:
         """Forgets a flow; without effect if it has no record."""
-        number = flow_hash & _SHARD_MASK
-        shard = self._shards.get(number)
-        if shard is None:
-            return
-        shard.pop(flow_hash >> SHARD_BITS, None)
-        if not shard:
-            del self._shards[number]
+        number = flow_hash & _PARTITION_MASK
+        partition = self._partitions[number]
+        partition.pop(flow_hash >> PARTITION_BITS, None)
+        if not partition:
+            self._partitions[number] = {}
 
     def clear(self, shard: int) -> None:
         """Forgets all flows of a shard."""
-        self._shards.pop(shard, None)
+        for flow_hash, _ in self.items(shard):
+            self.discard(flow_hash)
 
     def items(self, shard: int) -> list[tuple[int, int]]:
         """Returns flow hashes and values of one shard."""
-        entries = self._shards.get(shard, {}).items()
-        return [(key << SHARD_BITS | shard, value) for key, value in entries]
-
-    def shards(self) -> list[int]:
-        """Returns the shards that have records."""
-        return list(self._shards)
+        number = shard & _PARTITION_MASK
+        upper = shard >> PARTITION_BITS
+        return [
+            (key << PARTITION_BITS | number, value)
+            for key, value in self._partitions[number].items()
+            if key & _SHARD_KEY_MASK == upper
+        ]
+
+    def partition(self, number: int) -> list[tuple[int, int]]:
+        """Returns flow hashes and values of the shards that are equal modulo PARTITIONS."""
+        entries = self._partitions[number].items()
+        return [(key << PARTITION_BITS | number, value) for key, value in entries]
 
     def pack(self, flow_hash: int, value: int) -> bytes:
         """Packs one record for another instance."""
--- a/pearwell/release.py
+++ b/pearwell/release.py
@@ -7,7 +7,15 @@
 from pearwell.messages import BucketsClear, Message
 from pearwell.ownership import Ownership
 from pearwell.placement import TargetState
-from pearwell.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
+from pearwell.record import (
+    PARTITIONS,
+    SHARDS,
+    STAMP_S,
+    RecordFlag,
+    flags_of,
+    index_of,
+    stamp_of,
+)
 from pearwell.replication import Replicator
 from pearwell.steered_group import SteeredGroup
 from pearwell.verdict import Action
@@ -18,7 +26,8 @@
 RESET_LINGER_S = 2.0
 DEAD_LINGER_S = 10.0
 PUBLISH_INTERVAL_S = 1.0
-SCAN_PARTS = 4
+# Every partition is scanned once in so many ticks.
+SCAN_TICKS = 4
 
 
 @dataclass(slots=True)
@@ -50,37 +59,39 @@
         self._ownership = ownership
         self._replicator = replicator
         self._publish = publish
-        self._part = 0
+        self._turn = 0
         self._published_at: dict[str, float] = {}
         self._marks: dict[str, _Marks] = {}
 
     def tick(self, groups: list[SteeredGroup]) -> None:
         """Scans a part of the shards, then publishes what is proven."""
-        self._part = (self._part + 1) % SCAN_PARTS
+        self._turn = (self._turn + 1) % SCAN_TICKS
         for group in groups:
             group.records.advance(self._clock.now())
-            for shard in {*group.records.shards(), *group.moving_shards}:
-                if shard % SCAN_PARTS == self._part:
-                    self._scan(group, shard)
+            for partition in range(self._turn, PARTITIONS, SCAN_TICKS):
+                self._scan(group, partition)
             self._publish_clear(group)
 
-    def _scan(self, group: SteeredGroup, shard: int) -> None:
-        serving = self._ownership.serves(shard)
-        if serving:
-            self._expire(group, shard)
-            self._prove(group, shard)
-        else:
-            self._purge(group, shard)
-
-    def _expire(self, group: SteeredGroup, shard: int) -> None:
-        """Forgets the flows that ended or were idle for too long."""
-        backup = self._ownership.backup(shard)
-        for flow_hash, value in group.records.items(shard):
-            if not self._is_over(group, value):
-                continue
-            group.records.discard(flow_hash)
-            if backup is not None and not flags_of(value) & RecordFlag.LEARNED:
-                self._replicator.ended(backup.instance, group.table.group, flow_hash)
+    def _scan(self, group: SteeredGroup, partition: int) -> None:
+        """Forgets flows that are over and proves what it can about moving buckets."""
+        items = group.records.partition(partition)
+        for flow_hash, value in items:
+            if self._ownership.serves(flow_hash % SHARDS):
+                self._expire(group, flow_hash, value)
+            else:
+                self._purge(group, flow_hash, value)
+        for shard in group.moving_shards:
+            if shard % PARTITIONS == partition and self._ownership.serves(shard):
+                self._prove(group, shard)
+
+    def _expire(self, group: SteeredGroup, flow_hash: int, value: int) -> None:
+        """Forgets a flow that ended or was idle for too long."""
+        if not self._is_over(group, value):
+            return
+        group.records.discard(flow_hash)
+        backup = self._ownership.backup(flow_hash % SHARDS)
+        if backup is not None and not flags_of(value) & RecordFlag.LEARNED:
+            self._replicator.ended(backup.instance, group.table.group, flow_hash)
 
     def _is_over(self, group: SteeredGroup, value: int) -> bool:
         flags = flags_of(value)
@@ -92,13 +103,11 @@
         idle = (group.records.stamp - stamp_of(value) - 1) * STAMP_S
         return idle >= limit
 
-    def _purge(self, group: SteeredGroup, shard: int) -> None:
-        """Forgets copies of buckets that have been stable for a while."""
-        for flow_hash, value in group.records.items(shard):
-            stable = flow_hash & group.table.mask not in group.table.moving
-            old = (group.records.stamp - stamp_of(value)) * STAMP_S >= DEAD_LINGER_S
-            if stable and old:
-                group.records.discard(flow_hash)
+    def _purge(self, group: SteeredGroup, flow_hash: int, value: int) -> None:
+        """Forgets a copy in a bucket that has been stable for a while."""
+        stable = flow_hash & group.table.mask not in group.table.moving
+        if stable and (group.records.stamp - stamp_of(value)) * STAMP_S >= DEAD_LINGER_S:
+            group.records.discard(flow_hash)
 
     def _prove(self, group: SteeredGroup, shard: int) -> None:
         """Marks the buckets of a shard that have no live flow off their current target."""
@@ -155,7 +164,8 @@
             if backup is not None and marks.sent.get(bucket, ("", 0))[0] != backup.instance:
                 due.setdefault(backup.instance, []).append(bucket)
         for peer, marked in due.items():
-            sequence = self._replicator.mark_clear(peer, group.table.group, generation, marked)
+            proofs = [(bucket, group.current_tag(bucket)) for bucket in marked]
+            sequence = self._replicator.mark_clear(peer, group.table.group, generation, proofs)
             marks.sent.update(dict.fromkeys(marked, (peer, sequence)))
 
     def _is_marked(self, group: SteeredGroup, bucket: int) -> bool:
--- a/pearwell/replication.py
+++ b/pearwell/replication.py
@@ -101,12 +101,12 @@
         self._channel(peer).ended.setdefault(group, []).append(flow_hash)
 
     def mark_clear(
-        self, peer: str, group: str, generation: Generation, buckets: Iterable[int]
+        self, peer: str, group: str, generation: Generation, cleared: Iterable[tuple[int, int]]
     ) -> int:
         """Sends a proof that buckets are clear and returns its sequence number."""
         channel = self._channel(peer)
         channel.sequence += 1
-        message = ClearMark(channel.sequence, group, generation, tuple(buckets))
+        message = ClearMark(channel.sequence, group, generation, tuple(cleared))
         channel.unacknowledged[channel.sequence] = _Batch(self._clock.now(), mark=message)
         self._transport.send(peer, message)
         return channel.sequence
--- a/pearwell/shard_state.py
+++ b/pearwell/shard_state.py
@@ -81,7 +81,7 @@
         group = self._groups.get(message.group)
         if group is None or message.generation > group.placement.generation:
             return False
-        group.mark_cleared(message.buckets, message.generation)
+        group.mark_cleared(message.cleared, message.generation)
         return True
 
     def export(self, shard: int, serving: bool) -> tuple[ShardState, ...]:
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -58,6 +58,7 @@
         self._clock = clock
         self._invariants = invariants
         self._floor = _NO_GENERATION
+        self._early_proofs: dict[int, tuple[int, Generation]] = {}
         self._changed_at = clock.now()
         self._record_of: tuple[int, ...] = ()
         self._verdicts: dict[int, Verdict] = {}
@@ -102,6 +103,11 @@
         """Returns the index in records of a target of the placement."""
         return self._record_of[target]
 
+    def current_tag(self, bucket: int) -> int:
+        """Returns the tag of the target of a bucket's new flows."""
+        target = self.placement.targets[self.placement.current[bucket]]
+        return target_tag(self.table.group, target.name)
+
     def unrecorded_target(self, bucket: int) -> int:
         """Returns the target of a flow that has no record."""
         return self.cleared.get(bucket, self.placement.base[bucket])
@@ -113,6 +119,8 @@
         be the repetition of one that the target had before.
         """
         placement = self.placement
+        if bucket in self.cleared:
+            return placement.current[bucket]
         base = placement.base[bucket]
         since = self.moving_since.get(bucket, 0.0)
         settled = self._clock.now() - since >= settle_s
@@ -137,6 +145,7 @@
         self._refresh()
         self._forget_settled(spread - self.table.moving, frozenset(served))
         self._forget_changed(before)
+        self._apply_early_proofs()
 
     def export(self, shard: int, serving: bool) -> ShardState | None:
         """Returns what the next owner of a shard needs; None if there is nothing.
@@ -148,7 +157,7 @@
         now = self._clock.now()
         moving = self.moving_in(shard)
         recent = serving and now - self._changed_at < RECENT_S
-        cleared = tuple(bucket for bucket in moving if bucket in self.cleared)
+        cleared = tuple((b, self.current_tag(b)) for b in moving if b in self.cleared)
         packed = b"".join(self.records.pack(*item) for item in self.records.items(shard))
         if not (packed or cleared or recent or (serving and moving)):
             return None
@@ -177,9 +186,10 @@
             if authoritative or unknown:
                 self.records.put(flow_hash, self.records.intern(tag), flags)
         self.mark_cleared(state.cleared, state.generation)
+        if authoritative or state.cleared:
+            self._floor = max(self._floor, state.generation)
         if not authoritative:
             return
-        self._floor = max(self._floor, state.generation)
         now = self._clock.now()
         for bucket, age in state.watched:
             if bucket in self.table.moving:
@@ -187,15 +197,33 @@
                 known = self.moving_since.get(bucket, now)
                 self.moving_since[bucket] = min(known, now - age)
 
-    def mark_cleared(self, buckets: Iterable[int], generation: Generation) -> None:
-        """Notes buckets proven clear, if the proof is for the placement in force here."""
-        if generation != self.placement.generation:
+    def mark_cleared(self, proofs: Iterable[tuple[int, int]], generation: Generation) -> None:
+        """Notes buckets proven clear.
+
+        A proof holds while new flows go to the same target; one of a placement that hasn't
+        arrived here waits for it.
+
+        Args:
+            proofs: Bucket and tag of the target that all of its flows are on.
+            generation: Generation of the placement that the proof is for.
+        """
+        early = generation > self.placement.generation
+        if early:
+            self._early_proofs.update({b: (tag, generation) for b, tag in proofs})
             return
-        proven = self.table.moving.intersection(buckets)
+        proven = frozenset(
+            b for b, tag in proofs if b in self.table.moving and self.current_tag(b) == tag
+        )
         self.cleared.update({bucket: self.placement.current[bucket] for bucket in proven})
         for shard in {bucket % SHARDS for bucket in proven}:
             self._forget_elsewhere(shard, proven)
 
+    def _apply_early_proofs(self) -> None:
+        own = self.placement.generation
+        due = [(b, tag) for b, (tag, g) in self._early_proofs.items() if g <= own]
+        self._early_proofs = {b: proof for b, proof in self._early_proofs.items() if proof[1] > own}
+        self.mark_cleared(due, own)
+
     def _forget_elsewhere(self, shard: int, proven: frozenset[int]) -> None:
         """Drops copies of flows that ended off the current target of proven buckets."""
         for flow_hash, value in self.records.items(shard):
