--- a/bench/steering_schemes.py
+++ b/bench/steering_schemes.py
@@ -22,7 +22,13 @@
 class Pearwell:
     """The real core."""
 
-    def __init__(self, name: str, transport: Transport, zone: Zone) -> None:
+    def __init__(
+        self,
+        name: str,
+        transport: Transport,
+        zone: Zone,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
         self.core = Steering(
             name,
             ZONE,
@@ -33,7 +39,7 @@
             invariants=zone.invariants,
         )
         service = ServiceSpec(
-            "intake", "127.9.9.1", 443, TransportProtocol.TCP, GROUP, IDLE_TIMEOUT_S
+            "intake", "127.9.9.1", 443, TransportProtocol.TCP, GROUP, idle_timeout_s
         )
         self.core.configure(Configuration({service.name: service}))
 
--- a/pearwell/ownership.py
+++ b/pearwell/ownership.py
@@ -52,6 +52,9 @@
     def begin(self, shard: int, granted: bool) -> None:
         """Notes that this instance decides for a shard; granted by its server, or alone."""
 
+    def suspend(self, shard: int) -> None:
+        """Notes that this instance doesn't decide for a shard before it has asked others."""
+
     def protect(self, shard: int) -> None:
         """Copies the records of a shard to its new backup."""
 
@@ -197,8 +200,9 @@
         """Gives all shards up, as the view is out of date."""
         self._suspended = True
         self._pulls.clear()
-        for shard in range(SHARDS):
-            self._roles[shard] = Role.NONE
+        for shard in self.served:
+            self._keeper.suspend(shard)
+        self._roles = [Role.NONE] * SHARDS
 
     def resume(self) -> None:
         """Asks for the shards that are due here, as the view is up to date again."""
--- a/pearwell/release.py
+++ b/pearwell/release.py
@@ -72,6 +72,11 @@
                 self._scan(group, partition)
             self._publish_clear(group)
 
+    def drop(self, peer: str) -> None:
+        """Forgets the proofs sent to a peer that left the zone."""
+        for marks in self._marks.values():
+            marks.sent = {b: sent for b, sent in marks.sent.items() if sent[0] != peer}
+
     def _scan(self, group: SteeredGroup, partition: int) -> None:
         """Forgets flows that are over and proves what it can about moving buckets."""
         items = group.records.partition(partition)
--- a/pearwell/shard_state.py
+++ b/pearwell/shard_state.py
@@ -96,6 +96,7 @@
         if authoritative:
             for group in self._groups.values():
                 group.records.clear(shard)
+                group.forget_proofs(shard)
         for state in groups:
             found = self._groups.get(state.group)
             if found is not None:
@@ -108,6 +109,11 @@
             for group in self._groups.values():
                 group.begin(shard)
 
+    def suspend(self, shard: int) -> None:
+        """Drops proofs of a shard; those that were published come back with the copies."""
+        for group in self._groups.values():
+            group.forget_proofs(shard)
+
     def protect(self, shard: int) -> None:
         """Copies the records of a shard to its new backup."""
         assert self._ownership is not None and self._replicator is not None
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -218,6 +218,11 @@
         for shard in {bucket % SHARDS for bucket in proven}:
             self._forget_elsewhere(shard, proven)
 
+    def forget_proofs(self, shard: int) -> None:
+        """Drops the proofs for a shard's buckets."""
+        for bucket in self.moving_in(shard):
+            self.cleared.pop(bucket, None)
+
     def _apply_early_proofs(self) -> None:
         own = self.placement.generation
         due = [(b, tag) for b, (tag, g) in self._early_proofs.items() if g <= own]
--- a/pearwell/steering.py
+++ b/pearwell/steering.py
@@ -179,6 +179,7 @@
         self._lease.set_peers(self._ownership.others)
         for instance in before - set(self._ownership.others):
             self._replicator.drop(instance)
+            self._releaser.drop(instance)
         if self._lapsed and not self._ownership.others:
             self._recover()
         self.check_lease()
