--- a/bench/steering_schemes.py
+++ b/bench/steering_schemes.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from bench.steering_zone import GROUP, ZONE, Zone
+from bench.steering_zone import GROUP, ZONE, SchemeFactory, Zone
 from pearwell.configuration import Configuration
 from pearwell.membership import View
 from pearwell.messages import Message
@@ -22,7 +22,13 @@
 class Pearwell:
     """The real core."""
 
-    def __init__(self, name: str, transport: Transport, zone: Zone) -> None:
+    def __init__(
+        self,
+        name: str,
+        transport: Transport,
+        zone: Zone,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
         self.core = Steering(
             name,
             ZONE,
@@ -33,7 +39,7 @@
             invariants=zone.invariants,
         )
         service = ServiceSpec(
-            "intake", "127.9.9.1", 443, TransportProtocol.TCP, GROUP, IDLE_TIMEOUT_S
+            "intake", "127.9.9.1", 443, TransportProtocol.TCP, GROUP, idle_timeout_s
         )
         self.core.configure(Configuration({service.name: service}))
 
@@ -42,6 +48,11 @@
         """Memory of the flow state in bytes."""
         return self.core.state_bytes
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return self.core.records
+
     @property
     def handed_over(self) -> bool:
         """Whether the instance may stop."""
@@ -90,6 +101,11 @@
         """Memory of the flow state in bytes."""
         return 0
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return 0
+
     @property
     def handed_over(self) -> bool:
         """Whether the instance may stop."""
@@ -137,6 +153,11 @@
         """Memory of the flow state in bytes."""
         return sys.getsizeof(self._flows) + len(self._flows) * _KEY_BYTES
 
+    @property
+    def records(self) -> int:
+        """Number of flow records."""
+        return len(self._flows)
+
     def decide(self, flow_hash: int, event: FlowEvent, from_peer: bool) -> Verdict:
         """Decides on one packet."""
         verdict = self._flows.get(flow_hash)
@@ -148,4 +169,8 @@
         return verdict
 
 
-SCHEMES = {"stateless": Stateless, "flow_table": FlowTable, "pearwell": Pearwell}
+SCHEMES: dict[str, SchemeFactory] = {
+    "stateless": Stateless,
+    "flow_table": FlowTable,
+    "pearwell": Pearwell,
+}
