Let the owner retry unanswered flows of suspect targets

Cause: a flow recorded on a target that turns suspect kept its record, so that its repeated SYNs went on into silence. Change: the owner moves it while nothing but its SYN was seen, within a budget of a tenth of the starts, and never back to a target that it tried.

--- a/pearwell/owner.py
+++ b/pearwell/owner.py
@@ -11,6 +11,7 @@
 from pearwell.placement import TargetState
 from pearwell.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
 from pearwell.replication import Replicator
+from pearwell.retry import RetryRule
 from pearwell.steered_group import SteeredGroup
 from pearwell.verdict import Action, FlowEvent, Verdict
 
@@ -66,6 +67,7 @@
         self._ownership = ownership
         self._replicator = replicator
         self._invariants = invariants
+        self._retry = RetryRule()
         self._unrecorded: dict[
             _PacketKind, Callable[[SteeredGroup, int, int, FlowEvent], Verdict]
         ] = {
@@ -122,13 +124,26 @@
         started = event & FlowEvent.START
         verdict = group.record_verdict(value)
         over = flags_of(value) & _FINISHED or verdict.action is Action.REFUSE
-        if started and over:
+        if started and (over or self._may_retry(group, flow_hash, verdict.target)):
             return self._restart(group, flow_hash, value)
+        if not started:
+            self._retry.progressed(flow_hash)
         group.records.touch(flow_hash, value, _flags_of_event(event))
         if started and verdict.action is Action.FORWARD:
             return self._held(flow_hash, verdict)
         return verdict
 
+    def _may_retry(self, group: SteeredGroup, flow_hash: int, held: str) -> bool:
+        """Whether a repeated SYN may leave a target that is suspect and hasn't answered it."""
+        targets = {target.name: target for target in group.placement.targets}
+        if held not in targets or targets[held].state is not TargetState.SUSPECT:
+            return False
+        chosen = group.placement.targets[group.start_target(flow_hash & group.table.mask)]
+        if chosen.state is not TargetState.WORKING:
+            return False
+        flow = self._retry.progress(flow_hash, held)
+        return self._retry.reassign(flow, [chosen.name]) is not None
+
     def _held(self, flow_hash: int, verdict: Verdict) -> Verdict:
         """Sends a start by the backup until that has acknowledged the record."""
         since = self._replicator.pending_since(flow_hash)
@@ -161,6 +176,7 @@
         if group.placement.targets[target].state is TargetState.DEAD:
             return _NO_TARGET
         self._record(group, flow_hash, target)
+        self._retry.started(flow_hash)
         return self._by_backup(flow_hash, group.table.verdicts[target])
 
     def _first_datagram(
--- a/pearwell/retry.py
+++ b/pearwell/retry.py
@@ -54,6 +54,7 @@
     def __init__(self, ratio: float = RETRY_RATIO) -> None:
         self._ratio = ratio
         self._budget = 0.0
+        self._only_syn: OrderedDict[int, None] = OrderedDict()
         self._tried: OrderedDict[int, tuple[str, ...]] = OrderedDict()
 
     @property
@@ -61,9 +62,21 @@
         """Retries that may be made now."""
         return self._budget
 
-    def started(self, count: int = 1) -> None:
-        """Takes a number of flow starts, each of which adds to the budget."""
-        self._budget = min(MAX_BUDGET, self._budget + count * self._ratio)
+    def started(self, flow_hash: int) -> None:
+        """Notes a new flow, which adds to the budget and has shown nothing but its SYN."""
+        self._budget = min(MAX_BUDGET, self._budget + self._ratio)
+        self._only_syn[flow_hash] = None
+        self._only_syn.move_to_end(flow_hash)
+        if len(self._only_syn) > MAX_TRACKED_FLOWS:
+            self._only_syn.popitem(last=False)
+
+    def progressed(self, flow_hash: int) -> None:
+        """Notes a packet other than a SYN; the flow never moves from then on."""
+        self._only_syn.pop(flow_hash, None)
+
+    def progress(self, flow_hash: int, target: str) -> FlowProgress:
+        """Returns what was seen of a flow whose SYN comes again; an unknown one has progressed."""
+        return FlowProgress(flow_hash, target, True, flow_hash not in self._only_syn)
 
     def reassign(self, flow: FlowProgress, working: Sequence[str]) -> str | None:
         """Picks another target for a flow, at most once for each target.
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -3,9 +3,21 @@
 import random
 
 import pytest
+from msgspec.structs import replace
 
+from pearwell.change import activate, initial, prepare
+from pearwell.clock import ManualClock
 from pearwell.errors import InvariantError
+from pearwell.membership import Member, View
+from pearwell.placement import Generation, PlacedTarget, TargetState
 from pearwell.retry import MAX_TRACKED_FLOWS, FlowProgress, RetryRule
+from pearwell.steering import Steering
+from pearwell.verdict import FlowEvent
+
+
+def start(rule, flows):
+    for flow in range(flows):
+        rule.started(flow)
 
 
 @pytest.mark.parametrize(
@@ -21,7 +33,7 @@
 )
 def test_only_an_unanswered_flow_on_a_failed_target_moves(progress, working, moves):
     rule = RetryRule()
-    rule.started(100)
+    start(rule, 100)
     flow = FlowProgress(1, "t", **progress)
     target = rule.reassign(flow, working)
     assert (target in working and target != "t") is moves
@@ -31,7 +43,7 @@
 
 def test_a_flow_never_returns_to_a_target_it_tried():
     rule = RetryRule()
-    rule.started(1000)
+    start(rule, 1000)
     targets = ["t", "u", "v", "w", "x"]
     at, tried = "t", []
     while at is not None:
@@ -45,7 +57,7 @@
     rng, rule = random.Random(seed), RetryRule()
     starts = retries = 0
     for flow in range(MAX_TRACKED_FLOWS * 3):
-        rule.started()
+        rule.started(flow)
         starts += 1
         if rng.random() < 0.5:
             retries += rule.reassign(FlowProgress(flow, "t", True), ["u"]) is not None
@@ -56,3 +68,58 @@
 def test_moving_an_established_flow_is_a_defect(seen):
     with pytest.raises(InvariantError):
         RetryRule.check_move(FlowProgress(1, "t", **seen), "u")
+
+
+@pytest.mark.parametrize(
+    ("known", "progressed", "unanswered"),
+    [(True, False, True), (True, True, False), (False, False, False)],
+)
+def test_only_a_flow_that_showed_nothing_but_its_syn_is_unanswered(known, progressed, unanswered):
+    rule = RetryRule()
+    if known:
+        rule.started(7)
+    if progressed:
+        rule.progressed(7)
+    assert rule.progress(7, "t").unanswered is unanswered
+
+
+def moving_zone(clock):
+    """Returns the steering core of a lone instance while new flows leave the suspect target t0."""
+    steering = Steering("i0", "z", Silent(), clock, random.Random(1), publish=lambda message: None)
+    steering.apply_view(View((Member("i0", "127.0.0.1", 1, 2),)))
+    targets = tuple(PlacedTarget(f"t{i}", f"10.0.0.{i}", 6080, 100) for i in range(4))
+    placement = initial("g", "z", targets, 0, Generation(1))
+    steering.apply_placement(placement)
+    suspect = (replace(targets[0], state=TargetState.SUSPECT), *targets[1:])
+    placement = prepare(placement, suspect, Generation(2))
+    steering.apply_placement(placement)
+    steering.apply_placement(activate(placement, Generation(3)))
+    return steering
+
+
+class Silent:
+    """Sends nothing."""
+
+    def send(self, to, message):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("between", "budgeted", "moves"),
+    [((), True, True), ((FlowEvent.NONE,), True, False), ((), False, False)],
+)
+def test_owner_moves_only_unanswered_flows_within_the_budget(between, budgeted, moves):
+    clock = ManualClock(100.0)
+    steering = moving_zone(clock)
+    table = steering.table("g")
+    hashes = [b for b in sorted(table.moving) if table.placement.base[b] == 0]
+    for flow_hash in hashes[: 30 if budgeted else 5]:
+        verdict = steering.decide(table, flow_hash, FlowEvent.START)
+        assert verdict.target == "t0"
+    for event in between:
+        steering.decide(table, hashes[0], event)
+    clock.advance(2.0)
+    verdict = steering.decide(table, hashes[0], FlowEvent.START)
+    assert (verdict.target != "t0") is moves
+    after = steering.decide(table, hashes[0], FlowEvent.NONE)
+    assert after.target == verdict.target
