Don't take lagging load reports for shedding

Cause: with reports 120 s old, a joining target looked as if it refused its flows. Change: shedding has to follow both if reports are prompt and if they lag by 150 s.

--- a/bench/balance_schemes.py
+++ b/bench/balance_schemes.py
@@ -88,6 +88,8 @@
         for name in newly_dead:
             self._put(fail(self._held(), name, self._next()))
         self._wanted = True
+        if self._urgent:
+            self._plan()
         return bool(newly_dead)
 
     def _follow_drain(self, spec: TargetSpec) -> None:
@@ -136,12 +138,16 @@
             self._release_at = now + RELEASE_S
             changed |= self._release_clear()
         self._wanted |= self._weights.adjust() is not None
-        if self._wanted and (self._activate_at is None or self._urgent):
-            self._wanted = self._urgent = False
-            self._put(prepare(self._held(), self._placed(), self._next()))
-            self._activate_at = now + PREPARE_S
+        if self._wanted and self._activate_at is None:
+            self._plan()
         return changed
 
+    def _plan(self) -> None:
+        """Prepares a change; an urgent one takes the place of one that waits."""
+        self._wanted = self._urgent = False
+        self._put(prepare(self._held(), self._placed(), self._next()))
+        self._activate_at = self._model.clock.now() + PREPARE_S
+
     def _release_clear(self) -> bool:
         placement = self._held()
         if self._activate_at is not None:
--- a/pearwell/expected_load.py
+++ b/pearwell/expected_load.py
@@ -6,8 +6,9 @@
 
 import math
 import statistics
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["ExpectedLoad", "SheddingDetector"]
 
@@ -17,6 +18,7 @@
 MIN_COVERAGE = 0.5
 
 SHEDDING_WINDOW_S = 300.0
+REPORT_LAG_S = 150.0
 MIN_STARTS = 20.0
 SHEDDING_DEVIATIONS = 3.0
 MIN_SHED_FRACTION = 0.1
@@ -97,31 +99,58 @@
         return min(max(life, MIN_FLOW_LIFE_S), MAX_FLOW_LIFE_S)
 
 
+@dataclass(slots=True)
+class _Sums:
+    """Decayed sums of flow starts, and of those that neither ended nor show up as open."""
+
+    started: float = 0.0
+    missing: float = 0.0
+
+    def add(self, decay: float, started: int, ended: int, grown: int) -> None:
+        """Adds counts; a target can't refuse more flows than were started."""
+        missing = min(max(started - ended - grown, -started), started)
+        self.started = self.started * decay + started
+        self.missing = self.missing * decay + missing
+
+    @property
+    def fraction(self) -> float:
+        """Missing flows in units of the starts."""
+        return self.missing / self.started if self.started else 0.0
+
+
 @dataclass(slots=True)
 class _FlowBalance:
-    """Decayed sums of one target.
+    """Flows of one target.
 
     Attributes:
-        started: Flow starts.
-        missing: Flow starts less ends less growth of the reported open flows.
-        new_started: Flow starts since the last update.
-        new_missing: Missing flows since the last update.
+        prompt: Sums if reports show the present.
+        lagging: Sums if they show what was REPORT_LAG_S ago.
+        waiting: Time, starts and ends that a lagging report doesn't show yet.
+        started: Flow starts since the last update.
+        ended: Ends since the last update.
+        grown: Growth of the reported open flows since the last update.
         reported: Latest report.
     """
 
-    started: float = 0.0
-    missing: float = 0.0
-    new_started: int = 0
-    new_missing: int = 0
+    prompt: _Sums = field(default_factory=_Sums)
+    lagging: _Sums = field(default_factory=_Sums)
+    waiting: deque[tuple[float, int, int]] = field(default_factory=deque)
+    started: int = 0
+    ended: int = 0
+    grown: int = 0
     reported: int | None = None
 
-    def update(self, decay: float) -> None:
-        """Adds the latest counts; a target can't refuse more flows than were started."""
-        missing = min(max(self.new_missing, -self.new_started), self.new_started)
-        self.started = self.started * decay + self.new_started
-        self.missing = self.missing * decay + missing
-        self.new_started = 0
-        self.new_missing = 0
+    def update(self, now: float, decay: float) -> None:
+        """Adds the latest counts to the sums."""
+        self.prompt.add(decay, self.started, self.ended, self.grown)
+        self.waiting.append((now, self.started, self.ended))
+        started = ended = 0
+        while self.waiting and self.waiting[0][0] <= now - REPORT_LAG_S:
+            _, more_started, more_ended = self.waiting.popleft()
+            started += more_started
+            ended += more_ended
+        self.lagging.add(decay, started, ended, self.grown)
+        self.started = self.ended = self.grown = 0
 
 
 class SheddingDetector:
@@ -142,14 +171,14 @@
     def counted(self, target: str, started: int, ended: int) -> None:
         """Takes numbers of flow starts and ends at a target."""
         balance = self._balances.setdefault(target, _FlowBalance())
-        balance.new_started += started
-        balance.new_missing += started - ended
+        balance.started += started
+        balance.ended += ended
 
     def reported(self, target: str, open_flows: int) -> None:
         """Takes the open flows that a target reports."""
         balance = self._balances.setdefault(target, _FlowBalance())
         if balance.reported is not None:
-            balance.new_missing -= open_flows - balance.reported
+            balance.grown += open_flows - balance.reported
         balance.reported = open_flows
 
     def reset(self, target: str) -> None:
@@ -161,19 +190,29 @@
         decay = math.exp(-(now - self._updated_at) / SHEDDING_WINDOW_S)
         self._updated_at = now
         for balance in self._balances.values():
-            balance.update(decay)
+            balance.update(now, decay)
 
     def fraction(self, target: str) -> float:
-        """Returns the fraction of flow starts that a target seems to refuse; 0 if in doubt."""
+        """Returns the fraction of flow starts that a target seems to refuse; 0 if in doubt.
+
+        It has to follow both if reports are prompt and if they lag, since either assumption alone
+        makes some targets with a growing load look as if they refused flows.
+        """
         balance = self._balances.get(target)
-        if balance is None or balance.started < MIN_STARTS:
+        if balance is None:
             return 0.0
-        excess = balance.missing - self._usual_fraction() * balance.started
-        if excess < SHEDDING_DEVIATIONS * math.sqrt(balance.started):
-            return 0.0
-        fraction = excess / balance.started
-        return min(fraction, 1.0) if fraction >= MIN_SHED_FRACTION else 0.0
-
-    def _usual_fraction(self) -> float:
-        counted = [b for b in self._balances.values() if b.started >= MIN_STARTS]
-        return statistics.median(b.missing / b.started for b in counted)
+        held = self._balances.values()
+        prompt = _excess(balance.prompt, [other.prompt for other in held])
+        lagging = _excess(balance.lagging, [other.lagging for other in held])
+        return min(prompt, lagging)
+
+
+def _excess(sums: _Sums, group: list[_Sums]) -> float:
+    """Returns by how much a target's missing fraction exceeds the group's median; 0 if in doubt."""
+    if sums.started < MIN_STARTS:
+        return 0.0
+    usual = statistics.median(other.fraction for other in group if other.started >= MIN_STARTS)
+    fraction = sums.fraction - usual
+    if fraction * sums.started < SHEDDING_DEVIATIONS * math.sqrt(sums.started):
+        return 0.0
+    return min(fraction, 1.0) if fraction >= MIN_SHED_FRACTION else 0.0
