Stop gracefully, list the instance in the platform, serve the admin API

An instance registers in the platform's list of its zone by conditional updates; on SIGTERM it is listed as leaving, forwards until the fabric is quiet, then ends. Each wait has a deadline.

--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -8,20 +8,30 @@
 import structlog
 
 from pearwell import change
+from pearwell.admin_server import AdminService
 from pearwell.clock import MonotonicClock
 from pearwell.configuration import Configuration
+from pearwell.editor import ConfigurationEditor
 from pearwell.group import GroupSpec, TargetSpec
+from pearwell.instance_list import InstanceList, InstanceRegistration
+from pearwell.instance_state import InstanceState
 from pearwell.kernel import Kernel
 from pearwell.messages import ConfigurationChanged, Message, PlacementChanged
 from pearwell.metrics import Metrics
+from pearwell.object_store import RetryingObjectStore
 from pearwell.packet_path import PacketPath
 from pearwell.placement import Generation, PlacedTarget, Placement
+from pearwell.platform_client import PlatformClient
 from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.settings import Settings
+from pearwell.settings import Endpoint, Settings
+from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
 from pearwell.steering import Steering
+from pearwell.tls import load_tls
 
 __all__ = ["Daemon", "DaemonService"]
 
+MAX_PLATFORM_WAIT_S = 3.0
+
 _log = structlog.get_logger()
 
 
@@ -30,22 +40,26 @@
 
     Args:
         settings: Its settings.
+
+    Raises:
+        SettingsError: A TLS file can't be read.
     """
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._kernel = Kernel()
-        steering = Steering(
-            settings.instance,
-            settings.zone,
-            _NoTransport(),
-            MonotonicClock(),
-            random.Random(),
-            publish=self._kernel.publish,
+        self._clock = MonotonicClock()
+        self._rng = random.Random()
+        self._platform = PlatformClient(_url(settings.platform))
+        self._store = RetryingObjectStore(self._platform, self._clock, self._rng)
+        self._packets = PacketPath(settings, self._make_steering())
+        self._registration = InstanceRegistration(
+            settings, InstanceList(self._store, settings.zone, self._rng)
         )
-        packets = PacketPath(settings, steering)
-        self._kernel.add(packets)
-        self._kernel.add(Metrics(settings, lambda: packets.counts))
+        self._kernel.add(self._packets)
+        self._kernel.add(self._make_admin())
+        self._kernel.add(Metrics(settings, lambda: self._packets.counts))
+        self._kernel.add(self._registration)
 
     @property
     def kernel(self) -> Kernel:
@@ -61,16 +75,57 @@
         try:
             await self._kernel.start()
         except BaseException:
-            await self._kernel.stop()
+            await self._close()
             raise
         self._load_static()
         _log.info("instance_started", zone=self._settings.zone, address=self._settings.address)
 
     async def stop(self) -> None:
-        """Stops all services in reverse order."""
-        await self._kernel.stop()
+        """Leaves the zone without cutting off a flow, then stops all services."""
+        deadline = self._settings.stop_deadline_s
+        times = ShutdownTimes(
+            quiet_s=self._settings.stop_quiet_s,
+            deadline_s=deadline,
+            platform_s=min(MAX_PLATFORM_WAIT_S, deadline),
+        )
+        steps = ShutdownSteps(
+            withdraw=self._registration.withdraw,
+            leave=lambda: None,
+            last_packet_at=lambda: self._packets.fabric_heard_at,
+            handed_over=lambda: True,
+            remove=self._registration.remove,
+        )
+        await shut_down(steps, self._clock, times)
+        await self._close()
         _log.info("instance_stopped")
 
+    async def _close(self) -> None:
+        await self._kernel.stop()
+        await self._platform.close()
+
+    def _make_steering(self) -> Steering:
+        return Steering(
+            self._settings.instance,
+            self._settings.zone,
+            _NoTransport(),
+            self._clock,
+            self._rng,
+            publish=self._kernel.publish,
+        )
+
+    def _make_admin(self) -> AdminService:
+        settings = self._settings
+        tls = load_tls(settings.tls)
+        state = InstanceState(settings.instance, settings.region, settings.zone)
+        state.platform_calls = lambda: self._platform.calls
+        return AdminService(
+            ConfigurationEditor(self._store, self._rng, settings.instance),
+            state,
+            settings.address,
+            settings.admin_port,
+            credentials=None if tls is None else tls.server(),
+        )
+
     def _load_static(self) -> None:
         if self._settings.static_configuration is None:
             return
@@ -123,3 +178,8 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops the daemon."""
         await self._daemon.stop()
+
+
+def _url(endpoint: Endpoint) -> str:
+    host = f"[{endpoint.address}]" if ":" in endpoint.address else endpoint.address
+    return f"http://{host}:{endpoint.port}"
--- a/pearwell/kernel.py
+++ b/pearwell/kernel.py
@@ -16,11 +16,13 @@
 
     Attributes:
         name: Unique name by which other services find it.
-        accepts: Types of published messages that it takes.
     """
 
     name: str
-    accepts: tuple[type[Message], ...]
+
+    @property
+    def accepts(self) -> tuple[type[Message], ...]:
+        """Types of published messages that it takes."""
 
     async def start(self, kernel: "Kernel") -> None:
         """Starts the service; services added earlier have already started."""
--- a/pearwell/packet_path.py
+++ b/pearwell/packet_path.py
@@ -83,6 +83,7 @@
         self._forwarder = Forwarder(steering, self._send_reply)
         self._buffer = bytearray(MAX_PACKET_BYTES)
         self._window = memoryview(self._buffer)
+        self._fabric_heard_at = monotonic()
         self._sockets: list[socket.socket] = []
         self._peers: frozenset[str] = frozenset(peer.address for peer in settings.peers)
         self._return_address: Address | None = None
@@ -97,6 +98,11 @@
         """Packets by action and code since the start."""
         return self._forwarder.counts
 
+    @property
+    def fabric_heard_at(self) -> float:
+        """Time of the latest packet from the fabric in seconds of the monotonic clock."""
+        return self._fabric_heard_at
+
     async def start(self, kernel: Kernel) -> None:
         """Binds the sockets and starts to forward."""
         await super().start(kernel)
@@ -145,6 +151,7 @@
         buffer, window = self._buffer, self._window
         receive, forward, send = sock.recv_into, self._forwarder.forward, sock.sendto
         previous = self._check_lease()
+        self._fabric_heard_at = previous
         for _ in range(BATCH_PACKETS):
             try:
                 length = receive(buffer)
--- a/pearwell/settings.py
+++ b/pearwell/settings.py
@@ -89,6 +89,15 @@
     plaintext: bool = Field(
         default=False, description="Run without TLS; exactly one of tls and plaintext is set."
     )
+    stop_quiet_s: float = Field(
+        default=1.5,
+        gt=0,
+        description="Seconds without a packet from the fabric before a leaving instance ends; "
+        "longer than the fabric takes to follow the list of instances.",
+    )
+    stop_deadline_s: float = Field(
+        default=15.0, gt=0, description="Longest time in seconds that a graceful stop takes."
+    )
     log_level: Literal["debug", "info", "warning", "error"] = Field(
         default="info", description="Least level of logged events."
     )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -22,6 +22,8 @@
     "metrics_port": 20204,
     "platform": {"address": "127.10.9.100", "port": 20205},
     "plaintext": True,
+    "stop_quiet_s": 0.1,
+    "stop_deadline_s": 0.3,
 }
 KINDS = {"fabric_port": socket.SOCK_DGRAM, "metrics_port": socket.SOCK_STREAM}
 
