--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 from pearwell.errors import Code, SettingsError
 from pearwell.settings import load_settings
+from scripts.settings_reference import PAGE, render
 
 PEER = {"instance": "b", "address": "127.10.9.2", "peer_port": 20101, "control_port": 20102}
 PLATFORM = {"address": "127.10.9.100", "port": 20105}
@@ -95,3 +96,7 @@
     with pytest.raises(SettingsError) as caught:
         load_settings(tmp_path / "none.json")
     assert caught.value.code is Code.SETTINGS_UNREADABLE
+
+
+def test_the_reference_page_is_current():
+    assert PAGE.read_text(encoding="utf-8") == render()
