Admit and count flow starts in the packet path

Starts of limited services, and of one flow in eight, go by the owner of their bucket: it keeps the answers of the limits and sees every repeated SYN, which is evidence of a silent target that needs no reply path.

--- a/bench/packet.py
+++ b/bench/packet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ipaddress
 import json
 import multiprocessing
 import random
@@ -21,8 +22,11 @@
 from absl import app, flags
 
 from pearwell import change
+from pearwell.admission import Admission
 from pearwell.clock import MonotonicClock
 from pearwell.configuration import Configuration
+from pearwell.errors import Code
+from pearwell.flow_meter import FlowMeter
 from pearwell.ip import build_packet
 from pearwell.kernel import Kernel
 from pearwell.logs import configure_logs
@@ -32,12 +36,14 @@
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.settings import Endpoint, Settings
 from pearwell.steering import Steering
+from pearwell.verdict import Action
 
 __all__ = ["main"]
 
 _SECONDS = flags.DEFINE_float("seconds", 2.0, "Measured time of each turn.")
 _TURNS = flags.DEFINE_integer("turns", 5, "Turns of each relay.")
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the flows.")
+_IP_VERSION = flags.DEFINE_enum("ip", "4", ["4", "6"], "Version of the inner packets.")
 _OCTET = flags.DEFINE_integer("octet", 10, "Second octet of the loopback addresses.")
 
 RELAY_PORT = 20300
@@ -46,10 +52,14 @@
 PAYLOAD_BYTES = 64
 TARGETS = 4
 WARM_UP_S = 0.3
-SERVICE_ADDRESS = "198.51.100.10"
+SERVICES = {"4": "198.51.100.10", "6": "2001:db8::20"}
+CALLER_PREFIXES = {"4": "203.0.113.", "6": "2001:db8:1::"}
 SERVICE_PORT = 443
 
 
+Relay = Callable[[int, str, Connection], None]
+
+
 class Rates(NamedTuple):
     """Packets per second of one turn, by the clock and by the relay's processor time."""
 
@@ -61,7 +71,7 @@
     """Measures both relays and prints the result."""
     del argv
     sinks = [bind_udp(_target_address(number), TARGET_PORT) for number in range(TARGETS)]
-    relays: dict[str, Callable[[int, Connection], None]] = {
+    relays: dict[str, Relay] = {
         "bare": _run_bare,
         "pearwell": _run_pearwell,
     }
@@ -81,6 +91,7 @@
     }
     return {
         "bench": "packet",
+        "ip": int(_IP_VERSION.value),
         "bare_packets_per_s": round(clock["bare"]),
         "pearwell_packets_per_s": round(clock["pearwell"]),
         "ratio": round(clock["pearwell"] / clock["bare"], 3),
@@ -90,15 +101,16 @@
     }
 
 
-def _measure(relay: Callable[[int, Connection], None]) -> Rates:
+def _measure(relay: Relay) -> Rates:
     """Runs one turn of one relay."""
     context = multiprocessing.get_context("spawn")
     ours, theirs = context.Pipe()
     address = _relay_address()
-    relay_process = context.Process(target=relay, args=(_OCTET.value, theirs))
+    arguments = (_OCTET.value, SERVICES[_IP_VERSION.value], theirs)
+    relay_process = context.Process(target=relay, args=arguments)
     relay_process.start()
     ours.recv()
-    generator = context.Process(target=_generate, args=(address, _SEED.value))
+    generator = context.Process(target=_generate, args=(address, _SEED.value, _IP_VERSION.value))
     generator.start()
     try:
         time.sleep(WARM_UP_S + 1.0)
@@ -128,10 +140,10 @@
     return f"127.{_OCTET.value if octet is None else octet}.4.{number + 1}"
 
 
-def _generate(address: str, seed: int) -> None:
+def _generate(address: str, seed: int, version: str) -> None:
     """Sends packets of all flows in turn for ever."""
     rng = random.Random(seed)
-    packets = [_packet(rng) for _ in range(FLOWS)]
+    packets = [_packet(rng, version) for _ in range(FLOWS)]
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.connect((address, RELAY_PORT))
     while True:
@@ -139,15 +151,15 @@
             sock.send(packet)
 
 
-def _packet(rng: random.Random) -> bytes:
+def _packet(rng: random.Random, version: str) -> bytes:
     segment = dpkt.tcp.TCP(
         sport=rng.randrange(1024, 65536),
         dport=SERVICE_PORT,
         flags=dpkt.tcp.TH_ACK,
         data=bytes(PAYLOAD_BYTES),
     )
-    source = bytes((203, 0, 113, rng.randrange(1, 255)))
-    destination = socket.inet_aton(SERVICE_ADDRESS)
+    source = ipaddress.ip_address(CALLER_PREFIXES[version] + str(rng.randrange(1, 255))).packed
+    destination = ipaddress.ip_address(SERVICES[version]).packed
     return build_packet(source, destination, dpkt.ip.IP_PROTO_TCP, segment)
 
 
@@ -168,7 +180,7 @@
         self._transport.sendto(data, self._target)  # type: ignore[attr-defined]
 
 
-def _run_bare(octet: int, connection: Connection) -> None:
+def _run_bare(octet: int, service_address: str, connection: Connection) -> None:
     async def run() -> None:
         loop = asyncio.get_running_loop()
         sock = bind_udp(_relay_address(octet), RELAY_PORT)
@@ -179,20 +191,22 @@
     uvloop.run(run())
 
 
-def _run_pearwell(octet: int, connection: Connection) -> None:
+def _run_pearwell(octet: int, service_address: str, connection: Connection) -> None:
     configure_logs("error")
 
     async def run() -> None:
         kernel = Kernel()
-        path = PacketPath(_settings(octet), _steering())
+        clock = MonotonicClock()
+        admission = Admission(clock, random.Random(0))
+        path = PacketPath(_settings(octet), _steering(), admission, FlowMeter(clock))
         kernel.add(path)
         await kernel.start()
         kernel.publish(PlacementChanged(_placement(octet)))
         service = ServiceSpec(
-            "intake", SERVICE_ADDRESS, SERVICE_PORT, TransportProtocol.TCP, "intake"
+            "intake", service_address, SERVICE_PORT, TransportProtocol.TCP, "intake"
         )
         kernel.publish(ConfigurationChanged(Configuration(services={"intake": service})))
-        await _answer(connection, lambda: path.counts.total())
+        await _answer(connection, lambda: path.counts[Action.FORWARD, Code.OK])
 
     uvloop.run(run())
 
--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -9,9 +9,11 @@
 
 from pearwell import change
 from pearwell.admin_server import AdminService
+from pearwell.admission import Admission
 from pearwell.clock import MonotonicClock
 from pearwell.configuration import Configuration
 from pearwell.editor import ConfigurationEditor
+from pearwell.flow_meter import FlowMeter
 from pearwell.group import GroupSpec, TargetSpec
 from pearwell.instance_list import InstanceList, InstanceRegistration
 from pearwell.instance_state import InstanceState
@@ -52,7 +54,9 @@
         self._rng = random.Random()
         self._platform = PlatformClient(_url(settings.platform))
         self._store = RetryingObjectStore(self._platform, self._clock, self._rng)
-        self._packets = PacketPath(settings, self._make_steering())
+        admission = Admission(self._clock, self._rng)
+        meter = FlowMeter(self._clock)
+        self._packets = PacketPath(settings, self._make_steering(), admission, meter)
         self._registration = InstanceRegistration(
             settings, InstanceList(self._store, settings.zone, self._rng)
         )
--- a/pearwell/forwarding.py
+++ b/pearwell/forwarding.py
@@ -9,12 +9,17 @@
 
 from pearwell.configuration import Configuration
 from pearwell.errors import Code, PacketError
-from pearwell.packet import lower_ttl, parse, service_key, steady_flow
+from pearwell.flow_meter import FlowMeter, is_sampled
+from pearwell.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
 from pearwell.reply import refusal
 from pearwell.steering_table import SteeringTable
 from pearwell.verdict import Action, Address, FlowEvent, Verdict
 
-__all__ = ["Admit", "Decider", "Forwarder", "admit_all"]
+__all__ = ["Decider", "Forwarder", "Limits"]
+
+# Compared by identity before equality, so that most packets need no hash of a flag.
+_STEADY = (FlowEvent.NONE, FlowEvent.DATAGRAM)
+_NO_ENDS = (FlowEvent.START, *_STEADY)
 
 
 class Decider(Protocol):
@@ -34,6 +39,22 @@
     ) -> Verdict:
         """Decides on a packet whose slot is None or which starts a flow."""
 
+    def pass_to_owner(self, flow_hash: int) -> Verdict | None:
+        """Returns the verdict that passes a flow start to its owner, or None to decide here."""
+
+
+class Limits(Protocol):
+    """The part of pearwell.admission.Admission that forwarding asks."""
+
+    def limited(self, service: str) -> bool:
+        """Returns whether flow starts of a service go to their owner to be admitted."""
+
+    def admit(self, service: str, caller_prefix: bytes, target: str, flow_hash: int) -> Code:
+        """Returns OK, or the code of the limit that refuses a flow start."""
+
+    def ended(self, service: str, target: str) -> None:
+        """Counts the end of a flow."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Route:
@@ -43,29 +64,27 @@
     table: SteeringTable | None
 
 
-Admit = Callable[[str, bytes, int], Code]
-
-
-def admit_all(service: str, flow_key: bytes, flow_hash: int) -> Code:
-    """Admits every flow."""
-    return Code.OK
-
-
 class Forwarder:
     """Looks up the service of a packet and decides where it goes.
 
     Args:
         decider: Gives tables and verdicts.
+        limits: Admits flow starts.
+        meter: Counts flow starts and ends.
         reply: Called with each reply to a caller.
-        admit: Called for each flow start with service, flow key and flow hash.
     """
 
     def __init__(
-        self, decider: Decider, reply: Callable[[bytes], None], admit: Admit = admit_all
+        self,
+        decider: Decider,
+        limits: Limits,
+        meter: FlowMeter,
+        reply: Callable[[bytes], None],
     ) -> None:
         self._decider = decider
+        self._limits = limits
+        self._meter = meter
         self._reply = reply
-        self._admit = admit
         self._services: dict[bytes, tuple[str, str]] = {}
         self._routes: dict[bytes, _Route] = {}
         self._tables: dict[bytes, SteeringTable] = {}
@@ -144,22 +163,50 @@
         if table is None:
             raise PacketError(Code.PACKET_NO_TARGET)
         flow_hash = xxh3_64_intdigest(flow_key, table.seed)
-        if event is FlowEvent.START and not from_peer:
-            code = self._admit(route.service, flow_key, flow_hash)
-            if code is not Code.OK:
-                self._refuse(packet)
-                return Verdict(Action.REFUSE, code=code)
-        elif event is not FlowEvent.START:
+        if event in _STEADY:
             address = table.slots[flow_hash & table.mask]
             if address is not None:
                 return Verdict(Action.FORWARD, address)
-        verdict = self._decider.decide(
-            table, flow_hash, event, from_peer=from_peer, has_payload=has_payload
-        )
+        if event is FlowEvent.START:
+            verdict = self._decide_start(route.service, table, flow_key, flow_hash, from_peer)
+        else:
+            verdict = self._decider.decide(
+                table, flow_hash, event, from_peer=from_peer, has_payload=has_payload
+            )
+        if verdict.target and event not in _NO_ENDS:
+            self._end(route.service, table.group, verdict.target, flow_hash)
         if verdict.action is Action.REFUSE:
             self._refuse(packet)
         return verdict
 
+    def _decide_start(
+        self,
+        service: str,
+        table: SteeringTable,
+        flow_key: bytes,
+        flow_hash: int,
+        from_peer: bool,
+    ) -> Verdict:
+        """Decides on a SYN: at the owner if its service is limited or the flow is sampled."""
+        limited = self._limits.limited(service)
+        if not from_peer and (limited or is_sampled(flow_hash)):
+            passed = self._decider.pass_to_owner(flow_hash)
+            if passed is not None:
+                return passed
+        if limited:
+            target = table.start_target(flow_hash & table.mask)
+            code = self._limits.admit(service, caller_prefix(flow_key), target, flow_hash)
+            if code is not Code.OK:
+                return Verdict(Action.REFUSE, code=code)
+        verdict = self._decider.decide(table, flow_hash, FlowEvent.START, from_peer=from_peer)
+        if verdict.target:
+            self._meter.start(table.group, verdict.target, flow_hash)
+        return verdict
+
+    def _end(self, service: str, group: str, target: str, flow_hash: int) -> None:
+        if self._meter.end(group, target, flow_hash):
+            self._limits.ended(service, target)
+
     def _refuse(self, packet: memoryview) -> None:
         answer = refusal(bytes(packet))
         if answer is not None:
--- a/pearwell/packet_path.py
+++ b/pearwell/packet_path.py
@@ -9,7 +9,9 @@
 
 import structlog
 
+from pearwell.admission import Admission
 from pearwell.errors import Code, SettingsError
+from pearwell.flow_meter import FlowMeter
 from pearwell.forwarding import Forwarder
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import (
@@ -31,7 +33,9 @@
 BATCH_PACKETS = 64
 # Time between two packets of a batch after which the process may have been paused.
 PAUSE_S = 0.05
-TICK_S = 0.2
+TICK_S = 0.1
+# Ticks between two messages with flow counts.
+METER_TICKS = 10
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 _log = structlog.get_logger()
@@ -64,6 +68,8 @@
     Args:
         settings: Addresses and ports.
         steering: Gives tables and verdicts.
+        admission: Admits flow starts.
+        meter: Counts flow starts and ends.
     """
 
     name = "packets"
@@ -76,14 +82,19 @@
     )
     interval_s = TICK_S
 
-    def __init__(self, settings: Settings, steering: Steering) -> None:
+    def __init__(
+        self, settings: Settings, steering: Steering, admission: Admission, meter: FlowMeter
+    ) -> None:
         super().__init__()
         self._settings = settings
         self._steering = steering
-        self._forwarder = Forwarder(steering, self._send_reply)
+        self._admission = admission
+        self._meter = meter
+        self._forwarder = Forwarder(steering, admission, meter, self._send_reply)
         self._buffer = bytearray(MAX_PACKET_BYTES)
         self._window = memoryview(self._buffer)
         self._fabric_heard_at = monotonic()
+        self._ticks = 0
         self._sockets: list[socket.socket] = []
         self._peers: frozenset[str] = frozenset(peer.address for peer in settings.peers)
         self._return_address: Address | None = None
@@ -134,17 +145,23 @@
                 self._steering.renew_view(heard_at)
             case ViewChanged(view=view):
                 self._steering.apply_view(view)
+                self._admission.set_share(len(view.members))
                 self._peers = frozenset(member.address for member in view.members)
             case PlacementChanged(placement=placement):
                 self._steering.apply_placement(placement)
                 self._forwarder.refresh()
             case ConfigurationChanged(configuration=configuration):
                 self._steering.configure(configuration)
+                self._admission.configure(configuration)
                 self._forwarder.configure(configuration)
 
     async def tick(self) -> None:
-        """Does steering's periodic work."""
+        """Does steering's periodic work and publishes what the meter counted."""
         self._steering.tick()
+        self._ticks += 1
+        if self._ticks % METER_TICKS == 0:
+            for message in self._meter.take():
+                self.kernel.publish(message)
 
     def _drain_fabric(self, sock: socket.socket) -> None:
         """Forwards the packets that wait, up to a batch."""
--- a/pearwell/steering.py
+++ b/pearwell/steering.py
@@ -143,6 +143,23 @@
             return table.verdicts[table.placement.base[bucket]]
         return self._decide_unsettled(table, flow_hash, event, from_peer)
 
+    def pass_to_owner(self, flow_hash: int) -> Verdict | None:
+        """Returns the verdict that passes a flow start to the owner of its bucket.
+
+        Args:
+            flow_hash: 64-bit hash of the flow key with the seed of its group's table.
+
+        Returns:
+            The verdict, or None if this instance is the owner or knows no other.
+        """
+        if self._ownership.serves(flow_hash % SHARDS):
+            return None
+        member = self._ownership.holder(flow_hash % SHARDS)
+        if member is None:
+            return None
+        self._counts[SteeringCount.PASSED] += 1
+        return Verdict(Action.PASS, (member.address, member.peer_port))
+
     def check_lease(self) -> None:
         """Checks the view lease; called on each wake-up before any queued packet."""
         if self._lapsed or self._isolated or not self._ownership.others:
--- a/pearwell/steering_table.py
+++ b/pearwell/steering_table.py
@@ -65,6 +65,10 @@
         """Lets packets of stable buckets pass without Steering.decide again."""
         self.slots = self._open_slots
 
+    def start_target(self, bucket: int) -> str:
+        """Returns the target name of new flows of a bucket; empty if it takes none."""
+        return self.verdicts[self.placement.current[bucket]].target
+
     def _stable_slots(self) -> list[Address | None]:
         addresses = [verdict.address for verdict in self.verdicts]
         slots = [addresses[index] for index in self.placement.base]
--- a/scripts/settings_reference.py
+++ b/scripts/settings_reference.py
@@ -1,6 +1,6 @@
 """Generates docs/settings.md from the settings model, or checks that it is current.
 
-    python -m scripts.settings_reference [--check]
+python -m scripts.settings_reference [--check]
 """
 
 import json
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,12 +3,15 @@
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from xxhash import xxh3_64_intdigest
 
+from pearwell.clock import ManualClock
 from pearwell.configuration import Configuration
 from pearwell.errors import Code
-from pearwell.forwarding import Forwarder, admit_all
+from pearwell.flow_meter import FlowMeter, is_sampled
+from pearwell.forwarding import Forwarder
 from pearwell.ip import unpack_packet
-from pearwell.packet import service_key
+from pearwell.packet import parse, service_key
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.verdict import Action, FlowEvent, Verdict
 from tests.packets import SERVICE, tcp_packet, udp_packet
@@ -39,13 +42,17 @@
         self.group = group
         self.slots = [address, address]
 
+    def start_target(self, bucket):
+        return self.group
+
 
 class FakeDecider:
     """Gives each group its table and counts the questions."""
 
-    def __init__(self, verdict=None, stable=True):
+    def __init__(self, verdict=None, stable=True, owner=None):
         self.asked = []
         self._verdict = verdict
+        self._owner = owner
         self._tables = {
             group: FakeTable(group, address if stable else None)
             for group, address in ADDRESSES.items()
@@ -58,10 +65,33 @@
         self.asked.append((table.group, event, from_peer))
         return self._verdict or Verdict(Action.FORWARD, ADDRESSES[table.group], "t")
 
+    def pass_to_owner(self, flow_hash):
+        return self._owner
+
+
+class FakeLimits:
+    """Limits every service, or none, and answers with one code."""
+
+    def __init__(self, code=None):
+        self.asked = []
+        self.ends = []
+        self._code = code
+
+    def limited(self, service):
+        return self._code is not None
+
+    def admit(self, service, caller_prefix, target, flow_hash):
+        self.asked.append((service, caller_prefix, target))
+        return self._code
+
+    def ended(self, service, target):
+        self.ends.append((service, target))
 
-def make_forwarder(decider, admit=admit_all):
+
+def make_forwarder(decider, limits=None):
     replies = []
-    forwarder = Forwarder(decider, replies.append, admit)
+    meter = FlowMeter(ManualClock())
+    forwarder = Forwarder(decider, limits or FakeLimits(), meter, replies.append)
     forwarder.configure(CONFIGURATION)
     return forwarder, replies
 
@@ -112,14 +142,55 @@
     assert forwarder.counts == {(verdict.action, verdict.code): 1}
 
 
-def test_a_refused_start_is_reset_and_never_decided():
-    decider = FakeDecider()
-    forwarder, replies = make_forwarder(decider, lambda *_: Code.REFUSED_SERVICE_RATE)
-    assert forward(forwarder, tcp_packet()) is None
+@pytest.mark.parametrize("from_peer", [False, True])
+def test_a_refused_start_is_reset_and_never_decided(from_peer):
+    decider, limits = FakeDecider(), FakeLimits(Code.REFUSED_SERVICE_RATE)
+    forwarder, replies = make_forwarder(decider, limits)
+    packet = bytearray(tcp_packet())
+    assert forwarder.forward(packet, len(packet), from_peer=from_peer) is None
     assert (len(replies), decider.asked) == (1, [])
+    assert limits.asked == [("intake", b"\xcb\x00\x71", "intake")]
     assert forwarder.counts == {(Action.REFUSE, Code.REFUSED_SERVICE_RATE): 1}
 
 
+def sampled_port(wanted):
+    """Returns a caller's port whose flow is sampled or not."""
+    return next(
+        port
+        for port in range(40000, 50000)
+        if wanted is is_sampled(xxh3_64_intdigest(parse(tcp_packet(source_port=port))[0], 0))
+    )
+
+
+@pytest.mark.parametrize(
+    ("limited", "sampled", "from_peer", "passed"),
+    [
+        (True, False, False, True),
+        (False, True, False, True),
+        (False, False, False, False),
+        (True, True, True, False),
+    ],
+)
+def test_starts_of_limited_services_and_sampled_flows_go_by_their_owner(
+    limited, sampled, from_peer, passed
+):
+    owner = Verdict(Action.PASS, ("127.0.0.9", 9))
+    limits = FakeLimits(Code.OK if limited else None)
+    forwarder, _ = make_forwarder(FakeDecider(owner=owner), limits)
+    packet = bytearray(tcp_packet(source_port=sampled_port(sampled)))
+    address = forwarder.forward(packet, len(packet), from_peer=from_peer)
+    assert address == (owner.address if passed else ADDRESSES["intake"])
+    assert bool(limits.asked) == (limited and not passed)
+
+
+def test_only_the_first_end_of_a_flow_counts():
+    limits = FakeLimits()
+    forwarder, _ = make_forwarder(FakeDecider(), limits)
+    for flags in (0x10, 0x11, 0x11, 0x14):
+        assert forward(forwarder, tcp_packet(flags=flags)) == ADDRESSES["intake"]
+    assert limits.ends == [("intake", "t")]
+
+
 @pytest.mark.parametrize(
     ("packet", "code"),
     [
