--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 
 import aiomisc
@@ -10,20 +11,26 @@
 from pearwell import change
 from pearwell.admin_server import AdminService
 from pearwell.admission import Admission
+from pearwell.balancer import Balancer
 from pearwell.clock import MonotonicClock
 from pearwell.configuration import Configuration
 from pearwell.editor import ConfigurationEditor
 from pearwell.flow_meter import FlowMeter
+from pearwell.gossip_service import GossipService
 from pearwell.group import GroupSpec, TargetSpec
-from pearwell.instance_list import InstanceList, InstanceRegistration
+from pearwell.instance_list import InstanceList, InstanceRegistration, ListedState
 from pearwell.instance_state import InstanceState
-from pearwell.kernel import Kernel
-from pearwell.messages import ConfigurationChanged, Message, PlacementChanged
+from pearwell.kernel import Kernel, KernelService
+from pearwell.membership import Member
+from pearwell.membership_service import MembershipService
+from pearwell.messages import ConfigurationChanged, PlacementChanged
 from pearwell.metrics import Metrics
 from pearwell.object_store import RetryingObjectStore
 from pearwell.packet_path import PacketPath
+from pearwell.peers import Peers
 from pearwell.placement import Generation, PlacedTarget, Placement
 from pearwell.platform_client import PlatformClient
+from pearwell.prober import Prober
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.settings import Endpoint, Settings
 from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
@@ -52,18 +59,18 @@
         self._kernel = Kernel()
         self._clock = MonotonicClock()
         self._rng = random.Random()
+        self._tls = load_tls(settings.tls)
         self._platform = PlatformClient(_url(settings.platform))
         self._store = RetryingObjectStore(self._platform, self._clock, self._rng)
-        admission = Admission(self._clock, self._rng)
-        meter = FlowMeter(self._clock)
-        self._packets = PacketPath(settings, self._make_steering(), admission, meter)
-        self._registration = InstanceRegistration(
-            settings, InstanceList(self._store, settings.zone, self._rng)
-        )
-        self._kernel.add(self._packets)
-        self._kernel.add(self._make_admin())
-        self._kernel.add(Metrics(settings, lambda: self._packets.counts))
-        self._kernel.add(self._registration)
+        self._instances = InstanceList(self._store, settings.zone, self._rng)
+        self._peers = Peers(settings, self._tls, self._clock, self._rng)
+        self._steering = self._make_steering()
+        self._packets = self._make_packets()
+        self._gossip = GossipService(settings.instance, self._peers, self._clock, self._rng)
+        self._membership = self._make_membership()
+        self._registration = InstanceRegistration(settings, self._instances)
+        for service in self._services():
+            self._kernel.add(service)
 
     @property
     def kernel(self) -> Kernel:
@@ -94,9 +101,9 @@
         )
         steps = ShutdownSteps(
             withdraw=self._registration.withdraw,
-            leave=lambda: None,
+            leave=self._membership.leave,
             last_packet_at=lambda: self._packets.fabric_heard_at,
-            handed_over=lambda: True,
+            handed_over=lambda: self._steering.shards_served == 0,
             remove=self._registration.remove,
         )
         await shut_down(steps, self._clock, times)
@@ -107,19 +114,51 @@
         await self._kernel.stop()
         await self._platform.close()
 
+    def _services(self) -> Iterator[KernelService]:
+        """Yields all services; they start in this order and stop in the opposite one."""
+        instance, zone = self._settings.instance, self._settings.zone
+        gossip = self._gossip.gossip
+        yield self._peers
+        yield self._packets
+        yield self._gossip
+        yield Prober(instance, zone, self._clock, self._rng, gossip)
+        yield Balancer(instance, zone, self._clock, gossip, self._peers)
+        yield self._membership
+        yield self._make_admin()
+        yield Metrics(self._settings, lambda: self._packets.counts)
+        yield self._registration
+
     def _make_steering(self) -> Steering:
         return Steering(
             self._settings.instance,
             self._settings.zone,
-            _NoTransport(),
+            self._peers,
             self._clock,
             self._rng,
             publish=self._kernel.publish,
         )
 
+    def _make_packets(self) -> PacketPath:
+        admission = Admission(self._clock, self._rng)
+        meter = FlowMeter(self._clock)
+        return PacketPath(self._settings, self._steering, admission, meter)
+
+    def _make_membership(self) -> MembershipService:
+        return MembershipService(
+            self._settings,
+            self._peers,
+            self._gossip.gossip,
+            self._clock,
+            self._rng,
+            self._listed_members,
+        )
+
+    async def _listed_members(self) -> Iterable[Member]:
+        listed = await self._instances.read()
+        return [entry.member() for entry in listed.instances if entry.state is ListedState.LIVE]
+
     def _make_admin(self) -> AdminService:
         settings = self._settings
-        tls = load_tls(settings.tls)
         state = InstanceState(settings.instance, settings.region, settings.zone)
         state.platform_calls = lambda: self._platform.calls
         return AdminService(
@@ -127,7 +166,7 @@
             state,
             settings.address,
             settings.admin_port,
-            credentials=None if tls is None else tls.server(),
+            credentials=None if self._tls is None else self._tls.server(),
         )
 
     def _load_static(self) -> None:
@@ -160,13 +199,6 @@
         return change.initial(group.name, zone, targets, group.seed, Generation(1))
 
 
-class _NoTransport:
-    """Drops every message."""
-
-    def send(self, to: str, message: Message) -> None:
-        """Drops a message."""
-
-
 class DaemonService(aiomisc.Service):
     """Runs a daemon in an aiomisc entrypoint."""
 
--- a/pearwell/forwarding.py
+++ b/pearwell/forwarding.py
@@ -9,7 +9,7 @@
 
 from pearwell.configuration import Configuration
 from pearwell.errors import Code, PacketError
-from pearwell.flow_meter import FlowMeter, is_sampled
+from pearwell.flow_meter import FlowMeter
 from pearwell.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
 from pearwell.reply import refusal
 from pearwell.steering_table import SteeringTable
@@ -187,9 +187,9 @@
         flow_hash: int,
         from_peer: bool,
     ) -> Verdict:
-        """Decides on a SYN: at the owner if its service is limited or the flow is sampled."""
+        """Decides on a SYN: at the owner of its bucket if its service is limited."""
         limited = self._limits.limited(service)
-        if not from_peer and (limited or is_sampled(flow_hash)):
+        if limited and not from_peer:
             passed = self._decider.pass_to_owner(flow_hash)
             if passed is not None:
                 return passed
--- a/pearwell/instance_list.py
+++ b/pearwell/instance_list.py
@@ -14,6 +14,7 @@
 
 from pearwell.errors import Code, PlatformError
 from pearwell.kernel import Kernel
+from pearwell.membership import Member
 from pearwell.messages import Message
 from pearwell.object_store import ObjectStore, StoredObject
 from pearwell.settings import Settings
@@ -65,6 +66,10 @@
     control_port: int
     state: ListedState = ListedState.LIVE
 
+    def member(self) -> Member:
+        """Returns the instance as a member to start the membership from."""
+        return Member(self.instance, self.address, self.peer_port, self.control_port)
+
 
 class ListedInstances(msgspec.Struct, frozen=True):
     """The value of the list's object."""
--- a/pearwell/packet_path.py
+++ b/pearwell/packet_path.py
@@ -10,6 +10,7 @@
 import structlog
 
 from pearwell.admission import Admission
+from pearwell.configuration import Configuration
 from pearwell.errors import Code, SettingsError
 from pearwell.flow_meter import FlowMeter
 from pearwell.forwarding import Forwarder
@@ -22,6 +23,7 @@
     ViewChanged,
     ViewRenewed,
 )
+from pearwell.messages.targets import OpenFlowsReported
 from pearwell.packet import MAX_PACKET_BYTES
 from pearwell.settings import Settings
 from pearwell.steering import Steering
@@ -75,6 +77,7 @@
     name = "packets"
     accepts: tuple[type[Message], ...] = (
         ConfigurationChanged,
+        OpenFlowsReported,
         PeerMessage,
         PlacementChanged,
         ViewChanged,
@@ -94,6 +97,7 @@
         self._buffer = bytearray(MAX_PACKET_BYTES)
         self._window = memoryview(self._buffer)
         self._fabric_heard_at = monotonic()
+        self._configuration = Configuration()
         self._ticks = 0
         self._sockets: list[socket.socket] = []
         self._peers: frozenset[str] = frozenset(peer.address for peer in settings.peers)
@@ -154,6 +158,14 @@
                 self._steering.configure(configuration)
                 self._admission.configure(configuration)
                 self._forwarder.configure(configuration)
+                self._configuration = configuration
+            case OpenFlowsReported(group=group, open_flows=open_flows):
+                self._report_open_flows(group, dict(open_flows))
+
+    def _report_open_flows(self, group: str, open_flows: dict[str, int]) -> None:
+        for service in self._configuration.services.values():
+            if service.group == group:
+                self._admission.report_open_flows(service.name, open_flows)
 
     async def tick(self) -> None:
         """Does steering's periodic work and publishes what the meter counted."""
