--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -1,39 +1,35 @@
 """The daemon: assembles the services of one instance."""
 
-import json
 import random
 from collections.abc import Iterable, Iterator
-from pathlib import Path
 
 import aiomisc
 import structlog
 
-from pearwell import change
 from pearwell.admin_server import AdminService
 from pearwell.admission import Admission
 from pearwell.balancer import Balancer
 from pearwell.clock import MonotonicClock
-from pearwell.configuration import Configuration
+from pearwell.configuration_service import ConfigurationService
 from pearwell.editor import ConfigurationEditor
 from pearwell.flow_meter import FlowMeter
 from pearwell.gossip_service import GossipService
-from pearwell.group import GroupSpec, TargetSpec
 from pearwell.instance_list import InstanceList, InstanceRegistration, ListedState
 from pearwell.instance_state import InstanceState
 from pearwell.kernel import Kernel, KernelService
 from pearwell.membership import Member
 from pearwell.membership_service import MembershipService
-from pearwell.messages import ConfigurationChanged, PlacementChanged
 from pearwell.metrics import Metrics
 from pearwell.object_store import RetryingObjectStore
 from pearwell.packet_path import PacketPath
 from pearwell.peers import Peers
-from pearwell.placement import Generation, PlacedTarget, Placement
+from pearwell.placement_service import PlacementService
+from pearwell.placement_store import PlacementStore
 from pearwell.platform_client import PlatformClient
 from pearwell.prober import Prober
-from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.settings import Endpoint, Settings
 from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
+from pearwell.status_store import PlatformInForce, StatusStore
 from pearwell.steering import Steering
 from pearwell.tls import load_tls
 
@@ -68,6 +64,7 @@
         self._packets = self._make_packets()
         self._gossip = GossipService(settings.instance, self._peers, self._clock, self._rng)
         self._membership = self._make_membership()
+        self._configuration = self._make_configuration()
         self._registration = InstanceRegistration(settings, self._instances)
         for service in self._services():
             self._kernel.add(service)
@@ -88,7 +85,6 @@
         except BaseException:
             await self._close()
             raise
-        self._load_static()
         _log.info("instance_started", zone=self._settings.zone, address=self._settings.address)
 
     async def stop(self) -> None:
@@ -103,7 +99,7 @@
             withdraw=self._registration.withdraw,
             leave=self._membership.leave,
             last_packet_at=lambda: self._packets.fabric_heard_at,
-            handed_over=lambda: self._steering.shards_served == 0,
+            handed_over=self._handed_over,
             remove=self._registration.remove,
         )
         await shut_down(steps, self._clock, times)
@@ -121,6 +117,8 @@
         yield self._peers
         yield self._packets
         yield self._gossip
+        yield self._configuration
+        yield self._make_placement()
         yield Prober(instance, zone, self._clock, self._rng, gossip)
         yield Balancer(instance, zone, self._clock, gossip, self._peers)
         yield self._membership
@@ -157,46 +155,53 @@
         listed = await self._instances.read()
         return [entry.member() for entry in listed.instances if entry.state is ListedState.LIVE]
 
+    def _make_configuration(self) -> ConfigurationService:
+        return ConfigurationService(
+            self._settings.instance,
+            self._settings.zone,
+            self._gossip.gossip,
+            self._store,
+            self._clock,
+            self._rng,
+        )
+
+    def _make_placement(self) -> PlacementService:
+        return PlacementService(
+            self._settings.instance,
+            self._settings.zone,
+            self._gossip.gossip,
+            self._peers,
+            PlacementStore(self._store, self._settings.zone, self._clock),
+            self._clock,
+        )
+
     def _make_admin(self) -> AdminService:
-        settings = self._settings
-        state = InstanceState(settings.instance, settings.region, settings.zone)
-        state.platform_calls = lambda: self._platform.calls
+        settings, configuration = self._settings, self._configuration
+        state = InstanceState(
+            settings.instance,
+            settings.region,
+            settings.zone,
+            is_relay=lambda: configuration.is_relay,
+            platform_reachable=lambda: configuration.platform_reachable,
+            platform_calls=lambda: self._platform.calls,
+        )
+        in_force = PlatformInForce(
+            settings.zone, self._gossip.gossip, configuration.members, StatusStore(self._store)
+        )
         return AdminService(
             ConfigurationEditor(self._store, self._rng, settings.instance),
             state,
             settings.address,
             settings.admin_port,
-            credentials=None if self._tls is None else self._tls.server(),
+            in_force,
+            None if self._tls is None else self._tls.server(),
+            configuration.written,
         )
 
-    def _load_static(self) -> None:
-        if self._settings.static_configuration is None:
-            return
-        content = json.loads(Path(self._settings.static_configuration).read_text())
-        services = [
-            ServiceSpec(**{**item, "protocol": TransportProtocol(item["protocol"])})
-            for item in content["services"]
-        ]
-        groups = [
-            GroupSpec(item["name"], tuple(TargetSpec(**target) for target in item["targets"]))
-            for item in content["groups"]
-        ]
-        configuration = Configuration(
-            services={service.name: service for service in services},
-            groups={group.name: group for group in groups},
-        )
-        for group in groups:
-            self._kernel.publish(PlacementChanged(self._initial_placement(group)))
-        self._kernel.publish(ConfigurationChanged(configuration))
-
-    def _initial_placement(self, group: GroupSpec) -> Placement:
-        zone = self._settings.zone
-        targets = tuple(
-            PlacedTarget(target.name, target.address, target.port, target.weight)
-            for target in group.targets
-            if target.zone == zone
-        )
-        return change.initial(group.name, zone, targets, group.seed, Generation(1))
+    def _handed_over(self) -> bool:
+        """Returns whether no other instance is left to take over, or all have taken over."""
+        alone = len(self._membership.swim.view.members) <= 1
+        return alone or self._steering.shards_served == 0
 
 
 class DaemonService(aiomisc.Service):
--- a/pearwell/logs.py
+++ b/pearwell/logs.py
@@ -21,7 +21,9 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
--- a/pearwell/settings.py
+++ b/pearwell/settings.py
@@ -79,9 +79,6 @@
         description="The fabric's encapsulation endpoint that takes replies to callers "
         "(resets and ICMP errors); without it refused flows get no reply.",
     )
-    static_configuration: str | None = Field(
-        default=None, description="JSON file with fixed services and groups."
-    )
     peers: tuple[PeerSettings, ...] = Field(
         default=(), description="Instances to start the membership from; may name this one."
     )
--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -1,198 +1,236 @@
 """The demo: a zone of real processes that changes while flows run.
 
-Ends with one line `flows=N broken=N misrouted=N duplicated=N refused=N imbalance=X.XXX` and exit
-status 0 only if broken, misrouted and duplicated are 0.
+Ends with one line `flows=N broken=N misrouted=N duplicated=N refused=N imbalance=X.XXX`; the exit
+status is 0 only if broken, misrouted and duplicated are 0. The imbalance is the open flows of the
+busiest target divided by the mean of its group, averaged from the settling of the last change to the
+last new flow; the greater of both groups.
 """
 
 import asyncio
 import random
-import subprocess
+import statistics
 import sys
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
-import aiohttp
-import msgspec
 import uvloop
 from absl import app, flags
 
+from pearwell import porcelain
+from pearwell.admin_client import AdminClient
+from pearwell.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.instance_list import InstanceList
 from pearwell.packet_path import bind_udp
+from pearwell.platform_client import PlatformClient
+from pearwell.porcelain import Write
+from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerCore, CallerService, FlowOutcome, FlowPlan
-from pearwell.standins.fabric import Fabric
+from pearwell.standins.fabric import Fabric, follow_instances
 from pearwell.standins.target import Ledger, TargetConfig
-from pearwell.standins.target_host import HostConfig
+from pearwell.standins.zone import ZONE, ZoneProcesses, read_ledger, read_load
 
 __all__ = ["main"]
 
-_FLOWS = flags.DEFINE_integer("flows", 1200, "Flows to open.", lower_bound=1)
-_SECONDS = flags.DEFINE_float("seconds", 10.0, "Time over which flows open.")
-_SEED = flags.DEFINE_integer("seed", 1, "Seed of all random choices.")
-_OCTET = flags.DEFINE_integer("octet", 10, "Second octet of the loopback addresses.")
-
-FABRIC_PORT = 20100
-PEER_PORT = 20101
-CONTROL_PORT = 20102
-ADMIN_PORT = 20103
-METRICS_PORT = 20104
-PLATFORM_PORT = 20105
+_FLOWS = flags.DEFINE_integer("flows", 2400, "Flows to open.", lower_bound=1)
+_SECONDS = flags.DEFINE_float("seconds", 40.0, "Time over which flows open.")
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of all random choices of the demo.")
+_OCTET = flags.DEFINE_integer("octet", 40, "Second octet of the loopback addresses.")
+_LOGS = flags.DEFINE_string("logs", "", "Directory to keep settings and logs in.")
+_KILL = flags.DEFINE_bool("kill", False, "Kill the replaced instance instead of stopping it.")
+
 TARGET_PORT = 20110
 HEALTH_PORT = 20111
 RETURN_PORT = 20120
-START_TIMEOUT_S = 20.0
-FINISH_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 30.0
+FINISH_TIMEOUT_S = 25.0
+IN_FORCE_WAIT_S = 5.0
 TICK_S = 0.005
-REQUEST_INTERVAL_S = 0.5
+SAMPLE_INTERVAL_S = 0.5
+POLL_S = 0.1
+REQUEST_INTERVAL_S = 1.0
 REQUESTS_PER_FLOW = 10
 BATCH_PACKETS = 256
 PACKET_BUFFER_BYTES = 65535
-
-ZONE = "pnw-a"
-
-
-@dataclass(slots=True)
-class _Processes:
-    """Child processes of the demo."""
-
-    directory: Path
-    running: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
-
-    def start(self, name: str, module: str, *arguments: str) -> None:
-        """Starts a module; its output goes to a file."""
-        log = (self.directory / f"{name}.log").open("wb")
-        command = [sys.executable, "-m", module, *arguments]
-        self.running[name] = subprocess.Popen(command, stdout=log, stderr=log)
-
-    def write(self, name: str, content: object) -> str:
-        """Writes a JSON file and returns its path."""
-        path = self.directory / f"{name}.json"
-        path.write_bytes(msgspec.json.encode(content))
-        return str(path)
-
-    def stop(self, name: str) -> int:
-        """Stops a process with SIGTERM and returns its exit status."""
-        process = self.running.pop(name)
-        process.terminate()
-        return process.wait(timeout=FINISH_TIMEOUT_S)
-
-    def stop_all(self) -> None:
-        """Stops every process."""
-        for process in self.running.values():
-            process.terminate()
-        for process in self.running.values():
-            try:
-                process.wait(timeout=FINISH_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-        self.running.clear()
-
-
-def _address(kind: int, number: int) -> str:
-    return f"127.{_OCTET.value}.{kind}.{number}"
-
-
+INSTANCES = 4
+
+# Moments of the changes, and when the added target is no longer cold, as shares of the time that
+# flows open.
+REPLACE_AT = 0.05
+DRAIN_AT = 0.18
+ADD_AT = 0.25
+SETTLED_AT = 0.8
+# Time after which a leaving target takes no new flows.
+DRAIN_SETTLE_S = 2.0
+
+ACTOR = "demo"
 SERVICES = (
     CallerService("intake", "198.51.100.10", 443, "203.0.113.5"),
     CallerService("tables", "2001:db8::20", 5432, "2001:db8:1::5"),
 )
-GROUPS = {"intake": ("intake-1", "intake-2"), "tables": ("tables-1", "tables-2")}
+TARGETS = {"intake": 3, "tables": 2}
+DRAINED = "intake-1"
+ADDED = "intake-9"
 
 
 class Demo:
-    """Runs the demo."""
+    """Runs the demo.
+
+    Args:
+        directory: Where settings and logs go.
+    """
 
-    def __init__(self, processes: _Processes) -> None:
-        self._processes = processes
+    def __init__(self, directory: Path) -> None:
+        octet = _OCTET.value
         self._rng = random.Random(_SEED.value)
-        self._socket = bind_udp(_address(0, 1), RETURN_PORT)
+        self._return_address = (f"127.{octet}.0.1", RETURN_PORT)
+        self._zone = ZoneProcesses(directory, octet, self._return_address)
+        self._socket = bind_udp(*self._return_address)
         self._fabric = Fabric(self._socket, self._rng)
         self._callers = CallerCore(self._fabric.send, self._rng)
-        self._targets: list[TargetConfig] = []
-
-    async def run(self) -> int:
-        """Runs everything and returns the exit status."""
-        self._start_targets()
-        static = self._processes.write("static", self._static_configuration())
-        instances = [f"entry-{number}" for number in range(1, 5)]
-        for number, name in enumerate(instances, 1):
-            self._start_instance(name, number, static)
-        for number in range(1, 5):
-            await _wait_for_port(_address(1, number), METRICS_PORT)
-        for target in self._targets:
-            await _wait_for_port(target.address, HEALTH_PORT)
-        self._fabric.set_instances((_address(1, number), FABRIC_PORT) for number in range(1, 5))
-        asyncio.get_running_loop().add_reader(self._socket, self._drain)
-        self._plan_flows()
-        await self._run_flows()
-        return await self._report()
-
-    def _start_targets(self) -> None:
+        self._platform = PlatformClient(self._zone.platform_url)
+        self._admin = AdminClient(
+            [self._zone.admin_endpoint(number) for number in range(2, INSTANCES + 1)]
+        )
+        self._targets: dict[str, TargetConfig] = {}
+        self._groups: dict[str, list[str]] = {}
+        self._failures: list[str] = []
+        self._drained_at = float("inf")
+        self._opens_until = float("inf")
+        self._ratios: dict[str, list[float]] = {}
+
+    async def run(self) -> str:
+        """Runs everything and returns the final line; failures are kept."""
+        tasks: list[asyncio.Task[None]] = []
+        try:
+            await self._start_zone()
+            await self._configure()
+            instances = InstanceList(self._platform, ZONE, self._rng)
+            tasks.append(asyncio.ensure_future(follow_instances(self._fabric, instances)))
+            await self._wait_until(lambda: len(self._fabric.instances) == INSTANCES, "instances")
+            asyncio.get_running_loop().add_reader(self._socket, self._drain)
+            tasks.append(asyncio.ensure_future(self._change()))
+            await self._run_flows()
+            await tasks[-1]
+            return await self._summarize()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await self._admin.close()
+            await self._platform.close()
+            self._zone.stop_all()
+
+    @property
+    def failures(self) -> list[str]:
+        """What went against the promises."""
+        return self._failures
+
+    async def _start_zone(self) -> None:
+        await self._zone.start_platform()
+        for number in range(1, INSTANCES + 1):
+            self._zone.start_instance(number)
         number = 0
         for service in SERVICES:
-            for name in GROUPS[service.name]:
+            for index in range(1, TARGETS[service.name] + 1):
                 number += 1
-                self._targets.append(
-                    TargetConfig(
-                        name,
-                        _address(2, number),
-                        TARGET_PORT,
-                        HEALTH_PORT,
-                        ((service.address, service.port),),
-                    )
-                )
-        host = HostConfig(tuple(self._targets), _address(0, 1), RETURN_PORT)
-        path = self._processes.write("targets", host)
-        self._processes.start("targets", "pearwell.standins.target_host", "--config", path)
-
-    def _start_instance(self, name: str, number: int, static: str) -> None:
-        settings = {
-            "instance": name,
-            "region": "pnw",
-            "zone": ZONE,
-            "address": _address(1, number),
-            "fabric_port": FABRIC_PORT,
-            "peer_port": PEER_PORT,
-            "control_port": CONTROL_PORT,
-            "admin_port": ADMIN_PORT,
-            "metrics_port": METRICS_PORT,
-            "platform": {"address": _address(0, 2), "port": PLATFORM_PORT},
-            "return_endpoint": {"address": _address(0, 1), "port": RETURN_PORT},
-            "plaintext": True,
-            "static_configuration": static,
-        }
-        path = self._processes.write(name, settings)
-        self._processes.start(name, "pearwell.cli.entry", "--settings", path)
-
-    def _static_configuration(self) -> dict[str, object]:
-        groups = [
-            {
-                "name": group,
-                "targets": [
-                    {"name": t.name, "address": t.address, "port": t.port, "zone": ZONE}
-                    for t in self._targets
-                    if t.name in names
-                ],
-            }
-            for group, names in GROUPS.items()
-        ]
-        services = [
-            {"name": s.name, "address": s.address, "port": s.port, "protocol": 6, "group": s.name}
-            for s in SERVICES
-        ]
-        return {"services": services, "groups": groups}
-
-    def _plan_flows(self) -> None:
-        now = time.monotonic()
+                self._plan_target(f"{service.name}-{index}", service, number)
+        await self._zone.start_targets("targets", tuple(self._targets.values()))
+        for number in range(1, INSTANCES + 1):
+            await self._zone.wait_for_instance(number)
+
+    def _plan_target(self, name: str, service: CallerService, number: int) -> TargetConfig:
+        config = TargetConfig(
+            name,
+            self._zone.target_address(number),
+            TARGET_PORT,
+            HEALTH_PORT,
+            ((service.address, service.port),),
+        )
+        self._targets[name] = config
+        self._groups.setdefault(service.name, []).append(name)
+        return config
+
+    async def _configure(self) -> None:
+        """Creates groups and services by the admin API and waits for their placements."""
+        health = HealthCheck(port=HEALTH_PORT)
+        for service in SERVICES:
+            targets = tuple(_target_spec(self._targets[n]) for n in self._groups[service.name])
+            group = GroupSpec(service.name, targets, health)
+            spec = ServiceSpec(
+                service.name, service.address, service.port, TransportProtocol.TCP, service.name
+            )
+            await porcelain.create_group(self._admin, group, _write())
+            await porcelain.create_service(self._admin, spec, _write())
+        for number in range(1, INSTANCES + 1):
+            await self._wait_for_placements(number)
+
+    async def _wait_for_placements(self, number: int) -> None:
+        async with AdminClient([self._zone.admin_endpoint(number)]) as client:
+            deadline = time.monotonic() + READY_TIMEOUT_S
+            while len(await porcelain.list_placements(client)) < len(SERVICES):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"entry-{number} has no placements")
+                await asyncio.sleep(POLL_S)
+
+    async def _wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"{what} not ready")
+            await asyncio.sleep(POLL_S)
+
+    async def _change(self) -> None:
+        """Replaces an instance, drains a target and adds one while flows run."""
+        steps = (
+            (REPLACE_AT, self._replace_instance),
+            (DRAIN_AT, self._drain_target),
+            (ADD_AT, self._add_target),
+            (SETTLED_AT, self._sample_loads),
+        )
+        began = time.monotonic()
+        for share, step in steps:
+            await asyncio.sleep(max(0.0, began + share * _SECONDS.value - time.monotonic()))
+            await step()
+
+    async def _replace_instance(self) -> None:
+        self._zone.start_instance(INSTANCES + 1)
+        await self._wait_until(lambda: len(self._fabric.instances) == INSTANCES + 1, "entry-5")
+        if _KILL.value:
+            self._zone.kill_instance(1)
+            return
+        status = await self._zone.stop_instance(1)
+        if status:
+            self._failures.append(f"the stopped instance ended with status {status}")
+
+    async def _drain_target(self) -> None:
+        await porcelain.drain_target(self._admin, "intake", DRAINED, _write())
+        self._drained_at = time.time()
+
+    async def _add_target(self) -> None:
+        config = self._plan_target(ADDED, SERVICES[0], sum(TARGETS.values()) + 1)
+        await self._zone.start_targets("added", (config,))
+        await porcelain.put_target(self._admin, "intake", _target_spec(config), _write())
+
+    async def _sample_loads(self) -> None:
+        """Samples how evenly open flows are spread, until no more flows open."""
+        while time.monotonic() < self._opens_until:
+            for group, names in self._groups.items():
+                loads = [await read_load(self._targets[n]) for n in names if n != DRAINED]
+                flows = [load.open_flows for load in loads]
+                ratio = max(flows) * len(flows) / max(1, sum(flows))
+                self._ratios.setdefault(group, []).append(ratio)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def _run_flows(self) -> None:
+        began = time.monotonic()
         for number in range(_FLOWS.value):
-            start = now + self._rng.random() * _SECONDS.value
+            start = began + self._rng.random() * _SECONDS.value
             service = SERVICES[number % len(SERVICES)]
             self._callers.add(FlowPlan(service, start, REQUESTS_PER_FLOW, REQUEST_INTERVAL_S))
-
-    async def _run_flows(self) -> None:
-        deadline = time.monotonic() + _SECONDS.value + FINISH_TIMEOUT_S
+        self._opens_until = began + _SECONDS.value
+        deadline = self._opens_until + FINISH_TIMEOUT_S
         while self._callers.open_flows and time.monotonic() < deadline:
             self._callers.tick(time.monotonic())
             await asyncio.sleep(TICK_S)
@@ -205,58 +243,57 @@
                 return
             self._callers.receive(packet, time.monotonic())
 
-    async def _report(self) -> int:
-        ledgers = {target.name: await _ledger(target) for target in self._targets}
+    async def _ledgers(self) -> dict[str, Ledger]:
+        return {name: await read_ledger(target) for name, target in self._targets.items()}
+
+    async def _summarize(self) -> str:
+        ledgers = await self._ledgers()
         runs: Counter[str] = Counter()
         for ledger in ledgers.values():
             runs.update(ledger.runs)
-        duplicated = sum(count - 1 for count in runs.values())
+        outcomes, unfinished = self._callers.outcomes, self._callers.open_flows
+        broken = outcomes[FlowOutcome.BROKEN] + unfinished
         misrouted = sum(ledger.misrouted for ledger in ledgers.values())
-        outcomes = self._callers.outcomes
-        broken = outcomes[FlowOutcome.BROKEN] + self._callers.open_flows
-        for reason, count in self._callers.reasons.items():
-            print(f"broken flows: {count} {reason}", file=sys.stderr)
-        imbalance = max(
-            max(started) * len(started) / sum(started)
-            for started in ([ledgers[name].started for name in names] for names in GROUPS.values())
+        duplicated = runs.total() - len(runs)
+        self._failures += [f"{n} flows: {reason}" for reason, n in self._callers.reasons.items()]
+        if misrouted or duplicated or unfinished:
+            self._failures.append(f"misrouted {misrouted}, duplicated {duplicated}")
+        if ledgers[DRAINED].last_start > self._drained_at + DRAIN_SETTLE_S:
+            self._failures.append("the drained target took new flows")
+        return (
+            f"flows={outcomes.total() + unfinished} broken={broken} misrouted={misrouted} "
+            f"duplicated={duplicated} refused={outcomes[FlowOutcome.REFUSED]} "
+            f"imbalance={self._imbalance():.3f}"
         )
-        print(
-            f"flows={outcomes.total() + self._callers.open_flows} broken={broken} "
-            f"misrouted={misrouted} duplicated={duplicated} "
-            f"refused={outcomes[FlowOutcome.REFUSED]} imbalance={imbalance:.3f}"
-        )
-        return 1 if broken or misrouted or duplicated else 0
 
+    def _imbalance(self) -> float:
+        return max((statistics.fmean(ratios) for ratios in self._ratios.values()), default=0.0)
 
-async def _wait_for_port(address: str, port: int) -> None:
-    deadline = time.monotonic() + START_TIMEOUT_S
-    while True:
-        try:
-            _, writer = await asyncio.open_connection(address, port)
-        except OSError:
-            if time.monotonic() > deadline:
-                raise
-            await asyncio.sleep(0.05)
-        else:
-            writer.close()
-            return
+
+def _target_spec(config: TargetConfig) -> TargetSpec:
+    return TargetSpec(config.name, config.address, ZONE, config.port)
 
 
-async def _ledger(target: TargetConfig) -> Ledger:
-    url = f"http://{target.address}:{target.health_port}/ledger"
-    async with aiohttp.ClientSession() as session, session.get(url) as answer:
-        return msgspec.json.decode(await answer.read(), type=Ledger)
+def _write() -> Write:
+    return Write(ACTOR, wait_s=IN_FORCE_WAIT_S)
+
+
+async def _run(directory: Path) -> int:
+    demo = Demo(directory)
+    line = await demo.run()
+    for failure in demo.failures:
+        print(failure, file=sys.stderr)
+    print(line)
+    return 1 if demo.failures else 0
 
 
 def main(argv: Sequence[str]) -> int:
     """Runs the demo and returns its exit status."""
     del argv
+    if _LOGS.value:
+        return uvloop.run(_run(Path(_LOGS.value)))
     with tempfile.TemporaryDirectory(prefix="pearwell-demo-") as directory:
-        processes = _Processes(Path(directory))
-        try:
-            return uvloop.run(Demo(processes).run())
-        finally:
-            processes.stop_all()
+        return uvloop.run(_run(Path(directory)))
 
 
 if __name__ == "__main__":
--- a/pearwell/standins/fabric.py
+++ b/pearwell/standins/fabric.py
@@ -1,12 +1,18 @@
 """Fabric stand-in: sprays each packet to a random instance, as IP-in-UDP."""
 
+import asyncio
 import random
 import socket
 from collections.abc import Iterable
 
+from pearwell.errors import PlatformError
+from pearwell.instance_list import InstanceList, ListedState
 from pearwell.verdict import Address
 
-__all__ = ["Fabric"]
+__all__ = ["Fabric", "follow_instances"]
+
+# Time by which the fabric lags behind the platform's list.
+FOLLOW_INTERVAL_S = 0.5
 
 
 class Fabric:
@@ -46,3 +52,16 @@
             self._socket.sendto(packet, self._rng.choice(self._instances))
         except OSError:
             self._dropped += 1
+
+
+async def follow_instances(fabric: Fabric, instances: InstanceList) -> None:
+    """Sprays over the live instances of the platform's list, for ever and with a lag."""
+    while True:
+        try:
+            listed = await instances.read()
+        except PlatformError:
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+            continue
+        live = [e for e in listed.instances if e.state is ListedState.LIVE]
+        fabric.set_instances((entry.address, entry.fabric_port) for entry in live)
+        await asyncio.sleep(FOLLOW_INTERVAL_S)
--- a/pearwell/standins/target_host.py
+++ b/pearwell/standins/target_host.py
@@ -22,6 +22,9 @@
 __all__ = ["HostConfig", "serve_targets"]
 
 BATCH_PACKETS = 64
+# Time for which a request counts as taking a slot.
+REQUEST_S = 0.005
+MIN_REPORT_S = 0.1
 PACKET_BUFFER_BYTES = 65535
 
 _CONFIG = flags.DEFINE_string("config", "", "JSON file that lists the targets.")
@@ -44,7 +47,8 @@
         self._started = time.monotonic()
         self._core = TargetCore(config, self._send)
         self._reports: deque[tuple[float, bool, LoadReport]] = deque()
-        self._runs_before = 0
+        self._runs_reported = 0
+        self._reported_at = self._started
 
     async def start(self) -> web.AppRunner:
         """Starts to receive and to serve the HTTP endpoints."""
@@ -106,16 +110,21 @@
         """Returns health and load as they were health_lag_s ago."""
         core = self._core
         now = time.monotonic()
-        open_flows = core.open_flows
-        in_use = min(core.config.slots, open_flows) * core.mode.load_factor
-        self._reports.append(
-            (now, not core.mode.draining, LoadReport(core.config.slots, in_use, open_flows))
-        )
+        self._reports.append((now, not core.mode.draining, self._measure(now)))
         while len(self._reports) > 1 and self._reports[1][0] <= now - core.mode.health_lag_s:
             self._reports.popleft()
         _, healthy, report = self._reports[0]
         return healthy, report
 
+    def _measure(self, now: float) -> LoadReport:
+        """Returns the mean load since the last report."""
+        core = self._core
+        runs = sum(core.ledger.runs.values())
+        rate = (runs - self._runs_reported) / max(now - self._reported_at, MIN_REPORT_S)
+        self._runs_reported, self._reported_at = runs, now
+        in_use = min(float(core.config.slots), rate * REQUEST_S) * core.mode.load_factor
+        return LoadReport(core.config.slots, in_use, core.open_flows)
+
 
 async def serve_targets(config: HostConfig) -> None:
     """Serves targets until cancelled."""
