--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -2,8 +2,8 @@
 
 Ends with one line `flows=N broken=N misrouted=N duplicated=N refused=N imbalance=X.XXX`; the exit
 status is 0 only if broken, misrouted and duplicated are 0. The imbalance is the open flows of the
-busiest target divided by the mean of its group, averaged from the settling of the last change to the
-last new flow; the greater of both groups.
+busiest target divided by the mean of its group, averaged from the settling of the last change to
+the last new flow; the greater of both groups.
 """
 
 import asyncio
