--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -27,6 +27,7 @@
 from pearwell.placement_store import PlacementStore
 from pearwell.platform_client import PlatformClient
 from pearwell.prober import Prober
+from pearwell.samples import InstanceParts, collect
 from pearwell.settings import Endpoint, Settings
 from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
 from pearwell.status_store import PlatformInForce, StatusStore
@@ -65,6 +66,10 @@
         self._gossip = GossipService(settings.instance, self._peers, self._clock, self._rng)
         self._membership = self._make_membership()
         self._configuration = self._make_configuration()
+        self._placement = self._make_placement()
+        self._prober = Prober(
+            settings.instance, settings.zone, self._clock, self._rng, self._gossip.gossip
+        )
         self._registration = InstanceRegistration(settings, self._instances)
         for service in self._services():
             self._kernel.add(service)
@@ -114,18 +119,31 @@
         """Yields all services; they start in this order and stop in the opposite one."""
         instance, zone = self._settings.instance, self._settings.zone
         gossip = self._gossip.gossip
+        parts = self._parts()
         yield self._peers
         yield self._packets
         yield self._gossip
         yield self._configuration
-        yield self._make_placement()
-        yield Prober(instance, zone, self._clock, self._rng, gossip)
+        yield self._placement
+        yield self._prober
         yield Balancer(instance, zone, self._clock, gossip, self._peers)
         yield self._membership
         yield self._make_admin()
-        yield Metrics(self._settings, lambda: self._packets.counts)
+        yield Metrics(self._settings, lambda: collect(parts))
         yield self._registration
 
+    def _parts(self) -> InstanceParts:
+        return InstanceParts(
+            self._packets,
+            self._steering,
+            self._peers,
+            self._membership,
+            self._configuration,
+            self._placement,
+            self._prober,
+            self._platform,
+        )
+
     def _make_steering(self) -> Steering:
         return Steering(
             self._settings.instance,
--- a/pearwell/metrics.py
+++ b/pearwell/metrics.py
@@ -1,6 +1,6 @@
 """Metrics page for Prometheus."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable
 
 from aiohttp import web
 from aioprometheus import Counter, Gauge, Registry, render
@@ -8,13 +8,13 @@
 from pearwell.errors import Code, SettingsError
 from pearwell.kernel import Kernel
 from pearwell.messages import Message
+from pearwell.samples import Sample
 from pearwell.settings import Settings
-from pearwell.verdict import Action
 
-__all__ = ["Metrics", "MetricsSource", "serve_http"]
+__all__ = ["Metrics", "serve_http"]
 
-PacketCounts = Callable[[], Mapping[tuple[Action, Code], int]]
-MetricsSource = Callable[[], Mapping[str, float]]
+PREFIX = "pearwell_"
+COUNTER_SUFFIX = "_total"
 
 
 async def serve_http(app: web.Application, address: str, port: int) -> web.AppRunner:
@@ -38,29 +38,19 @@
 
     Args:
         settings: Address and port of the page.
-        packets: Gives the packets so far by action and code.
+        collect: Gives the samples at each request.
     """
 
     name = "metrics"
     accepts: tuple[type[Message], ...] = ()
 
-    def __init__(self, settings: Settings, packets: PacketCounts) -> None:
+    def __init__(self, settings: Settings, collect: Callable[[], Iterable[Sample]]) -> None:
         self._settings = settings
-        self._packets = packets
+        self._collect = collect
         self._registry = Registry()
-        self._packet_counter = Counter(
-            "pearwell_packets_total", "Inner packets by action and code."
-        )
-        self._gauge = Gauge("pearwell_state", "State of a part, by name.")
-        self._registry.register(self._packet_counter)
-        self._registry.register(self._gauge)
-        self._sources: list[MetricsSource] = []
+        self._collectors: dict[str, Counter | Gauge] = {}
         self._runner: web.AppRunner | None = None
 
-    def add_source(self, source: MetricsSource) -> None:
-        """Adds a callable that gives values by name at each scrape."""
-        self._sources.append(source)
-
     async def start(self, kernel: Kernel) -> None:
         """Starts to serve the page."""
         app = web.Application()
@@ -76,11 +66,16 @@
         """Takes no messages."""
 
     async def _serve(self, request: web.Request) -> web.Response:
-        for (action, code), count in self._packets().items():
-            labels = {"action": action.name.lower(), "code": code.name}
-            self._packet_counter.set(labels, count)
-        for source in self._sources:
-            for name, value in source().items():
-                self._gauge.set({"name": name}, value)
+        for sample in self._collect():
+            self._collector(sample.name).set(dict(sample.labels), float(sample.value))
         content, headers = render(self._registry, request.headers.getall("Accept", []))
         return web.Response(body=content, headers=headers)
+
+    def _collector(self, name: str) -> Counter | Gauge:
+        collector = self._collectors.get(name)
+        if collector is None:
+            kind = Counter if name.endswith(COUNTER_SUFFIX) else Gauge
+            collector = kind(PREFIX + name, name.removesuffix(COUNTER_SUFFIX).replace("_", " "))
+            self._collectors[name] = collector
+            self._registry.register(collector)
+        return collector
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,30 @@
+"""Tests of pearwell.metrics, on the page of a whole daemon."""
+
+import json
+import re
+
+import aiohttp
+
+from pearwell.daemon import Daemon
+from pearwell.settings import Settings
+from tests.test_entry import SETTINGS
+
+ADDRESS = "127.10.9.21"
+
+
+async def test_the_page_shows_every_part_of_the_daemon():
+    content = {**SETTINGS, "address": ADDRESS, "stop_deadline_s": 0.1}
+    settings = Settings.model_validate_json(json.dumps(content))
+    daemon = Daemon(settings)
+    await daemon.start()
+    try:
+        url = f"http://{ADDRESS}:{settings.metrics_port}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            page = await answer.text()
+    finally:
+        await daemon.stop()
+    values = dict(re.findall(r"^(pearwell_\w+)(?:{.*})? (\S+)$", page, re.MULTILINE))
+    assert float(values["pearwell_members"]) == 1
+    assert float(values["pearwell_view_lease_lapsed"]) == 0
+    for name in ("flow_records", "peer_links", "targets_probed", "placements_unsaved"):
+        assert f"pearwell_{name}" in values
