Scale the dead band and the gain to the number and life of flows

Cause: in the demo (about 150 flows a target, 10 s each) weights followed chance and the delay of the reports; a division of infinity left the ceilings of old targets unenforced. Change: the dead band is at least some deviations of a random spread, the gain is bounded by the life of a flow over the delay of reports, ceilings are enforced, and slow start takes 20 s in steps on time.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -141,7 +141,12 @@
     for dead_band, gain, high in SWEEP:
         name = f"dead_band={dead_band} gain={gain} high={high}"
         sweep[name] = replace(
-            base, dead_band=dead_band, gain=gain, high=high, min_step=gain * dead_band / 2
+            base,
+            dead_band=dead_band,
+            deviations=0.0,
+            gain=gain,
+            high=high,
+            min_step=gain * dead_band / 2,
         )
     return sweep
 
--- a/pearwell/expected_load.py
+++ b/pearwell/expected_load.py
@@ -12,7 +12,7 @@
 
 __all__ = ["ExpectedLoad", "SheddingDetector"]
 
-MIN_FLOW_LIFE_S = 30.0
+MIN_FLOW_LIFE_S = 1.0
 MAX_FLOW_LIFE_S = 86_400.0
 RATE_TIME_CONSTANT_S = 300.0
 MIN_COVERAGE = 0.5
@@ -43,6 +43,11 @@
         """Flow starts a second of the whole group, averaged over some minutes."""
         return self._rate
 
+    def flow_life(self, open_flows: float) -> float:
+        """Returns the mean life of a flow in seconds, for a number of open flows of the group."""
+        life = open_flows / self._rate if self._rate else MAX_FLOW_LIFE_S
+        return min(max(life, MIN_FLOW_LIFE_S), MAX_FLOW_LIFE_S)
+
     def started(self, target: str, count: int) -> None:
         """Takes a number of flow starts towards a target."""
         self._pending[target] = self._pending.get(target, 0) + count
@@ -68,7 +73,7 @@
         if elapsed <= 0.0:
             return
         self._update_rate(elapsed)
-        decay = math.exp(-elapsed / self._flow_life(open_flows))
+        decay = math.exp(-elapsed / self.flow_life(open_flows))
         names = self._decayed.keys() | self._pending.keys()
         self._decayed = {
             name: self._decayed.get(name, 0.0) * decay + self._pending.get(name, 0)
@@ -94,10 +99,6 @@
         weight = 1.0 - math.exp(-elapsed / self._rate_age_s)
         self._rate += (sum(self._pending.values()) / elapsed - self._rate) * weight
 
-    def _flow_life(self, open_flows: float) -> float:
-        life = open_flows / self._rate if self._rate else MAX_FLOW_LIFE_S
-        return min(max(life, MIN_FLOW_LIFE_S), MAX_FLOW_LIFE_S)
-
 
 @dataclass(slots=True)
 class _Sums:
--- a/pearwell/weights.py
+++ b/pearwell/weights.py
@@ -28,6 +28,7 @@
 PLAUSIBLE_FACTOR = 1.25
 PLAUSIBLE_DEVIATIONS = 3.0
 SLOW_START_STEPS = 4
+FEEDBACK_DELAY_S = 20.0
 SHED_DECREASE = 0.5
 SHED_RECOVERY = 0.02
 MIN_SHED_FACTOR = 0.2
@@ -41,6 +42,7 @@
 
     Attributes:
         dead_band: Excess over the mean load that is left alone.
+        deviations: The same in standard deviations of a random spread; the greater counts.
         gain: Change of weight for each unit of excess.
         low: Lowest factor on a configured weight.
         high: Highest factor on a configured weight.
@@ -52,6 +54,7 @@
     """
 
     dead_band: float
+    deviations: float
     gain: float
     low: float
     high: float
@@ -59,12 +62,12 @@
     moves_per_hour: float
     min_step: float
     interval_s: float = 10.0
-    slow_start_s: float = 30.0
+    slow_start_s: float = 20.0
 
 
 POLICIES: Mapping[Preference, WeightPolicy] = {
-    Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 0.5, 1.5, 0.1, 0.2, 0.03),
-    Preference.EVEN: WeightPolicy(0.02, 4.0, 0.5, 3.0, 0.2, 1.0, 0.04),
+    Preference.UNBROKEN: WeightPolicy(0.03, 2.0, 2.0, 0.5, 1.5, 0.1, 0.2, 0.03),
+    Preference.EVEN: WeightPolicy(0.02, 1.3, 4.0, 0.5, 3.0, 0.2, 1.0, 0.04),
 }
 
 
@@ -100,6 +103,7 @@
         self._budget_at = clock.now()
         self._corrected_at = -math.inf
         self._weights: dict[str, int] = {}
+        self._ceilings: dict[str, float] = {}
 
     @property
     def weights(self) -> Mapping[str, int]:
@@ -162,13 +166,15 @@
         now = self._clock.now()
         same_targets = self._weights.keys() == self._targets.keys()
         waiting = now - self._corrected_at < self._policy.interval_s
-        if not self._targets or (same_targets and waiting):
+        ceilings = {name: self._ceiling(target, now) for name, target in self._targets.items()}
+        if not self._targets or (same_targets and waiting and ceilings == self._ceilings):
             return None
+        self._ceilings = ceilings
         self._corrected_at = now
         self._expected.update(now, sum(self._open_flows().values()))
         self._shedding.update(now)
         self._refill_budget(now)
-        weights = self._bounded_weights(self._wanted_factors(), now)
+        weights = self._bounded_weights(self._wanted_factors())
         if same_targets and not self._any_starting(now):
             weights = self._within_budget(weights)
         if weights == self._weights:
@@ -213,18 +219,31 @@
 
     def _wanted_factors(self) -> dict[str, float]:
         loads = self._relative_loads()
+        open_flows = sum(self._open_flows().values())
+        dead_band = self._dead_band(open_flows)
+        gain = self._stable_gain(open_flows)
         wanted = {}
         for name, target in self._targets.items():
             excess = loads.get(name, 1.0) - 1.0
-            leave_band = self._policy.dead_band * (0.5 if target.correcting else 1.0)
+            leave_band = dead_band * (0.5 if target.correcting else 1.0)
             target.correcting = abs(excess) > leave_band
             self._update_shedding(name, target)
-            factor = 1.0 - self._policy.gain * excess if target.correcting else 1.0
+            factor = 1.0 - gain * excess if target.correcting else 1.0
             highest = self._policy.high if target.shed_factor == 1.0 else 1.0
             factor = min(max(factor, self._policy.low), highest)
             wanted[name] = factor * target.shed_factor
         return wanted
 
+    def _dead_band(self, open_flows: float) -> float:
+        """Returns the excess to leave alone; few flows spread unevenly by chance."""
+        flows_per_target = max(1.0, open_flows / len(self._targets))
+        return max(self._policy.dead_band, self._policy.deviations / math.sqrt(flows_per_target))
+
+    def _stable_gain(self, open_flows: float) -> float:
+        """Returns the gain, lowered where flows are too short for the delay of the reports."""
+        life_s = self._expected.flow_life(open_flows)
+        return min(self._policy.gain, life_s / (2.0 * FEEDBACK_DELAY_S))
+
     def _relative_loads(self) -> dict[str, float]:
         """Returns each target's load in units of the mean for its configured weight."""
         flows = _relative(self._open_flows(), self._targets)
@@ -279,17 +298,17 @@
         self._budget = min(limit, self._budget + earned)
         self._budget_at = now
 
-    def _bounded_weights(self, factors: Mapping[str, float], now: float) -> dict[str, int]:
+    def _bounded_weights(self, factors: Mapping[str, float]) -> dict[str, int]:
         bases = {name: target.base for name, target in self._targets.items()}
-        ceilings = {n: self._ceiling(t, now) for n, t in self._targets.items()}
         floors = {n: self._policy.low * t.shed_factor for n, t in self._targets.items()}
-        return split_weights(factors, bases, floors, ceilings)
+        return split_weights(factors, bases, floors, self._ceilings)
 
     def _ceiling(self, target: _Target, now: float) -> float:
         """Returns the highest factor of a target, which rises in steps while it starts slowly."""
-        step_s = self._policy.slow_start_s / SLOW_START_STEPS
-        steps = (now - target.joined_at) // step_s + 1
-        return self._policy.high if steps > SLOW_START_STEPS else steps / SLOW_START_STEPS
+        elapsed = now - target.joined_at
+        if elapsed >= self._policy.slow_start_s:
+            return self._policy.high
+        return (elapsed * SLOW_START_STEPS // self._policy.slow_start_s + 1) / SLOW_START_STEPS
 
 
 def _plausible(reported: float, expected: float) -> bool:
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -214,3 +214,44 @@
     assert controller.weights == {"t0": 80, "t1": 100, "t2": 120}
     controller.adjust()
     assert controller.weights == {"t0": 100, "t1": 100, "t2": 100}
+
+
+@pytest.mark.parametrize("preference", list(Preference))
+def test_corrections_wait_for_their_interval(preference):
+    model = plant(preference, [6000, 4300, 4300, 4300, 4300, 4300, 2600])
+    changes = []
+    for _ in range(300):
+        model.clock.advance(1.0)
+        for name, flows in model.flows.items():
+            model.controller.take_report(name, LoadReport(flows))
+        if model.controller.adjust() is not None:
+            changes.append(model.clock.now())
+    gaps = [b - a for a, b in zip(changes, changes[1:], strict=False)]
+    assert all(gap >= POLICIES[preference].interval_s for gap in gaps)
+    assert len(changes) <= 3
+
+
+@pytest.mark.parametrize("preference", list(Preference))
+def test_few_flows_spread_unevenly_by_chance_and_are_left_alone(preference):
+    rng = random.Random(1)
+    model = plant(preference, [0] * 3)
+    for _ in range(60):
+        model.clock.advance(10.0)
+        for name in model.flows:
+            model.controller.take_report(name, LoadReport(100 + rng.randrange(-9, 10)))
+        model.controller.adjust()
+        assert set(model.controller.weights.values()) == {100}
+
+
+def test_short_flows_get_a_gentle_correction():
+    model = plant(Preference.EVEN, [400, 100, 100], life_s=10.0)
+    for name, flows in model.flows.items():
+        model.controller.take_starts(name, 200, 200)
+        model.controller.take_report(name, LoadReport(flows))
+    model.controller.adjust()
+    model.clock.advance(10.0)
+    for name, flows in model.flows.items():
+        model.controller.take_starts(name, 200, 200)
+        model.controller.take_report(name, LoadReport(flows))
+    model.controller.adjust()
+    assert model.controller.weights["t0"] >= 60
