--- /dev/null
+++ b/pearwell/load/schedule.py
@@ -0,0 +1,95 @@
+"""Schedules: what happens to the fleet, and when, during an experiment."""
+
+import random
+from enum import StrEnum
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from pearwell.errors import Code, SettingsError
+
+__all__ = ["Event", "EventKind", "every", "load_schedule"]
+
+
+class EventKind(StrEnum):
+    """Events that an experiment can cause."""
+
+    TARGET_DRAIN = "target-drain"
+    TARGET_UNDRAIN = "target-undrain"
+    TARGET_JOIN = "target-join"
+    TARGET_CRASH = "target-crash"
+    INSTANCE_JOIN = "instance-join"
+    INSTANCE_STOP = "instance-stop"
+    INSTANCE_CRASH = "instance-crash"
+    INSTANCE_PAUSE = "instance-pause"
+    INSTANCE_REPLACE = "instance-replace"
+    PLATFORM_OUTAGE = "platform-outage"
+    PLATFORM_LOST_ANSWERS = "platform-lost-answers"
+    CONFIGURATION_CHANGE = "configuration-change"
+
+
+class Event(BaseModel):
+    """One event of a schedule.
+
+    Attributes:
+        at_s: Time from the start of the run in seconds.
+        kind: What happens.
+        subject: Instance or target it happens to; chosen by the seed if empty.
+        duration_s: How long a pause or an outage lasts in seconds.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    at_s: float = Field(ge=0)
+    kind: EventKind
+    subject: str = ""
+    duration_s: float = Field(default=5.0, gt=0, le=600)
+
+
+_EVENTS = TypeAdapter(list[Event])
+
+
+def load_schedule(path: Path) -> tuple[Event, ...]:
+    """Reads a schedule from a JSON file.
+
+    Args:
+        path: File with a list of events.
+
+    Returns:
+        The events in order of time.
+
+    Raises:
+        SettingsError: The file can't be read or an event is invalid.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise SettingsError(Code.SETTINGS_UNREADABLE, str(error)) from error
+    try:
+        events = _EVENTS.validate_json(text)
+    except ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(str(part) for part in first["loc"])
+        raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{where}: {first['msg']}") from error
+    return tuple(sorted(events, key=lambda event: event.at_s))
+
+
+def every(
+    interval_s: float, duration_s: float, kinds: tuple[EventKind, ...], rng: random.Random
+) -> tuple[Event, ...]:
+    """Makes a schedule with one event of a random kind at a fixed interval.
+
+    Args:
+        interval_s: Time between two events in seconds; the first comes after one interval.
+        duration_s: Length of the run in seconds; no event falls into its last interval.
+        kinds: Kinds to choose from; each is used once before one is used again.
+        rng: Source of the choice.
+    """
+    events: list[Event] = []
+    bag: list[EventKind] = []
+    at_s = interval_s
+    while at_s < duration_s - interval_s:
+        bag = bag or rng.sample(kinds, len(kinds))
+        events.append(Event(at_s=at_s, kind=bag.pop()))
+        at_s += interval_s
+    return tuple(events)
