--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,289 @@
+"""Slopes of state, messages and processor time, from which docs/CAPACITY.md is worked out.
+
+Prints one JSON line for each slope. Timings are processor time of this process, so they depend on
+the machine; sizes don't.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+import msgspec
+from absl import app, flags
+
+from bench.capacity_zone import ZoneCost, measure_zone
+from pearwell.admission import Admission
+from pearwell.change import activate, initial, prepare
+from pearwell.clock import ManualClock
+from pearwell.configuration import Configuration, Kind
+from pearwell.group import GroupSpec, TargetSpec
+from pearwell.invariants import Invariants
+from pearwell.membership import Member
+from pearwell.messages import Message, decode, encode
+from pearwell.messages.gossip import Entry, EntryVersion, Push
+from pearwell.placement import Generation, PlacedTarget, Placement
+from pearwell.record import FlowRecords, RecordFlag
+from pearwell.schema import from_document, to_document
+from pearwell.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.steered_group import SteeredGroup
+from pearwell.steering import Steering
+from pearwell.verdict import FlowEvent
+
+__all__ = ["Slope", "main", "measure"]
+
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of all random choices.")
+_SIZES = flags.DEFINE_list("sizes", ["20", "60", "173"], "Instances of the measured zones.")
+
+OBJECTS = 1000
+TARGETS = 7
+ROUNDS = 20_000
+MICROSECOND = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One measured figure.
+
+    Attributes:
+        name: Name by which the capacity page uses it.
+        value: The figure.
+        unit: Its unit.
+    """
+
+    name: str
+    value: float
+    unit: str
+
+
+class _Nowhere:
+    """Counts the messages and bytes that a core sends."""
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.bytes = 0
+
+    def send(self, to: str, message: Message) -> None:
+        """Counts a message."""
+        self.messages += 1
+        self.bytes += len(encode(message))
+
+
+def measure(seed: int, sizes: Sequence[int]) -> Iterator[Slope]:
+    """Measures every slope.
+
+    Args:
+        seed: Seed of all random choices.
+        sizes: Numbers of instances of the zones whose control cost is measured.
+    """
+    yield from _configuration_slopes()
+    yield from _placement_slopes()
+    yield from _record_slopes(seed)
+    yield from _decision_slopes(seed)
+    yield from _message_slopes()
+    for size in sizes:
+        yield from _zone_slopes(measure_zone(seed, size))
+
+
+def _memory_of(make: Callable[[], Any]) -> int:
+    """Returns the bytes that a newly made value holds."""
+    tracemalloc.start()
+    value = make()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del value
+    return held
+
+
+def _microseconds(action: Callable[[], Any], rounds: int) -> float:
+    started = time.process_time()
+    for _ in range(rounds):
+        action()
+    return (time.process_time() - started) / rounds * MICROSECOND
+
+
+def _service(number: int) -> ServiceSpec:
+    address = f"198.18.{number // 250}.{number % 250 + 1}"
+    return ServiceSpec(
+        f"service-{number}", address, 443, TransportProtocol.TCP, f"group-{number}", limits=_LIMITS
+    )
+
+
+def _group(number: int, targets: int) -> GroupSpec:
+    return GroupSpec(
+        f"group-{number}",
+        tuple(
+            TargetSpec(f"target-{number}-{index}", f"10.{number // 250}.{number % 250}.{index}", "a")
+            for index in range(targets)
+        ),
+    )
+
+
+_LIMITS = FlowLimits(new_flows_per_s=10_000)
+
+
+def _parsed(kind: Kind, spec: ServiceSpec | GroupSpec) -> ServiceSpec | GroupSpec:
+    """Returns a specification as it is read from its stored form."""
+    document = msgspec.json.decode(msgspec.json.encode(to_document(kind, spec)))
+    return from_document(kind, document)
+
+
+def _configuration_slopes() -> Iterator[Slope]:
+    services = _memory_of(lambda: [_parsed(Kind.SERVICE, _service(n)) for n in range(OBJECTS)])
+    yield Slope("service_memory", services / OBJECTS, "B")
+    empty = _memory_of(lambda: [_parsed(Kind.GROUP, _group(n, 1)) for n in range(OBJECTS)])
+    full = _memory_of(lambda: [_parsed(Kind.GROUP, _group(n, 9)) for n in range(OBJECTS)])
+    per_target = (full - empty) / OBJECTS / 8
+    yield Slope("group_memory", empty / OBJECTS - per_target, "B")
+    yield Slope("group_target_memory", per_target, "B")
+    stored = len(msgspec.json.encode(to_document(Kind.SERVICE, _service(1))))
+    yield Slope("service_stored", stored, "B")
+    one, nine = (
+        len(msgspec.json.encode(to_document(Kind.GROUP, _group(1, targets)))) for targets in (1, 9)
+    )
+    yield Slope("group_target_stored", (nine - one) / 8, "B")
+    document = to_document(Kind.SERVICE, _service(1))
+    parse = _microseconds(lambda: from_document(Kind.SERVICE, document), OBJECTS)
+    yield Slope("configuration_parse", parse, "µs")
+
+
+def _targets(count: int, number: int = 0) -> tuple[PlacedTarget, ...]:
+    return tuple(
+        PlacedTarget(f"target-{number}-{index:02}", f"10.0.{number % 250}.{index + 1}", 6080, 100)
+        for index in range(count)
+    )
+
+
+def _placement(targets: int, number: int = 0) -> Placement:
+    generation = Generation(1, "entry-1")
+    return initial(f"group-{number}", "pnw-a", _targets(targets, number), 0, generation)
+
+
+def _placement_slopes() -> Iterator[Slope]:
+    few, many = 4, 32
+    copies = OBJECTS // 50
+    invariants = Invariants()
+    clock = ManualClock()
+
+    def groups(targets: int) -> list[SteeredGroup]:
+        payloads = [encode_placement(_placement(targets, n)) for n in range(copies)]
+        return [SteeredGroup(decode_placement(p), clock, invariants) for p in payloads]
+
+    small, large = (_memory_of(lambda size=size: groups(size)) / copies for size in (few, many))
+    yield Slope("placement_target_memory", (large - small) / (many - few), "B")
+    wire = [len(encode_placement(_placement(size))) for size in (few, many)]
+    yield Slope("placement_target_wire", (wire[1] - wire[0]) / (many - few), "B")
+    steady = _placement(TARGETS)
+    wanted = _targets(TARGETS + 1)
+    generation = Generation(2, "entry-1")
+    change = _microseconds(lambda: activate(prepare(steady, wanted, generation), generation), 50)
+    yield Slope("change_per_target", change / TARGETS, "µs")
+    payload = encode_placement(steady)
+    apply = _microseconds(lambda: SteeredGroup(decode_placement(payload), clock, invariants), 200)
+    yield Slope("apply_placement_per_target", apply / TARGETS, "µs")
+
+
+def encode_placement(placement: Placement) -> bytes:
+    """Encodes a placement as it travels."""
+    return msgspec.msgpack.encode(placement)
+
+
+def decode_placement(payload: bytes) -> Placement:
+    """Decodes a placement."""
+    return msgspec.msgpack.decode(payload, type=Placement)
+
+
+def _record_slopes(seed: int) -> Iterator[Slope]:
+    rng = random.Random(seed)
+    hashes = [rng.getrandbits(64) for _ in range(ROUNDS)]
+
+    def fill() -> FlowRecords:
+        records = FlowRecords("group-0")
+        index = records.intern(1)
+        for flow_hash in hashes:
+            records.put(flow_hash, index, RecordFlag.NONE)
+        return records
+
+    records = fill()
+    # The hash itself is held once more by the caller's list, so it is added here.
+    yield Slope("record_memory", records.state_bytes / len(hashes), "B")
+    yield Slope("record_wire", len(records.pack(hashes[0], records.find(hashes[0]) or 0)), "B")
+
+
+def _decision_slopes(seed: int) -> Iterator[Slope]:
+    clock = ManualClock()
+    transport = _Nowhere()
+    steering = Steering(
+        "entry-1", "pnw-a", transport, clock, random.Random(seed), publish=lambda message: None
+    )
+    steering.apply_placement(_placement(TARGETS))
+    table = steering.table("group-0")
+    assert table is not None
+    rng = random.Random(seed)
+    hashes = iter([rng.getrandbits(64) for _ in range(ROUNDS)] * 2)
+    stable = _microseconds(lambda: steering.decide(table, next(hashes), FlowEvent.NONE), ROUNDS)
+    yield Slope("decide_stable", stable, "µs")
+    change = prepare(_placement(TARGETS), _targets(TARGETS + 1), Generation(2, "entry-1"))
+    steering.apply_placement(change)
+    steering.apply_placement(activate(change, Generation(3, "entry-1")))
+    moving = [h for h in (rng.getrandbits(64) for _ in range(ROUNDS * 4)) if h & table.mask in table.moving]
+    source = iter(moving)
+    start = _microseconds(
+        lambda: steering.decide(table, next(source), FlowEvent.START), len(moving)
+    )
+    yield Slope("decide_moving_start", start, "µs")
+    again = iter(moving)
+    recorded = _microseconds(
+        lambda: steering.decide(table, next(again), FlowEvent.NONE), len(moving)
+    )
+    yield Slope("decide_moving_recorded", recorded, "µs")
+    yield from _admission_slopes(seed, clock)
+
+
+def _admission_slopes(seed: int, clock: ManualClock) -> Iterator[Slope]:
+    admission = Admission(clock, random.Random(seed))
+    admission.configure(Configuration(services={"service-1": _service(1)}))
+    rng = random.Random(seed)
+    hashes = iter([rng.getrandbits(64) for _ in range(ROUNDS)])
+    cost = _microseconds(
+        lambda: admission.admit("service-1", b"\xcb\x00\x71", "target-1", next(hashes)), ROUNDS
+    )
+    yield Slope("admit_start", cost, "µs")
+
+
+def _message_slopes() -> Iterator[Slope]:
+    entry = Entry("config/service/service-1", EntryVersion(7), bytes(300))
+    push = Push((entry,))
+    payload = encode(push)
+    yield Slope("message_encode", _microseconds(lambda: encode(push), ROUNDS), "µs")
+    yield Slope("message_decode", _microseconds(lambda: decode(payload), ROUNDS), "µs")
+    yield Slope("push_overhead", len(payload) - len(entry.payload), "B")
+    member = Member("entry-1", "10.0.0.1", 6081, 6082)
+    yield Slope("member_wire", len(msgspec.msgpack.encode(member)), "B")
+
+
+def _zone_slopes(cost: ZoneCost) -> Iterator[Slope]:
+    suffix = f"at_{cost.instances}"
+    yield Slope(f"control_quiet_bytes_{suffix}", cost.quiet_bytes_per_s, "B/s")
+    yield Slope(f"control_quiet_messages_{suffix}", cost.quiet_messages_per_s, "1/s")
+    yield Slope(f"control_quiet_cpu_{suffix}", cost.quiet_cpu_share, "share of a core")
+    yield Slope(f"member_memory_{suffix}", cost.member_memory, "B")
+    yield Slope(f"entry_bytes_{suffix}", cost.entry_bytes, "B")
+    yield Slope(f"entry_messages_{suffix}", cost.entry_messages, "messages")
+    yield Slope(f"entry_seconds_{suffix}", cost.entry_seconds, "s")
+    yield Slope(f"replacement_bytes_{suffix}", cost.replacement_bytes, "B")
+
+
+def main(argv: Sequence[str]) -> None:
+    """Prints all slopes as JSON lines."""
+    del argv
+    sizes = [int(size) for size in _SIZES.value]
+    for slope in measure(_SEED.value, sizes):
+        print(json.dumps(asdict(slope), ensure_ascii=False), flush=True)
+
+
+if __name__ == "__main__":
+    app.run(main)
