--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -113,10 +114,11 @@
 
 
 def _group(number: int, targets: int) -> GroupSpec:
+    network = f"10.{number // 250}.{number % 250}"
     return GroupSpec(
         f"group-{number}",
         tuple(
-            TargetSpec(f"target-{number}-{index}", f"10.{number // 250}.{number % 250}.{index}", "a")
+            TargetSpec(f"target-{number}-{index}", f"{network}.{index}", "pnw-a")
             for index in range(targets)
         ),
     )
@@ -172,7 +174,7 @@
         payloads = [encode_placement(_placement(targets, n)) for n in range(copies)]
         return [SteeredGroup(decode_placement(p), clock, invariants) for p in payloads]
 
-    small, large = (_memory_of(lambda size=size: groups(size)) / copies for size in (few, many))
+    small, large = (_memory_of(partial(groups, size)) / copies for size in (few, many))
     yield Slope("placement_target_memory", (large - small) / (many - few), "B")
     wire = [len(encode_placement(_placement(size))) for size in (few, many)]
     yield Slope("placement_target_wire", (wire[1] - wire[0]) / (many - few), "B")
@@ -229,7 +231,8 @@
     change = prepare(_placement(TARGETS), _targets(TARGETS + 1), Generation(2, "entry-1"))
     steering.apply_placement(change)
     steering.apply_placement(activate(change, Generation(3, "entry-1")))
-    moving = [h for h in (rng.getrandbits(64) for _ in range(ROUNDS * 4)) if h & table.mask in table.moving]
+    candidates = [rng.getrandbits(64) for _ in range(ROUNDS * 4)]
+    moving = [flow_hash for flow_hash in candidates if flow_hash & table.mask in table.moving]
     source = iter(moving)
     start = _microseconds(
         lambda: steering.decide(table, next(source), FlowEvent.START), len(moving)
--- /dev/null
+++ b/pearwell/cli/load.py
@@ -0,0 +1,159 @@
+"""pearwell-load: experiments with real daemons and stand-ins on loopback.
+
+pearwell-load run --profile bureau --report reports/run.json
+pearwell-load plot reports/run.json --picture reports/run.png
+"""
+
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import uvloop
+from absl import app, flags
+
+from pearwell.errors import PearwellError
+from pearwell.load.experiment import Experiment, ExperimentPlan
+from pearwell.load.plot import draw
+from pearwell.load.profile import PROFILES, find_profile
+from pearwell.load.report import Report, read_report, write_report
+from pearwell.load.schedule import Event, EventKind, every, load_schedule
+from pearwell.logs import configure_logs
+from pearwell.standins.fleet import Fleet
+
+__all__ = ["main"]
+
+_PROFILE = flags.DEFINE_enum("profile", "bureau", sorted(PROFILES), "Shape of the services.")
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of flows and of choices.")
+_DURATION = flags.DEFINE_float("duration_s", 120.0, "Length of the run.", 1.0, 3600.0)
+_RAMP = flags.DEFINE_float("ramp_s", 30.0, "Time over which the flows open.", 0.1, 600.0)
+_INSTANCES = flags.DEFINE_integer("instances", 6, "Number of instances.", 1, 40)
+_SCALE = flags.DEFINE_float("scale", 0.1, "Share of the profile's flows to open.", 0.001, 1.0)
+_LIFE = flags.DEFINE_float("mean_flow_s", 600.0, "Mean life of a flow.", 1.0)
+_SCHEDULE = flags.DEFINE_string("schedule", "", "JSON file with events.")
+_EVERY = flags.DEFINE_float("every_s", 0.0, "Cause one event of each kind in turn this often.")
+_KINDS = flags.DEFINE_list("kinds", [], "Kinds for --every_s; all planned ones by default.")
+_REPORT = flags.DEFINE_string("report", "reports/load.json", "Report to write.")
+_PICTURE = flags.DEFINE_string("picture", "reports/load.png", "Picture to draw.")
+_OCTET = flags.DEFINE_integer("octet", 70, "Second octet of the loopback addresses.", 1, 254)
+_LOGS = flags.DEFINE_string("logs", "", "Directory for the logs of all processes.")
+
+EXIT_BROKEN = 1
+EXIT_USAGE = 2
+SHOW_INTERVAL_S = 5.0
+
+DEFAULT_KINDS = (
+    EventKind.TARGET_DRAIN,
+    EventKind.TARGET_UNDRAIN,
+    EventKind.TARGET_JOIN,
+    EventKind.INSTANCE_CRASH,
+    EventKind.INSTANCE_JOIN,
+    EventKind.INSTANCE_PAUSE,
+    EventKind.INSTANCE_REPLACE,
+    EventKind.PLATFORM_OUTAGE,
+    EventKind.PLATFORM_LOST_ANSWERS,
+    EventKind.CONFIGURATION_CHANGE,
+)
+
+
+def _events(rng: random.Random) -> tuple[Event, ...]:
+    if _SCHEDULE.value:
+        return load_schedule(Path(_SCHEDULE.value))
+    if not _EVERY.value:
+        return ()
+    kinds = tuple(EventKind(kind) for kind in _KINDS.value) or DEFAULT_KINDS
+    return every(_EVERY.value, _DURATION.value, kinds, rng)
+
+
+def _plan() -> ExperimentPlan:
+    return ExperimentPlan(
+        profile=find_profile(_PROFILE.value),
+        seed=_SEED.value,
+        duration_s=_DURATION.value,
+        ramp_s=_RAMP.value,
+        instances=_INSTANCES.value,
+        scale=_SCALE.value,
+        mean_flow_s=_LIFE.value,
+        events=_events(random.Random(_SEED.value)),
+    )
+
+
+def _progress() -> Callable[[str], None]:
+    """Returns a function that shows a line at most once in an interval."""
+    shown_at = float("-inf")
+
+    def show(line: str) -> None:
+        nonlocal shown_at
+        if time.monotonic() - shown_at >= SHOW_INTERVAL_S:
+            shown_at = time.monotonic()
+            print(line, file=sys.stderr, flush=True)
+
+    return show
+
+
+async def _run_experiment(directory: Path) -> Report:
+    plan = _plan()
+    fleet = Fleet(directory, plan.profile.region, plan.profile.zone, _OCTET.value)
+    try:
+        return await Experiment(plan, fleet, _progress()).run()
+    finally:
+        await asyncio.to_thread(fleet.stop_all)
+
+
+def _run(arguments: Sequence[str]) -> int:
+    """Runs an experiment, writes its report and prints a summary."""
+    del arguments
+    configure_logs("info")
+    if _LOGS.value:
+        directory = Path(_LOGS.value)
+        directory.mkdir(parents=True, exist_ok=True)
+        report = uvloop.run(_run_experiment(directory))
+    else:
+        with tempfile.TemporaryDirectory(prefix="pearwell-load-") as scratch:
+            report = uvloop.run(_run_experiment(Path(scratch)))
+    write_report(report, Path(_REPORT.value))
+    print(
+        f"flows={report.flows} broken={report.broken} "
+        f"lost_with_targets={report.broken_by_target_loss} misrouted={report.misrouted} "
+        f"duplicated={report.duplicated} refused={report.refused} "
+        f"imbalance={report.imbalance:.3f} report={_REPORT.value}"
+    )
+    unexpected = report.broken - report.broken_by_target_loss
+    return EXIT_BROKEN if unexpected or report.misrouted or report.duplicated else 0
+
+
+def _plot(arguments: Sequence[str]) -> int:
+    """Draws the picture of a report."""
+    if len(arguments) != 1:
+        print("usage: pearwell-load plot REPORT [--picture FILE]", file=sys.stderr)
+        return EXIT_USAGE
+    draw(read_report(Path(arguments[0])), Path(_PICTURE.value))
+    print(_PICTURE.value)
+    return 0
+
+
+_COMMANDS = {"run": _run, "plot": _plot}
+
+
+def _main(argv: Sequence[str]) -> int:
+    command = _COMMANDS.get(argv[1]) if len(argv) > 1 else None
+    if command is None:
+        print(__doc__, file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        return command(argv[2:])
+    except PearwellError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+
+
+def main() -> None:
+    """Entry point of the command."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pearwell/load/experiment.py
@@ -0,0 +1,318 @@
+"""Experiments: flows of a profile through real processes while a schedule changes the fleet."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import structlog
+from hdrh.histogram import HdrHistogram
+
+from pearwell.admin_client import AdminClient
+from pearwell.errors import PearwellError
+from pearwell.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.load.fleet_events import FleetEvents
+from pearwell.load.profile import Profile, ServiceProfile
+from pearwell.load.report import EventReport, InstanceReport, Report, Sample
+from pearwell.load.schedule import Event
+from pearwell.load.traffic import TrafficShape, plan_flows
+from pearwell.porcelain import Write, create_group, create_service
+from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.standins.caller import CallerService, FlowOutcome
+from pearwell.standins.caller_host import CallerHost
+from pearwell.standins.fleet import Fleet
+
+__all__ = ["Experiment", "ExperimentPlan"]
+
+SAMPLE_INTERVAL_S = 1.0
+FINISH_TIMEOUT_S = 30.0
+IN_FORCE_WAIT_S = 10.0
+SERVICE_NETWORK = "198.51.100"
+SERVICE_PORT = 443
+MAX_LATENCY_US = 60_000_000
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class ExperimentPlan:
+    """What an experiment does.
+
+    Attributes:
+        profile: Services and flows.
+        seed: Seed of all random choices.
+        duration_s: Length of the run, ramp included.
+        ramp_s: Time over which the flows open.
+        instances: Number of instances.
+        scale: Share of the profile's flows that is opened.
+        mean_flow_s: Mean life of a flow.
+        events: What happens.
+    """
+
+    profile: Profile
+    seed: int
+    duration_s: float
+    ramp_s: float
+    instances: int
+    scale: float
+    mean_flow_s: float
+    events: tuple[Event, ...] = ()
+
+
+@dataclass(slots=True)
+class _Usage:
+    """Processor time and memory of an instance, with the time they were first and last read."""
+
+    first_at: float
+    first_cpu_s: float
+    last_at: float = 0.0
+    last_cpu_s: float = 0.0
+    memory_bytes: int = 0
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has been seen so far."""
+
+    lost_with_targets: int = 0
+    requests: int = 0
+    usage: dict[str, _Usage] = field(default_factory=dict)
+
+
+class Experiment:
+    """Runs one experiment.
+
+    Args:
+        plan: What to do.
+        fleet: The processes; nothing has been started yet.
+        show: Called with a line of progress now and then.
+    """
+
+    def __init__(self, plan: ExperimentPlan, fleet: Fleet, show: Callable[[str], None]) -> None:
+        self._plan = plan
+        self._fleet = fleet
+        self._show = show
+        self._rng = random.Random(plan.seed)
+        self._callers = CallerHost(fleet.callers_address, fleet.ports.callers, self._rng)
+        self._callers.core.on_latency = self._note_latency
+        self._histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
+        self._progress = _Progress()
+        self._report = Report(plan.profile.name, plan.seed, plan.duration_s)
+        self._started = 0.0
+
+    async def run(self) -> Report:
+        """Runs the experiment and returns its report."""
+        await self._start_fleet()
+        self._callers.start()
+        self._started = time.monotonic()
+        self._plan_flows()
+        background = [
+            asyncio.ensure_future(self._sample_forever()),
+            asyncio.ensure_future(self._cause_events()),
+        ]
+        try:
+            await asyncio.sleep(self._plan.duration_s)
+            await self._finish()
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            await self._callers.stop()
+        await self._fill_report()
+        return self._report
+
+    def _services(self) -> list[tuple[ServiceProfile, CallerService]]:
+        return [
+            (
+                profile,
+                CallerService(profile.name, f"{SERVICE_NETWORK}.{index}", SERVICE_PORT, ""),
+            )
+            for index, profile in enumerate(self._plan.profile.services, 1)
+        ]
+
+    async def _start_fleet(self) -> None:
+        await self._fleet.start_platform()
+        await self._fleet.start_instances(self._plan.instances)
+        async with AdminClient(self._fleet.admin_servers) as client:
+            for profile, service in self._services():
+                await self._create(client, profile, service)
+        self._follow_instances()
+
+    async def _create(
+        self, client: AdminClient, profile: ServiceProfile, service: CallerService
+    ) -> None:
+        names = [f"{profile.name}-{number}" for number in range(1, profile.targets + 1)]
+        ends = ((service.address, service.port),)
+        configs = await self._fleet.start_targets(names, ends, profile.slots)
+        targets = tuple(
+            TargetSpec(
+                config.name, config.address, self._fleet.zone, config.port, slots=config.slots
+            )
+            for config in configs
+        )
+        health = HealthCheck(port=self._fleet.ports.health)
+        write = Write("pearwell-load", wait_s=IN_FORCE_WAIT_S)
+        await create_group(client, GroupSpec(profile.name, targets, health), write)
+        spec = ServiceSpec(
+            profile.name,
+            service.address,
+            service.port,
+            TransportProtocol.TCP,
+            profile.name,
+            preference=profile.preference,
+        )
+        await create_service(client, spec, Write("pearwell-load", wait_s=IN_FORCE_WAIT_S))
+
+    def _follow_instances(self) -> None:
+        self._callers.fabric.set_instances(
+            (self._fleet.instance_address(name), self._fleet.ports.fabric)
+            for name in self._fleet.instances
+        )
+
+    def _plan_flows(self) -> None:
+        plan = self._plan
+        for profile, service in self._services():
+            flows = round(profile.targets * profile.flows_per_target * plan.scale)
+            shape = TrafficShape(
+                flows,
+                plan.ramp_s,
+                plan.mean_flow_s,
+                plan.profile.request_interval_s,
+                plan.duration_s,
+            )
+            for flow in plan_flows(profile, service, shape, self._started, self._rng):
+                self._callers.core.add(flow)
+
+    async def _cause_events(self) -> None:
+        events = FleetEvents(self._fleet, self._callers.fabric, self._rng)
+        for event in self._plan.events:
+            await asyncio.sleep(max(0.0, self._started + event.at_s - time.monotonic()))
+            self._settle_event()
+            entry = EventReport(time.monotonic() - self._started, event.kind.value, event.subject)
+            self._report.events.append(entry)
+            await self._cause(events, event, entry)
+
+    def _settle_event(self) -> None:
+        """Charges the flows broken since the latest event to it."""
+        if self._report.events:
+            charged = sum(entry.broken for entry in self._report.events[:-1])
+            self._report.events[-1].broken = self._broken - charged
+
+    async def _cause(self, events: FleetEvents, event: Event, entry: EventReport) -> None:
+        try:
+            outcome = await events.cause(event)
+        except (PearwellError, OSError, LookupError) as error:
+            entry.error = str(error)
+            _log.warning("event_failed", kind=event.kind.value, error=str(error))
+            return
+        entry.subject = outcome.subject
+        self._progress.lost_with_targets += outcome.lost_flows
+        _log.info("event_caused", kind=event.kind.value, subject=outcome.subject)
+
+    @property
+    def _broken(self) -> int:
+        return self._callers.core.outcomes[FlowOutcome.BROKEN]
+
+    def _note_latency(self, seconds: float) -> None:
+        self._progress.requests += 1
+        self._histogram.record_value(min(max(1, round(seconds * 1e6)), MAX_LATENCY_US))
+
+    async def _sample_forever(self) -> None:
+        before = 0
+        while True:
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+            requests = self._progress.requests
+            sample = await self._sample((requests - before) / SAMPLE_INTERVAL_S)
+            before = requests
+            self._report.samples.append(sample)
+            self._note_usage()
+            self._show(_progress_line(sample, sum(sample.open_flows.values())))
+
+    async def _sample(self, requests_per_s: float) -> Sample:
+        core = self._callers.core
+        open_flows = await self._read_open_flows()
+        return Sample(
+            time.monotonic() - self._started,
+            open_flows,
+            core.outcomes[FlowOutcome.BROKEN],
+            core.outcomes[FlowOutcome.REFUSED],
+            self._imbalance(open_flows),
+            requests_per_s,
+        )
+
+    async def _read_open_flows(self) -> dict[str, int]:
+        names = list(self._fleet.targets)
+        reads: list[Awaitable[object]] = [self._fleet.load(name) for name in names]
+        loads = await asyncio.gather(*reads, return_exceptions=True)
+        return {
+            name: getattr(load, "open_flows", 0) for name, load in zip(names, loads, strict=True)
+        }
+
+    def _imbalance(self, open_flows: dict[str, int]) -> float:
+        worst = 1.0
+        for profile in self._plan.profile.services:
+            counts = [n for name, n in open_flows.items() if name.startswith(f"{profile.name}-")]
+            if sum(counts):
+                worst = max(worst, max(counts) * len(counts) / sum(counts))
+        return worst
+
+    def _note_usage(self) -> None:
+        now = time.monotonic()
+        for name in list(self._fleet.instances):
+            try:
+                usage = self._fleet.usage(name)
+            except LookupError:
+                continue
+            seen = self._progress.usage.setdefault(name, _Usage(now, usage.cpu_s))
+            seen.last_at = now
+            seen.last_cpu_s = usage.cpu_s
+            seen.memory_bytes = usage.memory_bytes
+
+    async def _finish(self) -> None:
+        """Lets the flows end after their current request."""
+        self._callers.core.stop_requests()
+        deadline = time.monotonic() + FINISH_TIMEOUT_S + self._plan.profile.request_interval_s
+        while self._callers.core.open_flows and time.monotonic() < deadline:
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def _fill_report(self) -> None:
+        report = self._report
+        core = self._callers.core
+        self._settle_event()
+        report.broken = core.outcomes[FlowOutcome.BROKEN] + core.open_flows
+        report.flows = core.outcomes.total() + core.open_flows
+        report.refused = core.outcomes[FlowOutcome.REFUSED]
+        report.broken_by_target_loss = min(report.broken, self._progress.lost_with_targets)
+        report.requests = self._progress.requests
+        report.latency_ms = {
+            f"p{percentile:g}": self._histogram.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        }
+        samples = [s.imbalance for s in report.samples if s.at_s >= self._plan.ramp_s]
+        report.imbalance = sum(samples) / len(samples) if samples else 1.0
+        report.instances = [_usage_report(name, use) for name, use in self._progress.usage.items()]
+        await self._read_ledgers()
+
+    async def _read_ledgers(self) -> None:
+        runs: dict[str, int] = {}
+        for name in self._fleet.targets:
+            ledger = await self._fleet.ledger(name)
+            self._report.misrouted += ledger.misrouted
+            for request, count in ledger.runs.items():
+                runs[request] = runs.get(request, 0) + count
+        self._report.duplicated = sum(count - 1 for count in runs.values())
+
+
+def _progress_line(sample: Sample, open_flows: int) -> str:
+    return (
+        f"t={sample.at_s:.0f}s open={open_flows} requests/s={sample.requests_per_s:.0f} "
+        f"broken={sample.broken} refused={sample.refused} imbalance={sample.imbalance:.3f}"
+    )
+
+
+def _usage_report(name: str, usage: _Usage) -> InstanceReport:
+    seconds = max(usage.last_at - usage.first_at, SAMPLE_INTERVAL_S)
+    share = (usage.last_cpu_s - usage.first_cpu_s) / seconds
+    return InstanceReport(name, share, usage.memory_bytes, 0.0)
--- /dev/null
+++ b/pearwell/load/fleet_events.py
@@ -0,0 +1,208 @@
+"""Events of a schedule, caused on a fleet."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from pearwell.admin_client import AdminClient
+from pearwell.admin_codec import service_from_proto
+from pearwell.group import TargetSpec
+from pearwell.load.schedule import Event, EventKind
+from pearwell.porcelain import (
+    Write,
+    drain_target,
+    get_service,
+    put_target,
+    undrain_target,
+    update_service,
+)
+from pearwell.standins.fabric import Fabric
+from pearwell.standins.fleet import Fleet
+from pearwell.standins.target import TargetMode
+
+__all__ = ["EventOutcome", "FleetEvents"]
+
+ACTOR = "pearwell-load"
+FABRIC_LAG_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class EventOutcome:
+    """What an event did.
+
+    Attributes:
+        subject: What it happened to.
+        lost_flows: Flows that were open on a target that crashed.
+    """
+
+    subject: str
+    lost_flows: int = 0
+
+
+class FleetEvents:
+    """Causes events.
+
+    Args:
+        fleet: The processes.
+        fabric: Learns of instances that start or die.
+        rng: Chooses subjects that an event doesn't name.
+    """
+
+    def __init__(self, fleet: Fleet, fabric: Fabric, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._fabric = fabric
+        self._rng = rng
+        self._drained: set[str] = set()
+        self._crashed: set[str] = set()
+        self._background: set[asyncio.Task[None]] = set()
+        self._causes: dict[EventKind, Callable[[Event], Awaitable[EventOutcome]]] = {
+            EventKind.TARGET_DRAIN: self._drain_target,
+            EventKind.TARGET_UNDRAIN: self._undrain_target,
+            EventKind.TARGET_JOIN: self._join_target,
+            EventKind.TARGET_CRASH: self._crash_target,
+            EventKind.INSTANCE_JOIN: self._join_instance,
+            EventKind.INSTANCE_STOP: self._stop_instance,
+            EventKind.INSTANCE_CRASH: self._crash_instance,
+            EventKind.INSTANCE_PAUSE: self._pause_instance,
+            EventKind.INSTANCE_REPLACE: self._replace_instance,
+            EventKind.PLATFORM_OUTAGE: self._platform_outage,
+            EventKind.PLATFORM_LOST_ANSWERS: self._platform_lost_answers,
+            EventKind.CONFIGURATION_CHANGE: self._change_configuration,
+        }
+
+    async def cause(self, event: Event) -> EventOutcome:
+        """Causes an event; those that last go on in the background.
+
+        Raises:
+            PearwellError: A call to the admin API failed.
+            OSError: A process couldn't be reached.
+            LookupError: The subject doesn't exist.
+        """
+        return await self._causes[event.kind](event)
+
+    def _client(self) -> AdminClient:
+        servers = self._fleet.admin_servers
+        return AdminClient(self._rng.sample(servers, len(servers)))
+
+    def _instance(self, event: Event) -> str:
+        return event.subject or self._rng.choice(sorted(self._fleet.instances))
+
+    def _target(self, event: Event, among: set[str]) -> str:
+        if event.subject:
+            return event.subject
+        if not among:
+            raise LookupError(f"no target for {event.kind.value}")
+        return self._rng.choice(sorted(among))
+
+    @property
+    def _serving(self) -> set[str]:
+        return set(self._fleet.targets) - self._drained - self._crashed
+
+    async def _drain_target(self, event: Event) -> EventOutcome:
+        name = self._target(event, self._serving)
+        async with self._client() as client:
+            await drain_target(client, _group_of(name), name, Write(ACTOR))
+        self._drained.add(name)
+        return EventOutcome(name)
+
+    async def _undrain_target(self, event: Event) -> EventOutcome:
+        name = self._target(event, set(self._drained))
+        async with self._client() as client:
+            await undrain_target(client, _group_of(name), name, Write(ACTOR))
+        self._drained.discard(name)
+        return EventOutcome(name)
+
+    async def _join_target(self, event: Event) -> EventOutcome:
+        beside = self._fleet.targets[self._rng.choice(sorted(self._serving))]
+        group = _group_of(beside.name)
+        numbers = [name for name in self._fleet.targets if _group_of(name) == group]
+        name = event.subject or f"{group}-{len(numbers) + 1}"
+        (config,) = await self._fleet.start_targets([name], beside.services, beside.slots)
+        spec = TargetSpec(name, config.address, self._fleet.zone, config.port, slots=config.slots)
+        async with self._client() as client:
+            await put_target(client, group, spec, Write(ACTOR))
+        return EventOutcome(name)
+
+    async def _crash_target(self, event: Event) -> EventOutcome:
+        name = self._target(event, self._serving)
+        lost = (await self._fleet.load(name)).open_flows
+        await self._fleet.set_mode(name, TargetMode(silent=True))
+        self._crashed.add(name)
+        return EventOutcome(name, lost)
+
+    async def _join_instance(self, event: Event) -> EventOutcome:
+        (name,) = await self._fleet.start_instances(1)
+        self._later(FABRIC_LAG_S, self._follow)
+        return EventOutcome(name)
+
+    async def _stop_instance(self, event: Event) -> EventOutcome:
+        name = self._instance(event)
+        self._spawn(self._stop(name))
+        return EventOutcome(name)
+
+    async def _crash_instance(self, event: Event) -> EventOutcome:
+        name = self._instance(event)
+        await self._fleet.crash_instance(name)
+        self._later(FABRIC_LAG_S, self._follow)
+        return EventOutcome(name)
+
+    async def _pause_instance(self, event: Event) -> EventOutcome:
+        name = self._instance(event)
+        self._spawn(self._fleet.pause_instance(name, event.duration_s))
+        return EventOutcome(name)
+
+    async def _replace_instance(self, event: Event) -> EventOutcome:
+        name = self._instance(event)
+        (started,) = await self._fleet.start_instances(1)
+        self._follow()
+        self._spawn(self._stop(name))
+        return EventOutcome(f"{name} by {started}")
+
+    async def _platform_outage(self, event: Event) -> EventOutcome:
+        await self._fleet.set_faults(outage=True)
+        self._spawn(self._clear_faults(event.duration_s, outage=False))
+        return EventOutcome("platform")
+
+    async def _platform_lost_answers(self, event: Event) -> EventOutcome:
+        await self._fleet.set_faults(lose_answers=3)
+        return EventOutcome("platform")
+
+    async def _change_configuration(self, event: Event) -> EventOutcome:
+        group = event.subject or _group_of(self._rng.choice(sorted(self._fleet.targets)))
+        async with self._client() as client:
+            held = await get_service(client, group)
+            service = service_from_proto(held.service)
+            changed = dataclasses.replace(service, idle_timeout_s=service.idle_timeout_s + 1)
+            await update_service(client, changed, Write(ACTOR, expected_version=held.version))
+        return EventOutcome(group)
+
+    async def _stop(self, name: str) -> None:
+        """Stops an instance; the fabric hears of its leaving a little later."""
+        address = self._fleet.instance_address(name)
+        remaining = [a for a in self._fabric.instances if a[0] != address]
+        self._later(FABRIC_LAG_S, lambda: self._fabric.set_instances(remaining))
+        await self._fleet.stop_instance(name)
+
+    async def _clear_faults(self, seconds: float, **switches: object) -> None:
+        await asyncio.sleep(seconds)
+        await self._fleet.set_faults(**switches)
+
+    def _follow(self) -> None:
+        self._fabric.set_instances(
+            (self._fleet.instance_address(name), self._fleet.ports.fabric)
+            for name in self._fleet.instances
+        )
+
+    def _later(self, seconds: float, action: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(seconds, action)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _group_of(target: str) -> str:
+    return target.rsplit("-", 1)[0]
--- a/pearwell/standins/caller.py
+++ b/pearwell/standins/caller.py
@@ -77,6 +77,7 @@
     acknowledgement: int = 0
     made: int = 0
     tries: int = 0
+    asked_at: float = 0.0
     waiting: Segment | None = None
     timer: int = 0
 
@@ -91,6 +92,7 @@
         outcomes: Ended flows by outcome.
         reasons: Broken flows by reason.
         answered: Request ids that were answered.
+        on_latency: Called with the seconds from a request to its answer.
     """
 
     send: Callable[[bytes], None]
@@ -98,6 +100,7 @@
     outcomes: Counter[FlowOutcome] = field(default_factory=Counter)
     reasons: Counter[str] = field(default_factory=Counter)
     answered: set[str] = field(default_factory=set)
+    on_latency: Callable[[float], None] = lambda seconds: None
     _flows: dict[Endpoints, _Flow] = field(default_factory=dict)
     _timers: list[tuple[float, int, _Flow, int]] = field(default_factory=list)
     _numbers: int = 0
@@ -175,6 +178,7 @@
             if answer.payload != waiting.payload + ANSWER_SUFFIX:
                 return
             self.answered.add(waiting.payload[:REQUEST_ID_BYTES].hex())
+            self.on_latency(now - flow.asked_at)
         if flow.state is _State.CLOSING:
             self._end(flow, FlowOutcome.DONE)
             return
@@ -197,6 +201,7 @@
             flow.made += 1
             flow.waiting = self._segment(flow, Flags.ACK, request)
         flow.tries = 0
+        flow.asked_at = now
         self._transmit(flow, now)
 
     def _segment(self, flow: _Flow, flags: Flags, payload: bytes = b"") -> Segment:
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,8 +1,6 @@
 """Works out docs/CAPACITY.md from the measured slopes in docs/capacity-slopes.jsonl."""
 
 import json
-import sys
-from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
