--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ARGS ?=
 BENCHES = packet steering control balance capacity
 
-.PHONY: demo test check format generate $(addprefix bench-,$(BENCHES))
+.PHONY: demo test check format generate capacity-page $(addprefix bench-,$(BENCHES))
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -42,3 +42,8 @@
 	$(PY) -m bench.balance $(ARGS)
 bench-capacity: $(VENV)/.ready
 	$(PY) -m bench.capacity $(ARGS)
+
+# Measures the slopes anew and works out docs/CAPACITY.md from them.
+capacity-page: $(VENV)/.ready
+	$(PY) -m bench.capacity $(ARGS) > docs/capacity-slopes.jsonl
+	$(PY) -m scripts.capacity
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,6 +6,8 @@
 
 import json
 import random
+import subprocess
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator, Sequence
@@ -16,7 +18,6 @@
 import msgspec
 from absl import app, flags
 
-from bench.capacity_zone import ZoneCost, measure_zone
 from pearwell.admission import Admission
 from pearwell.change import activate, initial, prepare
 from pearwell.clock import ManualClock
@@ -43,6 +44,8 @@
 TARGETS = 7
 ROUNDS = 20_000
 MICROSECOND = 1e6
+CHANGES = 10
+GRPC_INSTANCES = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,8 +88,11 @@
     yield from _record_slopes(seed)
     yield from _decision_slopes(seed)
     yield from _message_slopes()
+    yield from _process_slopes()
+    yield from _packet_slopes(seed)
+    yield from _control_slopes(seed, GRPC_INSTANCES, grpc=True)
     for size in sizes:
-        yield from _zone_slopes(measure_zone(seed, size))
+        yield from _control_slopes(seed, size, grpc=False)
 
 
 def _memory_of(make: Callable[[], Any]) -> int:
@@ -268,16 +274,43 @@
     yield Slope("member_wire", len(msgspec.msgpack.encode(member)), "B")
 
 
-def _zone_slopes(cost: ZoneCost) -> Iterator[Slope]:
-    suffix = f"at_{cost.instances}"
-    yield Slope(f"control_quiet_bytes_{suffix}", cost.quiet_bytes_per_s, "B/s")
-    yield Slope(f"control_quiet_messages_{suffix}", cost.quiet_messages_per_s, "1/s")
-    yield Slope(f"control_quiet_cpu_{suffix}", cost.quiet_cpu_share, "share of a core")
-    yield Slope(f"member_memory_{suffix}", cost.member_memory, "B")
-    yield Slope(f"entry_bytes_{suffix}", cost.entry_bytes, "B")
-    yield Slope(f"entry_messages_{suffix}", cost.entry_messages, "messages")
-    yield Slope(f"entry_seconds_{suffix}", cost.entry_seconds, "s")
-    yield Slope(f"replacement_bytes_{suffix}", cost.replacement_bytes, "B")
+def _control_slopes(seed: int, size: int, grpc: bool) -> Iterator[Slope]:
+    """Runs bench-control and turns its figures into slopes."""
+    flags_given = [f"--seed={seed}", f"--instances={size}", f"--changes={CHANGES}"]
+    report = _run_bench("bench.control", *flags_given, *(["--grpc"] if grpc else []))
+    suffix = f"grpc_{size}" if grpc else f"at_{size}"
+    for phase in ("quiet", "changing"):
+        cost = report[phase]
+        yield Slope(f"{phase}_bytes_{suffix}", cost["payload_bytes_per_s"], "B/s")
+        yield Slope(f"{phase}_messages_{suffix}", cost["messages_per_s"], "1/s")
+        yield Slope(f"{phase}_batches_{suffix}", cost["batches_per_s"], "1/s")
+        yield Slope(f"{phase}_cpu_{suffix}", cost["core_percent"] / 100, "core")
+        yield Slope(f"{phase}_platform_calls_{suffix}", cost["platform_calls_per_s"], "1/s")
+    extra = report["changing"]["payload_bytes_per_s"] - report["quiet"]["payload_bytes_per_s"]
+    yield Slope(f"change_bytes_{suffix}", extra * report["changing"]["seconds"] / CHANGES, "B")
+    yield Slope(f"in_force_max_{suffix}", report["in_force_max_s"], "s")
+    yield Slope(f"control_memory_{suffix}", report["memory_kb_per_instance"] * 1000, "B")
+
+
+def _process_slopes() -> Iterator[Slope]:
+    """Measures the memory of a process that has loaded the daemon and serves nothing."""
+    code = "import resource, pearwell.daemon; print(resource.getrusage(0).ru_maxrss)"
+    done = subprocess.run([sys.executable, "-c", code], check=True, capture_output=True, text=True)
+    yield Slope("process_memory", float(done.stdout) * 1024, "B")
+
+
+def _packet_slopes(seed: int) -> Iterator[Slope]:
+    """Runs bench-packet for the packets that one core forwards."""
+    report = _run_bench("bench.packet", f"--seed={seed}", "--turns=3")
+    yield Slope("packets_per_cpu_s", report["pearwell_packets_per_cpu_s"], "1/s")
+
+
+def _run_bench(module: str, *arguments: str) -> dict[str, Any]:
+    """Runs another bench in a process of its own and returns the JSON line that it prints."""
+    command = [sys.executable, "-m", module, *arguments]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    report: dict[str, Any] = json.loads(done.stdout.splitlines()[-1])
+    return report
 
 
 def main(argv: Sequence[str]) -> None:
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,6 +1,8 @@
 """Works out docs/CAPACITY.md from the measured slopes in docs/capacity-slopes.jsonl."""
 
 import json
+import sys
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -67,6 +69,37 @@
 
 Slopes = dict[str, float]
 
+GRPC_INSTANCES = 6
+GENERATIONS_PER_CHANGE = 4
+OWNERS = 2
+PROBERS = 3
+RELAYS = 3
+RINGS = 4
+WATCHED_KINDS = 3
+# Pages of services, of groups and of the list of instances.
+COLD_READS = 45
+# Exponential lives: the last of some thousand flows ends after about so many mean lives.
+TAIL_OF_LIVES = 8.0
+
+HEADER = """# Capacity
+
+What one node spends at the size that decides the design, worked out by `scripts/capacity.py` from
+the slopes that `make bench-capacity` measured on one machine. Run `make capacity-page` to measure
+and work it out again. The budget of a node is 3.3% of a core, 128 MB and 25 KB a second of control.
+"""
+
+FOOTER = """## Not measured
+
+- Zones of 173 real processes: control traffic at that size is measured on the real cores over an
+  in-memory network, gRPC's share on a zone of six over real sockets and scaled by messages.
+- Processor time of health probes, and memory of the probers' connections.
+- The platform itself: the stand-in answers from memory.
+- Regions that lose each other: a zone needs no other region to serve; its configuration waits for
+  the platform.
+
+## Slopes
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Role:
@@ -93,3 +126,244 @@
     """Reads the slopes that make bench-capacity printed."""
     rows = (json.loads(line) for line in path.read_text().splitlines() if line.strip())
     return {row["name"]: row["value"] for row in rows}
+
+
+def roles(size: Size, slopes: Slopes) -> list[Role]:
+    """Works out what each role costs one node."""
+    return [
+        _process(slopes),
+        _packet_path(size, slopes),
+        _owner(size, slopes),
+        _membership(slopes),
+        _configuration(size, slopes),
+        _placement(size, slopes),
+        _prober(size),
+        _admin(size, slopes),
+    ]
+
+
+def _process(slopes: Slopes) -> Role:
+    note = "interpreter and libraries, before any state"
+    return Role("process", "one process a node", slopes["process_memory"] / MEGABYTE, note=note)
+
+
+def _packet_path(size: Size, slopes: Slopes) -> Role:
+    starts = size.new_flows_per_s / size.nodes
+    cpu = starts * slopes["admit_start"] / MICROSECONDS_PER_SECOND
+    note = f"{starts:.0f} flow starts a second pass admission; no state per flow on stable buckets"
+    return Role("packet path", "stateless tables, admission of starts", cpu_share=cpu, note=note)
+
+
+def _owner(size: Size, slopes: Slopes) -> Role:
+    starts = _moving_starts(size)
+    flows = _moving_flows(size)
+    memory = flows * slopes["record_memory"] * OWNERS / MEGABYTE
+    wire = starts * slopes["record_wire"]
+    cpu = starts * OWNERS * slopes["decide_moving_start"] / MICROSECONDS_PER_SECOND
+    note = (
+        f"{starts:.1f} recorded starts a second and {flows:.0f} flows on moving buckets, "
+        f"{_changing_groups(size):.1f} groups of a zone with a change under way"
+    )
+    mechanism = "records at two owners of a moving bucket"
+    return Role("owner", mechanism, memory, wire, cpu, note)
+
+
+def _membership(slopes: Slopes) -> Role:
+    quiet = "quiet_{}_at_173".format
+    return Role(
+        "membership and gossip",
+        "SWIM and anti-entropy along four rings",
+        slopes["control_memory_at_173"] / MEGABYTE,
+        slopes[quiet("bytes")],
+        slopes[quiet("cpu")] + _grpc_share(slopes, slopes[quiet("messages")]),
+        f"{slopes[quiet('messages')]:.1f} messages a second at 173 instances",
+    )
+
+
+def _configuration(size: Size, slopes: Slopes) -> Role:
+    group = slopes["group_memory"] + size.targets_per_group * slopes["group_target_memory"]
+    stored = slopes["service_stored"] + size.targets_per_group * slopes["group_target_stored"]
+    memory = size.addresses * (slopes["service_memory"] + group + stored) / MEGABYTE
+    changes = size.changes_per_day / SECONDS_PER_DAY
+    cpu = changes * slopes["configuration_parse"] / MICROSECONDS_PER_SECOND
+    note = f"every node holds all {size.addresses} services and their groups, in two forms"
+    wire = changes * slopes["change_bytes_at_173"]
+    return Role("configuration", "three relays a zone, gossip", memory, wire, cpu, note)
+
+
+def _placement(size: Size, slopes: Slopes) -> Role:
+    targets = size.groups_per_zone * size.targets_per_group
+    memory = targets * (slopes["placement_target_memory"] + slopes["placement_target_wire"])
+    changes = size.changes_per_day / size.zones / SECONDS_PER_DAY * GENERATIONS_PER_CHANGE
+    apply = slopes["apply_placement_per_target"] * size.targets_per_group
+    cpu = changes * apply / MICROSECONDS_PER_SECOND
+    wire = changes * size.targets_per_group * slopes["placement_target_wire"] * RINGS
+    note = f"{size.groups_per_zone:.0f} groups of {size.targets_per_group} targets in a zone"
+    mechanism = "one object a group and zone, two-phase changes"
+    return Role("placement", mechanism, memory / MEGABYTE, wire, cpu, note)
+
+
+def _prober(size: Size) -> Role:
+    probes = size.hosts / size.zones * PROBERS / size.nodes_per_zone
+    note = f"{probes:.1f} probes a second; their processor time isn't measured"
+    return Role("prober", "three probers a target by rendezvous", note=note)
+
+
+def _admin(size: Size, slopes: Slopes) -> Role:
+    writes = size.changes_per_day / SECONDS_PER_DAY / size.nodes
+    cpu = writes * slopes["configuration_parse"] / MICROSECONDS_PER_SECOND
+    note = "any instance serves any operator"
+    return Role("admin", "conditional update with key and audit entry", cpu_share=cpu, note=note)
+
+
+def _grpc_share(slopes: Slopes, messages_per_s: float) -> float:
+    """Returns the share of a core that carrying messages over gRPC adds."""
+    carried = slopes[f"quiet_messages_grpc_{GRPC_INSTANCES}"]
+    extra = slopes[f"quiet_cpu_grpc_{GRPC_INSTANCES}"]
+    return extra * messages_per_s / carried if carried else 0.0
+
+
+def _changing_groups(size: Size) -> float:
+    """Groups of a zone with a change under way, by Little's law."""
+    changes = size.changes_per_day / size.zones / SECONDS_PER_DAY
+    return changes * size.flow_life_s * TAIL_OF_LIVES
+
+
+def _moving_starts(size: Size) -> float:
+    share = _changing_groups(size) / size.groups_per_zone * size.change_share
+    return size.new_flows_per_s / size.nodes * min(share, 1.0)
+
+
+def _moving_flows(size: Size) -> float:
+    share = _changing_groups(size) / size.groups_per_zone * size.change_share
+    return size.flows / size.nodes * min(share, 1.0)
+
+
+def render(size: Size, slopes: Slopes) -> str:
+    """Returns the page."""
+    costs = roles(size, slopes)
+    parts = [
+        HEADER,
+        _table(("what", "size"), _size_rows(size)),
+        "## Cost of each role on one node\n",
+        _table(("role", "mechanism", "memory MB", "bytes/s", "% of a core"), _role_rows(costs)),
+        "\n".join(f"- {role.name}: {role.note}." for role in costs) + "\n",
+        _verdict(size, costs),
+        "## Packets\n",
+        _packets(size, slopes),
+        "## Platform\n",
+        _platform(size, slopes),
+        "## Failures and replacements\n",
+        _failures(size, slopes),
+        FOOTER,
+        _table(("slope", "value"), [(n, f"{v:,.4g}") for n, v in sorted(slopes.items())]),
+    ]
+    return "\n".join(parts)
+
+
+def _size_rows(size: Size) -> list[tuple[str, str]]:
+    return [
+        ("nodes in a zone", f"{size.nodes_per_zone:.0f}"),
+        ("targets in a zone", f"{size.hosts / size.zones:.0f}"),
+        ("addresses served in a zone", f"{size.groups_per_zone:.0f}"),
+        ("open flows on a node", f"{size.flows / size.nodes:,.0f}"),
+        ("new flows a second on a node", f"{size.new_flows_per_s / size.nodes:.0f}"),
+        ("mean life of a flow", f"{size.flow_life_s:.0f} s"),
+        ("configuration changes", f"one each {SECONDS_PER_DAY / size.changes_per_day:.0f} s"),
+        ("assumed targets of a group in a zone", f"{size.targets_per_group}"),
+        ("assumed packets a second of a flow", f"{size.packets_per_flow_s}"),
+    ]
+
+
+def _role_rows(costs: list[Role]) -> list[tuple[str, ...]]:
+    rows = [_row(role) for role in costs]
+    return [*rows, _row(_total(costs))]
+
+
+def _total(costs: list[Role]) -> Role:
+    return Role(
+        "all roles",
+        "",
+        sum(role.memory_mb for role in costs),
+        sum(role.bytes_per_s for role in costs),
+        sum(role.cpu_share for role in costs),
+    )
+
+
+def _row(role: Role) -> tuple[str, ...]:
+    cost = (f"{role.memory_mb:.1f}", f"{role.bytes_per_s:,.0f}", f"{100 * role.cpu_share:.2f}")
+    return (role.name, role.mechanism, *cost)
+
+
+def _verdict(size: Size, costs: list[Role]) -> str:
+    total = _total(costs)
+    budgets = [
+        ("memory", total.memory_mb, size.memory_mb, "MB"),
+        ("control traffic", total.bytes_per_s, size.control_bytes_per_s, "bytes/s"),
+        ("processor", 100 * total.cpu_share, 100 * size.cpu_share, "% of a core"),
+    ]
+    lines = [
+        f"- {name}: {used:,.1f} of {allowed:,.1f} {unit}, "
+        f"{'within' if used <= allowed else 'over'} the budget."
+        for name, used, allowed, unit in budgets
+    ]
+    name, used, allowed, _ = max(budgets, key=lambda budget: budget[1] / budget[2])
+    first = f"The first thing that breaks is {name}, at {used / allowed:.0%} of its budget."
+    return "\n".join([*lines, "", first, ""])
+
+
+def _packets(size: Size, slopes: Slopes) -> str:
+    rate = size.flows / size.nodes * size.packets_per_flow_s
+    limit = slopes["packets_per_cpu_s"]
+    return (
+        f"A node forwards {rate:,.0f} packets a second; one core forwards {limit:,.0f}, so the "
+        f"packet path takes {rate / limit:.1%} of a core. That isn't control, and scales with the "
+        "packets of a flow.\n"
+    )
+
+
+def _platform(size: Size, slopes: Slopes) -> str:
+    watches = RELAYS * size.zones * WATCHED_KINDS
+    changes = size.changes_per_day / SECONDS_PER_DAY
+    writes = changes * (1 + GENERATIONS_PER_CHANGE)
+    lists = (size.replacements_per_day * 2 + size.failures_per_day) / SECONDS_PER_DAY
+    quiet = slopes["quiet_platform_calls_at_173"] * size.zones
+    cold = size.nodes_per_zone
+    return (
+        f"{watches} watches wait, whatever the number of instances. Changes write "
+        f"{writes:.2f} objects a second and replacements {lists:.2f}, of "
+        f"{size.platform_writes_per_s:.0f} allowed. {size.zones} quiet zones call it {quiet:.1f} "
+        f"times a second, of {size.platform_reads_per_s:.0f} allowed. The slowest start is a zone "
+        f"that comes back cold: {cold:.0f} instances register and list at once; one page of "
+        f"objects each, {cold * COLD_READS:.0f} reads, takes "
+        f"{cold * COLD_READS / size.platform_reads_per_s:.1f} s of the platform's whole rate.\n"
+    )
+
+
+def _failures(size: Size, slopes: Slopes) -> str:
+    events = (size.failures_per_day + size.replacements_per_day) / size.zones
+    return (
+        f"A zone sees {events:.0f} failures and replacements a day, one each "
+        f"{SECONDS_PER_DAY / events:.0f} s. Each changes the view once or twice and moves the "
+        f"ownership of {OWNERS / size.nodes_per_zone:.1%} of the shards; placements stay, so no "
+        "bucket moves. The longest time for a change to be in force at 173 instances was "
+        f"{slopes['in_force_max_at_173']:.2f} s, of {size.in_force_s:.0f} s allowed.\n"
+    )
+
+
+def _table(titles: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> str:
+    lines = [titles, tuple("---" for _ in titles), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines) + "\n"
+
+
+def main() -> int:
+    """Writes the page, or checks with --check that it is current; returns an exit status."""
+    page = render(Size(), read_slopes())
+    if "--check" in sys.argv:
+        return 0 if PAGE.read_text() == page else 1
+    PAGE.write_text(page)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
