--- a/pearwell/cli/load.py
+++ b/pearwell/cli/load.py
@@ -17,12 +17,13 @@
 
 from pearwell.errors import PearwellError
 from pearwell.load.experiment import Experiment, ExperimentPlan
+from pearwell.load.fleet import Fleet
 from pearwell.load.plot import draw
 from pearwell.load.profile import PROFILES, find_profile
 from pearwell.load.report import Report, read_report, write_report
 from pearwell.load.schedule import Event, EventKind, every, load_schedule
 from pearwell.logs import configure_logs
-from pearwell.standins.fleet import Fleet
+from pearwell.standins.zone import ZoneProcesses
 
 __all__ = ["main"]
 
@@ -41,6 +42,7 @@
 _OCTET = flags.DEFINE_integer("octet", 70, "Second octet of the loopback addresses.", 1, 254)
 _LOGS = flags.DEFINE_string("logs", "", "Directory for the logs of all processes.")
 
+RETURN_PORT = 20120
 EXIT_BROKEN = 1
 EXIT_USAGE = 2
 SHOW_INTERVAL_S = 5.0
@@ -96,11 +98,12 @@
 
 async def _run_experiment(directory: Path) -> Report:
     plan = _plan()
-    fleet = Fleet(directory, plan.profile.region, plan.profile.zone, _OCTET.value)
+    return_address = (f"127.{_OCTET.value}.0.1", RETURN_PORT)
+    processes = ZoneProcesses(directory, _OCTET.value, return_address)
     try:
-        return await Experiment(plan, fleet, _progress()).run()
+        return await Experiment(plan, Fleet(processes), _progress()).run()
     finally:
-        await asyncio.to_thread(fleet.stop_all)
+        await asyncio.to_thread(processes.stop_all)
 
 
 def _run(arguments: Sequence[str]) -> int:
--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -12,21 +12,27 @@
 from pearwell.admin_client import AdminClient
 from pearwell.errors import PearwellError
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.instance_list import InstanceList
+from pearwell.load.fleet import HEALTH_PORT, Fleet
 from pearwell.load.fleet_events import FleetEvents
 from pearwell.load.profile import Profile, ServiceProfile
 from pearwell.load.report import EventReport, InstanceReport, Report, Sample
 from pearwell.load.schedule import Event
 from pearwell.load.traffic import TrafficShape, plan_flows
-from pearwell.porcelain import Write, create_group, create_service
+from pearwell.platform_client import PlatformClient
+from pearwell.porcelain import Write, create_group, create_service, list_placements
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerService, FlowOutcome
 from pearwell.standins.caller_host import CallerHost
-from pearwell.standins.fleet import Fleet
+from pearwell.standins.fabric import follow_instances
+from pearwell.standins.zone import ZONE
 
 __all__ = ["Experiment", "ExperimentPlan"]
 
 SAMPLE_INTERVAL_S = 1.0
 FINISH_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.1
 IN_FORCE_WAIT_S = 10.0
 SERVICE_NETWORK = "198.51.100"
 SERVICE_PORT = 443
@@ -95,7 +101,7 @@
         self._fleet = fleet
         self._show = show
         self._rng = random.Random(plan.seed)
-        self._callers = CallerHost(fleet.callers_address, fleet.ports.callers, self._rng)
+        self._callers = CallerHost(*fleet.processes.return_address, self._rng)
         self._callers.core.on_latency = self._note_latency
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
         self._progress = _Progress()
@@ -106,9 +112,12 @@
         """Runs the experiment and returns its report."""
         await self._start_fleet()
         self._callers.start()
+        background = [asyncio.ensure_future(self._follow_instances())]
+        while len(self._callers.fabric.instances) < self._plan.instances:
+            await asyncio.sleep(POLL_S)
         self._started = time.monotonic()
         self._plan_flows()
-        background = [
+        background += [
             asyncio.ensure_future(self._sample_forever()),
             asyncio.ensure_future(self._cause_events()),
         ]
@@ -133,12 +142,12 @@
         ]
 
     async def _start_fleet(self) -> None:
-        await self._fleet.start_platform()
+        await self._fleet.processes.start_platform()
         await self._fleet.start_instances(self._plan.instances)
         async with AdminClient(self._fleet.admin_servers) as client:
             for profile, service in self._services():
                 await self._create(client, profile, service)
-        self._follow_instances()
+        await self._wait_for_placements()
 
     async def _create(
         self, client: AdminClient, profile: ServiceProfile, service: CallerService
@@ -148,11 +157,11 @@
         configs = await self._fleet.start_targets(names, ends, profile.slots)
         targets = tuple(
             TargetSpec(
-                config.name, config.address, self._fleet.zone, config.port, slots=config.slots
+                config.name, config.address, ZONE, config.port, slots=config.slots
             )
             for config in configs
         )
-        health = HealthCheck(port=self._fleet.ports.health)
+        health = HealthCheck(port=HEALTH_PORT)
         write = Write("pearwell-load", wait_s=IN_FORCE_WAIT_S)
         await create_group(client, GroupSpec(profile.name, targets, health), write)
         spec = ServiceSpec(
@@ -165,11 +174,22 @@
         )
         await create_service(client, spec, Write("pearwell-load", wait_s=IN_FORCE_WAIT_S))
 
-    def _follow_instances(self) -> None:
-        self._callers.fabric.set_instances(
-            (self._fleet.instance_address(name), self._fleet.ports.fabric)
-            for name in self._fleet.instances
-        )
+    async def _wait_for_placements(self) -> None:
+        """Waits until every instance has a placement of each group."""
+        wanted = len(self._plan.profile.services)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for server in self._fleet.admin_servers:
+                async with AdminClient([server]) as client:
+                    while len(await list_placements(client)) < wanted:
+                        await asyncio.sleep(POLL_S)
+
+    async def _follow_instances(self) -> None:
+        platform = PlatformClient(self._fleet.processes.platform_url)
+        try:
+            instances = InstanceList(platform, ZONE, self._rng)
+            await follow_instances(self._callers.fabric, instances)
+        finally:
+            await platform.close()
 
     def _plan_flows(self) -> None:
         plan = self._plan
@@ -186,7 +206,7 @@
                 self._callers.core.add(flow)
 
     async def _cause_events(self) -> None:
-        events = FleetEvents(self._fleet, self._callers.fabric, self._rng)
+        events = FleetEvents(self._fleet, self._rng)
         for event in self._plan.events:
             await asyncio.sleep(max(0.0, self._started + event.at_s - time.monotonic()))
             self._settle_event()
--- /dev/null
+++ b/pearwell/load/fleet.py
@@ -0,0 +1,146 @@
+"""The fleet of an experiment: processes of one zone, with names for instances and targets."""
+
+import asyncio
+import os
+import signal
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from pearwell.standins.target import Ledger, LoadReport, TargetConfig, TargetMode
+from pearwell.standins.zone import ZoneProcesses, read_ledger, read_load
+
+__all__ = ["Fleet", "ProcessUsage"]
+
+TARGET_PORT = 20110
+HEALTH_PORT = 20111
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessUsage:
+    """What a process used so far.
+
+    Attributes:
+        cpu_s: Processor time in seconds.
+        memory_bytes: Largest resident memory.
+    """
+
+    cpu_s: float
+    memory_bytes: int
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Starts, stops and breaks the processes of a zone.
+
+    Attributes:
+        processes: The processes.
+        instances: Numbers of the running instances, by instance id.
+        targets: Target stand-ins by name.
+    """
+
+    processes: ZoneProcesses
+    instances: dict[str, int] = field(default_factory=dict)
+    targets: dict[str, TargetConfig] = field(default_factory=dict)
+    _last_instance: int = 0
+
+    @property
+    def admin_servers(self) -> list[str]:
+        """Admin endpoints of the running instances."""
+        return [self.processes.admin_endpoint(number) for number in self.instances.values()]
+
+    async def start_targets(
+        self, names: Iterable[str], services: tuple[tuple[str, int], ...], slots: int
+    ) -> list[TargetConfig]:
+        """Starts target stand-ins of one service in one process and waits for them.
+
+        Args:
+            names: Names of the targets.
+            services: Addresses and ports that they serve.
+            slots: Requests that each serves at once.
+        """
+        started = [self._new_target(name, services, slots) for name in names]
+        await self.processes.start_targets(f"targets-{started[0].name}", tuple(started))
+        return started
+
+    async def start_instances(self, count: int) -> list[str]:
+        """Starts instances side by side and waits until they serve; returns their ids."""
+        numbers = range(self._last_instance + 1, self._last_instance + 1 + count)
+        self._last_instance += count
+        for number in numbers:
+            self.processes.start_instance(number)
+        for number in numbers:
+            await self.processes.wait_for_instance(number)
+            self.instances[_instance_id(number)] = number
+        return [_instance_id(number) for number in numbers]
+
+    async def stop_instance(self, name: str) -> int:
+        """Stops an instance gracefully and returns its exit status."""
+        return await self.processes.stop_instance(self.instances.pop(name))
+
+    def crash_instance(self, name: str) -> None:
+        """Kills an instance."""
+        self.processes.kill_instance(self.instances.pop(name))
+
+    async def pause_instance(self, name: str, seconds: float) -> None:
+        """Pauses an instance for a while."""
+        pid = self.processes.pid(name)
+        os.kill(pid, signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            os.kill(pid, signal.SIGCONT)
+
+    def usage(self, name: str) -> ProcessUsage:
+        """Returns what an instance used so far.
+
+        Raises:
+            LookupError: The instance isn't running.
+        """
+        pid = self.processes.pid(name)
+        try:
+            fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+            status = Path(f"/proc/{pid}/status").read_text()
+        except OSError as error:
+            raise LookupError(f"{name} isn't running") from error
+        ticks = int(fields[11]) + int(fields[12])
+        peak = next((line for line in status.splitlines() if line.startswith("VmHWM")), "0 0")
+        return ProcessUsage(ticks / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) * 1024)
+
+    async def set_faults(self, **switches: Any) -> None:
+        """Sets fault switches of the platform stand-in."""
+        url = f"{self.processes.platform_url}/standin/faults"
+        async with aiohttp.ClientSession() as session, session.put(url, json=switches) as answer:
+            answer.raise_for_status()
+
+    async def ledger(self, target: str) -> Ledger:
+        """Returns what a target did."""
+        return await read_ledger(self.targets[target])
+
+    async def load(self, target: str) -> LoadReport:
+        """Returns the load report of a target."""
+        return await read_load(self.targets[target])
+
+    async def set_mode(self, target: str, mode: TargetMode) -> None:
+        """Sets the switches of a target."""
+        config = self.targets[target]
+        url = f"http://{config.address}:{config.health_port}/mode"
+        body = msgspec.json.encode(mode)
+        async with aiohttp.ClientSession() as session, session.post(url, data=body) as answer:
+            answer.raise_for_status()
+
+    def _new_target(
+        self, name: str, services: tuple[tuple[str, int], ...], slots: int
+    ) -> TargetConfig:
+        address = self.processes.target_address(len(self.targets) + 1)
+        config = TargetConfig(name, address, TARGET_PORT, HEALTH_PORT, services, slots)
+        self.targets[name] = config
+        return config
+
+
+def _instance_id(number: int) -> str:
+    return f"entry-{number}"
--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -9,6 +9,7 @@
 from pearwell.admin_client import AdminClient
 from pearwell.admin_codec import service_from_proto
 from pearwell.group import TargetSpec
+from pearwell.load.fleet import Fleet
 from pearwell.load.schedule import Event, EventKind
 from pearwell.porcelain import (
     Write,
@@ -18,14 +19,12 @@
     undrain_target,
     update_service,
 )
-from pearwell.standins.fabric import Fabric
-from pearwell.standins.fleet import Fleet
 from pearwell.standins.target import TargetMode
+from pearwell.standins.zone import ZONE
 
 __all__ = ["EventOutcome", "FleetEvents"]
 
 ACTOR = "pearwell-load"
-FABRIC_LAG_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,13 +45,11 @@
 
     Args:
         fleet: The processes.
-        fabric: Learns of instances that start or die.
         rng: Chooses subjects that an event doesn't name.
     """
 
-    def __init__(self, fleet: Fleet, fabric: Fabric, rng: random.Random) -> None:
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         self._fleet = fleet
-        self._fabric = fabric
         self._rng = rng
         self._drained: set[str] = set()
         self._crashed: set[str] = set()
@@ -120,7 +117,7 @@
         numbers = [name for name in self._fleet.targets if _group_of(name) == group]
         name = event.subject or f"{group}-{len(numbers) + 1}"
         (config,) = await self._fleet.start_targets([name], beside.services, beside.slots)
-        spec = TargetSpec(name, config.address, self._fleet.zone, config.port, slots=config.slots)
+        spec = TargetSpec(name, config.address, ZONE, config.port, slots=config.slots)
         async with self._client() as client:
             await put_target(client, group, spec, Write(ACTOR))
         return EventOutcome(name)
@@ -134,7 +131,6 @@
 
     async def _join_instance(self, event: Event) -> EventOutcome:
         (name,) = await self._fleet.start_instances(1)
-        self._later(FABRIC_LAG_S, self._follow)
         return EventOutcome(name)
 
     async def _stop_instance(self, event: Event) -> EventOutcome:
@@ -144,8 +140,7 @@
 
     async def _crash_instance(self, event: Event) -> EventOutcome:
         name = self._instance(event)
-        await self._fleet.crash_instance(name)
-        self._later(FABRIC_LAG_S, self._follow)
+        self._fleet.crash_instance(name)
         return EventOutcome(name)
 
     async def _pause_instance(self, event: Event) -> EventOutcome:
@@ -156,7 +151,6 @@
     async def _replace_instance(self, event: Event) -> EventOutcome:
         name = self._instance(event)
         (started,) = await self._fleet.start_instances(1)
-        self._follow()
         self._spawn(self._stop(name))
         return EventOutcome(f"{name} by {started}")
 
@@ -179,25 +173,12 @@
         return EventOutcome(group)
 
     async def _stop(self, name: str) -> None:
-        """Stops an instance; the fabric hears of its leaving a little later."""
-        address = self._fleet.instance_address(name)
-        remaining = [a for a in self._fabric.instances if a[0] != address]
-        self._later(FABRIC_LAG_S, lambda: self._fabric.set_instances(remaining))
         await self._fleet.stop_instance(name)
 
     async def _clear_faults(self, seconds: float, **switches: object) -> None:
         await asyncio.sleep(seconds)
         await self._fleet.set_faults(**switches)
 
-    def _follow(self) -> None:
-        self._fabric.set_instances(
-            (self._fleet.instance_address(name), self._fleet.ports.fabric)
-            for name in self._fleet.instances
-        )
-
-    def _later(self, seconds: float, action: Callable[[], None]) -> None:
-        asyncio.get_running_loop().call_later(seconds, action)
-
     def _spawn(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self._background.add(task)
--- a/pearwell/standins/zone.py
+++ b/pearwell/standins/zone.py
@@ -104,6 +104,10 @@
         process.kill()
         process.wait()
 
+    def pid(self, name: str) -> int:
+        """Returns the process id of a running process; raises LookupError if there is none."""
+        return self._running[name].pid
+
     def stop_all(self) -> None:
         """Stops every process; those that take long are killed."""
         deadline = time.monotonic() + TEAR_DOWN_TIMEOUT_S
