--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -156,9 +156,7 @@
         ends = ((service.address, service.port),)
         configs = await self._fleet.start_targets(names, ends, profile.slots)
         targets = tuple(
-            TargetSpec(
-                config.name, config.address, ZONE, config.port, slots=config.slots
-            )
+            TargetSpec(config.name, config.address, ZONE, config.port, slots=config.slots)
             for config in configs
         )
         health = HealthCheck(port=HEALTH_PORT)
