Count an excess of load by the number of flows behind it

Cause: with few open flows a target's excess over the mean is chance, but moved its weight at full gain. In a zone that had just started, three open flows against a mean of two halved a target's weight: 'intake-1': 138, 'intake-2': 50, and 306 against 144 open flows ten seconds later. Change: the excess is weighed by n / (n + 200) for a mean of n open flows a target. Ruled out: the busy slots, which count only after 900 s.

--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -73,6 +73,11 @@
             EventKind.CONFIGURATION_CHANGE: self._change_configuration,
         }
 
+    @property
+    def serving(self) -> set[str]:
+        """Names of the targets that are neither drained nor crashed."""
+        return set(self._fleet.targets) - self._drained - self._crashed
+
     async def cause(self, event: Event) -> EventOutcome:
         """Causes an event; those that last go on in the background.
 
@@ -97,12 +102,8 @@
             raise LookupError(f"no target for {event.kind.value}")
         return self._rng.choice(sorted(among))
 
-    @property
-    def _serving(self) -> set[str]:
-        return set(self._fleet.targets) - self._drained - self._crashed
-
     async def _drain_target(self, event: Event) -> EventOutcome:
-        name = self._target(event, self._serving)
+        name = self._target(event, self.serving)
         async with self._client() as client:
             await drain_target(client, _group_of(name), name, Write(ACTOR))
         self._drained.add(name)
@@ -116,7 +117,7 @@
         return EventOutcome(name)
 
     async def _join_target(self, event: Event) -> EventOutcome:
-        beside = self._fleet.targets[self._rng.choice(sorted(self._serving))]
+        beside = self._fleet.targets[self._rng.choice(sorted(self.serving))]
         group = _group_of(beside.name)
         numbers = [name for name in self._fleet.targets if _group_of(name) == group]
         name = event.subject or f"{group}-{len(numbers) + 1}"
@@ -127,7 +128,7 @@
         return EventOutcome(name)
 
     async def _crash_target(self, event: Event) -> EventOutcome:
-        name = self._target(event, self._serving)
+        name = self._target(event, self.serving)
         lost = (await self._fleet.load(name)).open_flows
         await self._fleet.set_mode(name, TargetMode(silent=True))
         self._crashed.add(name)
--- a/pearwell/weights.py
+++ b/pearwell/weights.py
@@ -28,6 +28,8 @@
 PLAUSIBLE_FACTOR = 1.25
 PLAUSIBLE_DEVIATIONS = 3.0
 SLOW_START_STEPS = 4
+# Mean open flows of a target at which half of an excess counts; below, it is mostly chance.
+CREDIBLE_FLOWS = 200.0
 SHED_DECREASE = 0.5
 SHED_RECOVERY = 0.02
 MIN_SHED_FACTOR = 0.2
@@ -213,9 +215,10 @@
 
     def _wanted_factors(self) -> dict[str, float]:
         loads = self._relative_loads()
+        credibility = self._credibility()
         wanted = {}
         for name, target in self._targets.items():
-            excess = loads.get(name, 1.0) - 1.0
+            excess = (loads.get(name, 1.0) - 1.0) * credibility
             leave_band = self._policy.dead_band * (0.5 if target.correcting else 1.0)
             target.correcting = abs(excess) > leave_band
             self._update_shedding(name, target)
@@ -225,6 +228,11 @@
             wanted[name] = factor * target.shed_factor
         return wanted
 
+    def _credibility(self) -> float:
+        """Returns the share of an excess that counts, which grows with the number of flows."""
+        mean = sum(self._open_flows().values()) / len(self._targets)
+        return mean / (mean + CREDIBLE_FLOWS)
+
     def _relative_loads(self) -> dict[str, float]:
         """Returns each target's load in units of the mean for its configured weight."""
         flows = _relative(self._open_flows(), self._targets)
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -214,3 +214,16 @@
     assert controller.weights == {"t0": 80, "t1": 100, "t2": 120}
     controller.adjust()
     assert controller.weights == {"t0": 100, "t1": 100, "t2": 100}
+
+
+@pytest.mark.parametrize(
+    ("flows", "largest_change"), [((3, 1, 2), 5), ((30, 10, 20), 30), ((9000, 3000, 6000), 50)]
+)
+def test_few_flows_move_weights_little(flows, largest_change):
+    clock = ManualClock()
+    controller = WeightController(clock, POLICIES[Preference.UNBROKEN])
+    controller.set_targets(targets(3))
+    for target, count in zip(("t0", "t1", "t2"), flows, strict=True):
+        controller.take_report(target, LoadReport(count))
+    controller.adjust()
+    assert max(abs(weight - 100) for weight in controller.weights.values()) <= largest_change
