--- a/bench/steering_schemes.py
+++ b/bench/steering_schemes.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from bench.steering_zone import GROUP, ZONE, SchemeFactory, Zone
+from bench.steering_planner import GROUP, ZONE
+from bench.steering_zone import SchemeFactory, Zone
 from pearwell.configuration import Configuration
 from pearwell.membership import View
 from pearwell.messages import Message
--- a/pearwell/ownership.py
+++ b/pearwell/ownership.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import lru_cache
-from heapq import nlargest
 from typing import Protocol
 
 from xxhash import xxh3_64_intdigest
@@ -21,7 +20,7 @@
 from pearwell.record import SHARDS
 from pearwell.transport import Transport
 
-__all__ = ["Ownership", "ShardKeeper", "owners_of"]
+__all__ = ["Ownership", "ShardKeeper"]
 
 PULL_TIMEOUT_S = 3.0
 SERVER_TIMEOUT_S = 1.0
@@ -86,9 +85,16 @@
     return tuple(xxh3_64_intdigest(f"{shard}\0{instance}".encode()) for shard in range(SHARDS))
 
 
-def owners_of(shard: int, instances: Iterable[str]) -> tuple[str, ...]:
-    """Ranks instances for a shard by rendezvous hash: primary, backup, and one more."""
-    return tuple(nlargest(_RANKED, instances, key=lambda name: (_scores(name)[shard], name)))
+@lru_cache(maxsize=16)
+def _rank_owners(instances: tuple[str, ...]) -> tuple[tuple[str, ...], ...]:
+    """Ranks instances for every shard by rendezvous hash: primary, backup, and one more."""
+    scores = {name: _scores(name) for name in instances}
+    return tuple(
+        tuple(sorted(instances, key=lambda name: (scores[name][shard], name), reverse=True))[
+            :_RANKED
+        ]
+        for shard in range(SHARDS)
+    )
 
 
 class Ownership:
@@ -119,7 +125,7 @@
         self._lease_s = lease_s
         self._keeper = keeper
         self._serving: set[int] = set()
-        self._owners: list[tuple[str, ...]] = [()] * SHARDS
+        self._owners: tuple[tuple[str, ...], ...] = ((),) * SHARDS
         self._members: dict[str, Member] = {}
         self._others: list[str] = []
         self._dropped: set[str] = set()
@@ -179,7 +185,7 @@
         candidates = ranked or list(self._members)
         earlier = self._owners
         backups = {shard: self.backup(shard) for shard in self.served}
-        self._owners = [owners_of(shard, candidates) for shard in range(SHARDS)]
+        self._owners = _rank_owners(tuple(sorted(candidates)))
         self._round += 1
         for shard in range(SHARDS):
             self._follow(shard, earlier[shard], dropped)
--- a/pearwell/release.py
+++ b/pearwell/release.py
@@ -70,6 +70,9 @@
             group.records.advance(self._clock.now())
             for partition in range(self._turn, PARTITIONS, SCAN_TICKS):
                 self._scan(group, partition)
+            for shard in group.moving_shards:
+                if shard % SCAN_TICKS == self._turn and self._ownership.serves(shard):
+                    self._prove(group, shard)
             self._publish_clear(group)
 
     def drop(self, peer: str) -> None:
@@ -78,16 +81,12 @@
             marks.sent = {b: sent for b, sent in marks.sent.items() if sent[0] != peer}
 
     def _scan(self, group: SteeredGroup, partition: int) -> None:
-        """Forgets flows that are over and proves what it can about moving buckets."""
-        items = group.records.partition(partition)
-        for flow_hash, value in items:
+        """Forgets the flows of a partition that are over."""
+        for flow_hash, value in group.records.partition(partition):
             if self._ownership.serves(flow_hash % SHARDS):
                 self._expire(group, flow_hash, value)
             else:
                 self._purge(group, flow_hash, value)
-        for shard in group.moving_shards:
-            if shard % PARTITIONS == partition and self._ownership.serves(shard):
-                self._prove(group, shard)
 
     def _expire(self, group: SteeredGroup, flow_hash: int, value: int) -> None:
         """Forgets a flow that ended or was idle for too long."""
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -137,11 +137,11 @@
         """
         before, moved = self.placement, self.table.moving
         self._changed_at = self._clock.now()
-        self._invariants.check_step(before, placement)
         self._spread(len(before.base), len(placement.base))
         copies = len(placement.base) // max(len(before.base), 1)
         spread = {b + len(before.base) * copy for b in moved for copy in range(copies)}
         self.table.update(placement)
+        self._invariants.check_step(before, placement, moved | self.table.moving)
         self._refresh()
         self._forget_settled(spread - self.table.moving, frozenset(served))
         self._forget_changed(before)
