--- a/pearwell/packet_path.py
+++ b/pearwell/packet_path.py
@@ -9,7 +9,10 @@
 
 import structlog
 
+from pearwell.admission import Admission
+from pearwell.configuration import Configuration
 from pearwell.errors import Code, SettingsError
+from pearwell.flow_meter import FlowMeter
 from pearwell.forwarding import Forwarder
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import (
@@ -20,6 +23,7 @@
     ViewChanged,
     ViewRenewed,
 )
+from pearwell.messages.targets import OpenFlowsReported
 from pearwell.packet import MAX_PACKET_BYTES
 from pearwell.settings import Settings
 from pearwell.steering import Steering
@@ -31,7 +35,9 @@
 BATCH_PACKETS = 64
 # Time between two packets of a batch after which the process may have been paused.
 PAUSE_S = 0.05
-TICK_S = 0.2
+TICK_S = 0.1
+# Ticks between two messages with flow counts.
+METER_TICKS = 10
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 _log = structlog.get_logger()
@@ -64,11 +70,14 @@
     Args:
         settings: Addresses and ports.
         steering: Gives tables and verdicts.
+        admission: Admits flow starts.
+        meter: Counts flow starts and ends.
     """
 
     name = "packets"
     accepts: tuple[type[Message], ...] = (
         ConfigurationChanged,
+        OpenFlowsReported,
         PeerMessage,
         PlacementChanged,
         ViewChanged,
@@ -76,13 +85,20 @@
     )
     interval_s = TICK_S
 
-    def __init__(self, settings: Settings, steering: Steering) -> None:
+    def __init__(
+        self, settings: Settings, steering: Steering, admission: Admission, meter: FlowMeter
+    ) -> None:
         super().__init__()
         self._settings = settings
         self._steering = steering
-        self._forwarder = Forwarder(steering, self._send_reply)
+        self._admission = admission
+        self._meter = meter
+        self._forwarder = Forwarder(steering, admission, meter, self._send_reply)
         self._buffer = bytearray(MAX_PACKET_BYTES)
         self._window = memoryview(self._buffer)
+        self._fabric_heard_at = monotonic()
+        self._configuration = Configuration()
+        self._ticks = 0
         self._sockets: list[socket.socket] = []
         self._peers: frozenset[str] = frozenset(peer.address for peer in settings.peers)
         self._return_address: Address | None = None
@@ -97,6 +113,11 @@
         """Packets by action and code since the start."""
         return self._forwarder.counts
 
+    @property
+    def fabric_heard_at(self) -> float:
+        """Time of the latest packet from the fabric in seconds of the monotonic clock."""
+        return self._fabric_heard_at
+
     async def start(self, kernel: Kernel) -> None:
         """Binds the sockets and starts to forward."""
         await super().start(kernel)
@@ -128,23 +149,38 @@
                 self._steering.renew_view(heard_at)
             case ViewChanged(view=view):
                 self._steering.apply_view(view)
+                self._admission.set_share(len(view.members))
                 self._peers = frozenset(member.address for member in view.members)
             case PlacementChanged(placement=placement):
                 self._steering.apply_placement(placement)
                 self._forwarder.refresh()
             case ConfigurationChanged(configuration=configuration):
                 self._steering.configure(configuration)
+                self._admission.configure(configuration)
                 self._forwarder.configure(configuration)
+                self._configuration = configuration
+            case OpenFlowsReported(group=group, open_flows=open_flows):
+                self._report_open_flows(group, dict(open_flows))
+
+    def _report_open_flows(self, group: str, open_flows: dict[str, int]) -> None:
+        for service in self._configuration.services.values():
+            if service.group == group:
+                self._admission.report_open_flows(service.name, open_flows)
 
     async def tick(self) -> None:
-        """Does steering's periodic work."""
+        """Does steering's periodic work and publishes what the meter counted."""
         self._steering.tick()
+        self._ticks += 1
+        if self._ticks % METER_TICKS == 0:
+            for message in self._meter.take():
+                self.kernel.publish(message)
 
     def _drain_fabric(self, sock: socket.socket) -> None:
         """Forwards the packets that wait, up to a batch."""
         buffer, window = self._buffer, self._window
         receive, forward, send = sock.recv_into, self._forwarder.forward, sock.sendto
         previous = self._check_lease()
+        self._fabric_heard_at = previous
         for _ in range(BATCH_PACKETS):
             try:
                 length = receive(buffer)
