Offer large entries before sending them; keep services alive after an error

A flood sent each placement four times to each instance; now each instance pulls it once. An error in one message ended a service's task without a word; it is logged and the service goes on.

--- a/pearwell/gossip.py
+++ b/pearwell/gossip.py
@@ -15,6 +15,7 @@
     Held,
     HoldersQuery,
     Message,
+    Offer,
     Pull,
     Push,
 )
@@ -32,6 +33,9 @@
 QUERY_INTERVAL_S = 0.5
 INTEREST_S = 10.0
 ENTRY_OVERHEAD_BYTES = 16
+# Larger entries are offered first, so that each instance gets them only once.
+OFFER_FROM_BYTES = 512
+PULL_RETRY_S = 0.3
 
 # Entries whose key starts with one of these path elements are pushed whatever the budget.
 URGENT_DOMAINS = frozenset({"config", "placement"})
@@ -46,6 +50,15 @@
     holders: dict[str, EntryVersion] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Wanted:
+    """An offered entry that was pulled and hasn't arrived."""
+
+    version: EntryVersion
+    pulled_at: float
+    others: list[str] = field(default_factory=list)
+
+
 class Gossip:
     """Holds the entries of one instance and exchanges them with its peers.
 
@@ -86,8 +99,10 @@
         self._stranger_at = clock.now() + STRANGER_INTERVAL_S * rng.random()
         self._interests: dict[str, _Interest] = {}
         self._watchers: dict[str, dict[str, float]] = {}
+        self._wanted: dict[str, _Wanted] = {}
         self._handlers: dict[type[Message], Callable[[str, Any], None]] = {
             Push: self._on_push,
+            Offer: self._on_offer,
             Digest: self._on_digest,
             Pull: self._on_pull,
             HoldersQuery: self._on_holders_query,
@@ -168,6 +183,7 @@
         """Pushes what the budget held back, compares with a peer, asks for holders."""
         now = self._clock.now()
         self._flush()
+        self._pull_again(now)
         if now >= self._compare_at and self._neighbours:
             self._compare_at = now + COMPARE_INTERVAL_S
             self.compare(self._rng.choice(self._neighbours))
@@ -209,9 +225,11 @@
         self._notify_watchers(entries)
 
     def _push_to_neighbours(self, entries: list[Entry], without: str) -> None:
+        small = [entry for entry in entries if _size_of(entry) < OFFER_FROM_BYTES]
+        large = [entry for entry in entries if _size_of(entry) >= OFFER_FROM_BYTES]
         for peer in self._neighbours:
             if peer != without:
-                self._tokens -= self._push(peer, entries)
+                self._tokens -= self._push(peer, small) + self._offer(peer, large)
 
     def _flush(self) -> None:
         self._refill()
@@ -244,6 +262,39 @@
             self._transport.send(peer, Push(tuple(chunk)))
         return sent + chunk_bytes
 
+    def _offer(self, peer: str, entries: list[Entry]) -> int:
+        """Offers entries; returns the approximate size in bytes."""
+        if entries:
+            self._transport.send(peer, Offer(tuple((e.key, e.version) for e in entries)))
+        return sum(len(entry.key) + ENTRY_OVERHEAD_BYTES for entry in entries)
+
+    def _on_offer(self, sender: str, message: Offer) -> None:
+        now = self._clock.now()
+        pulled = []
+        for key, version in message.versions:
+            wanted = self._wanted.get(key)
+            if not self._is_lower(key, version):
+                continue
+            if wanted is not None and wanted.version >= version:
+                wanted.others.append(sender)
+            else:
+                self._wanted[key] = _Wanted(version, now)
+                pulled.append(key)
+        if pulled:
+            self._transport.send(sender, Pull(tuple(pulled)))
+
+    def _pull_again(self, now: float) -> None:
+        """Asks another peer for what was offered and hasn't arrived."""
+        for key, wanted in list(self._wanted.items()):
+            if not self._is_lower(key, wanted.version):
+                del self._wanted[key]
+            elif now - wanted.pulled_at >= PULL_RETRY_S:
+                wanted.pulled_at = now
+                if not wanted.others:
+                    del self._wanted[key]
+                else:
+                    self._transport.send(wanted.others.pop(0), Pull((key,)))
+
     def _on_push(self, sender: str, message: Push) -> None:
         news = [entry for entry in message.entries if self._adopt(entry)]
         if news:
--- a/pearwell/kernel.py
+++ b/pearwell/kernel.py
@@ -4,11 +4,14 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any, Protocol, TypeVar
 
+import structlog
+
 from pearwell.messages import Message
 
 __all__ = ["Kernel", "KernelService", "QueuedService"]
 
 _S = TypeVar("_S")
+_log = structlog.get_logger()
 
 
 class KernelService(Protocol):
@@ -134,9 +137,17 @@
 
     async def _run(self) -> None:
         while True:
-            await self.handle(await self._queue.get())
+            message = await self._queue.get()
+            await self._attempt(self.handle(message))
 
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(self.interval_s)
-            await self.tick()
+            await self._attempt(self.tick())
+
+    async def _attempt(self, work: Coroutine[Any, Any, None]) -> None:
+        """Logs an error of one message or tick, so that it doesn't end the service."""
+        try:
+            await work
+        except Exception as error:
+            _log.error("service_failed", service=self.name, error=repr(error), exc_info=True)
--- a/pearwell/messages/__init__.py
+++ b/pearwell/messages/__init__.py
@@ -7,6 +7,7 @@
     EntryVersion,
     Held,
     HoldersQuery,
+    Offer,
     Pull,
     Push,
 )
@@ -47,6 +48,7 @@
     "Join",
     "MemberUpdates",
     "Message",
+    "Offer",
     "PeerMessage",
     "Ping",
     "PlacementChanged",
--- a/pearwell/messages/gossip.py
+++ b/pearwell/messages/gossip.py
@@ -4,7 +4,7 @@
 
 from pearwell.messages.base import Message, wire
 
-__all__ = ["Digest", "Entry", "EntryVersion", "Held", "HoldersQuery", "Pull", "Push"]
+__all__ = ["Digest", "Entry", "EntryVersion", "Held", "HoldersQuery", "Offer", "Pull", "Push"]
 
 
 class EntryVersion(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -40,6 +40,13 @@
     entries: tuple[Entry, ...]
 
 
+@wire
+class Offer(Message, frozen=True):
+    """Versions of large entries that may be news to the receiver, which pulls what it lacks."""
+
+    versions: tuple[tuple[str, EntryVersion], ...]
+
+
 @wire
 class Digest(Message, frozen=True):
     """Summary of the entries that the sender holds, finer with every round of a comparison.
