--- a/pearwell/peers.py
+++ b/pearwell/peers.py
@@ -94,6 +94,11 @@
         """Messages sent so far, before batching."""
         return self._messages_sent
 
+    @property
+    def batches_sent(self) -> int:
+        """Batches sent so far over links that are open."""
+        return sum(link.batches for link in self._links.values())
+
     @property
     def links(self) -> int:
         """Number of open links."""
