--- a/pearwell/gossip.py
+++ b/pearwell/gossip.py
@@ -34,7 +34,7 @@
 INTEREST_S = 10.0
 ENTRY_OVERHEAD_BYTES = 16
 # Larger entries are offered first, so that each instance gets them only once.
-OFFER_FROM_BYTES = 512
+OFFER_FROM_BYTES = 1_024
 PULL_RETRY_S = 0.3
 
 # Entries whose key starts with one of these path elements are pushed whatever the budget.
