Add the fault matrix of the control plane; find planners by slots

Each fault at each step of a join, push, hand-over and leave, platform faults at each call of a change, pauses, splits, replacements, random runs. Planners were ranked for every group ten times a second; now once for each of 256 slots and view.

--- a/bench/control_zone.py
+++ b/bench/control_zone.py
@@ -2,19 +2,22 @@
 
 import asyncio
 import random
-from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from pearwell.clock import Clock
 from pearwell.configuration_service import ConfigurationService
 from pearwell.errors import Code, PlatformError
 from pearwell.gossip_service import GossipService
-from pearwell.kernel import Kernel, KernelService
-from pearwell.membership import Member
+from pearwell.kernel import Kernel, KernelService, QueuedService
+from pearwell.membership import Member, View
 from pearwell.membership_service import MembershipService, PeerDirectory
 from pearwell.messages import (
     ConfigurationChanged,
+    Entry,
+    EntryAdopted,
+    EntryVersion,
     Message,
     PeerMessage,
     PlacementChanged,
@@ -35,13 +38,14 @@
 from pearwell.placement import Generation
 from pearwell.placement_service import PlacementService
 from pearwell.placement_store import PlacementStore
-from pearwell.settings import Endpoint, Settings
+from pearwell.settings import Endpoint, PeerSettings, Settings
 
-__all__ = ["ControlInstance", "ControlZone", "Faults", "Observer", "ReachableStore"]
+__all__ = ["ControlInstance", "ControlZone", "Faults", "Observer", "ReachableStore", "Values"]
 
 ZONE = "pnw-a"
 LATENCY_S = 0.0005
 CONTROL_PORT = 20602
+SEED_COUNT = 3
 
 
 @dataclass
@@ -103,6 +107,25 @@
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "cut off")
 
 
+@dataclass
+class Values:
+    """The values that any instance ever adopted.
+
+    Attributes:
+        payloads: Payload by key and version.
+        conflicts: Keys and versions that were seen with two payloads.
+    """
+
+    payloads: dict[tuple[str, EntryVersion], bytes] = field(default_factory=dict)
+    conflicts: list[tuple[str, EntryVersion]] = field(default_factory=list)
+
+    def note(self, entry: Entry) -> None:
+        """Notes an adopted entry."""
+        key = (entry.key, entry.version)
+        if self.payloads.setdefault(key, entry.payload) != entry.payload:
+            self.conflicts.append(key)
+
+
 @dataclass
 class Observer:
     """A service that notes when what came into force, and that versions never fall.
@@ -115,8 +138,14 @@
     """
 
     clock: Clock
+    values: "Values"
     name: str = "observer"
-    accepts: tuple[type[Message], ...] = (ConfigurationChanged, PlacementChanged, ViewRenewed)
+    accepts: tuple[type[Message], ...] = (
+        ConfigurationChanged,
+        EntryAdopted,
+        PlacementChanged,
+        ViewRenewed,
+    )
     configured: dict[tuple[str, int], float] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     placed: dict[str, dict[Generation, float]] = field(default_factory=dict)
@@ -142,6 +171,8 @@
                 seen[placement.generation] = self.clock.now()
             case ViewRenewed(heard_at=heard_at):
                 self.heard_at = max(self.heard_at, heard_at)
+            case EntryAdopted(entry=entry):
+                self.values.note(entry)
 
     def _configured(self, name: str, version: int) -> None:
         held = self.versions.get(name, 0)
@@ -162,6 +193,8 @@
         self._zone = zone
         self._instance = instance
         self._kernel = Kernel()
+        self._held_back: list[tuple[str, bytes]] = []
+        self.paused = False
         self.bytes_sent = 0
         self.messages_sent = 0
 
@@ -187,8 +220,18 @@
         self.messages_sent += 1
         self._zone.carry(self._instance, to, message, payload)
 
+    def resume(self) -> None:
+        """Takes what arrived during a pause."""
+        self.paused = False
+        held_back, self._held_back = self._held_back, []
+        for sender, payload in held_back:
+            self._receive(sender, payload)
+
     def _receive(self, sender: str, payload: bytes) -> None:
-        self._kernel.publish(PeerMessage(sender, decode(payload)))
+        if self.paused:
+            self._held_back.append((sender, payload))
+        else:
+            self._kernel.publish(PeerMessage(sender, decode(payload)))
 
 
 class ControlInstance:
@@ -196,7 +239,7 @@
 
     def __init__(self, zone: "ControlZone", number: int) -> None:
         self.name = f"i{number}"
-        settings = zone.settings(number)
+        settings = zone.settings(number, zone.seeds())
         rng = random.Random(f"{zone.seed}/{self.name}")
         clock = zone.clock
         self.peers: _MemoryPeers | Peers = (
@@ -220,23 +263,53 @@
             clock,
             zone.wall_time,
         )
-        self.observer = Observer(clock)
+        self.observer = Observer(clock, zone.values)
         self.kernel = Kernel()
-        services: list[KernelService] = [
-            self.peers,
+        self._awake = asyncio.Event()
+        self._awake.set()
+        queued: list[QueuedService] = [
             gossip,
             self.membership,
             self.configuration,
             self.placement,
-            self.observer,
         ]
-        for service in services:
-            self.kernel.add(service)
+        for service in queued:
+            service.handle = self._gated(service.handle)  # type: ignore[method-assign]
+            service.tick = self._gated(service.tick)  # type: ignore[method-assign]
+        services: list[KernelService] = [self.peers, *queued, self.observer]
+        for added in services:
+            self.kernel.add(added)
+
+    @property
+    def view(self) -> View:
+        """The instance's view."""
+        return self.membership.swim.view
 
     @property
     def members(self) -> list[str]:
         """Ids in the view."""
-        return [member.instance for member in self.membership.swim.view.members]
+        return [member.instance for member in self.view.members]
+
+    def pause(self) -> None:
+        """Stops all services as if the process were paused; calls under way go on."""
+        self._awake.clear()
+        if isinstance(self.peers, _MemoryPeers):
+            self.peers.paused = True
+
+    def resume(self) -> None:
+        """Ends a pause."""
+        if isinstance(self.peers, _MemoryPeers):
+            self.peers.resume()
+        self._awake.set()
+
+    def _gated(
+        self, operation: Callable[..., Coroutine[Any, Any, None]]
+    ) -> Callable[..., Coroutine[Any, Any, None]]:
+        async def gated(*arguments: Any) -> None:
+            await self._awake.wait()
+            await operation(*arguments)
+
+        return gated
 
 
 class ControlZone:
@@ -257,13 +330,13 @@
         self.receivers: dict[str, Callable[[str, bytes], None]] = {}
         self.cut_off: set[str] = set()
         self.faults = Faults()
-        self.lost: Counter[str] = Counter()
+        self.values = Values()
 
     def wall_time(self) -> float:
         """Returns a Unix time that moves with the clock."""
         return 1_700_000_000 + self.clock.now()
 
-    def settings(self, number: int) -> Settings:
+    def settings(self, number: int, seeds: tuple[PeerSettings, ...] = ()) -> Settings:
         """Returns the settings of an instance."""
         return Settings(
             instance=f"i{number}",
@@ -276,9 +349,23 @@
             admin_port=20603,
             metrics_port=20604,
             platform=Endpoint(address="127.40.20.254", port=20610),
+            peers=seeds,
             plaintext=True,
         )
 
+    def seeds(self) -> tuple[PeerSettings, ...]:
+        """Returns peers to start from: a few instances that run now."""
+        known = [self.settings(int(name[1:])) for name in list(self.instances)[-SEED_COUNT:]]
+        return tuple(
+            PeerSettings(
+                instance=peer.instance,
+                address=peer.address,
+                peer_port=peer.peer_port,
+                control_port=peer.control_port,
+            )
+            for peer in known
+        )
+
     async def listed(self) -> list[Member]:
         """Returns the platform's list, which shows all running instances."""
         if self.platform.faults.outage:
--- a/pearwell/placement_service.py
+++ b/pearwell/placement_service.py
@@ -37,8 +37,8 @@
     PREPARE_WAIT_S,
     GroupPlanner,
     Pace,
+    Planners,
     placed_targets,
-    planner_of,
 )
 from pearwell.service import TransportProtocol
 from pearwell.spill import SpillOver
@@ -106,6 +106,7 @@
         self._wall_time = wall_time
         self._configuration = Configuration()
         self._view = View()
+        self._leaders = Planners(self._view)
         self._joined_at: float | None = None
         self._heard_at = float("-inf")
         self._planners: dict[str, GroupPlanner] = {}
@@ -162,7 +163,6 @@
 
     async def tick(self) -> None:
         """Plans the next step of every group that this instance leads."""
-        self._lead()
         if not self._may_plan():
             return
         for group in sorted(self._led - self._busy.keys()):
@@ -193,6 +193,7 @@
         self._drains = {key: drain for key, drain in self._drains.items() if key in known}
         for group in self._configuration.groups.values():
             self._follow_drains(group)
+        self._lead()
 
     def _on_judged(self, message: TargetJudged) -> None:
         self._states.setdefault(message.group, {})[message.target] = message.state
@@ -202,6 +203,8 @@
 
     def _on_view(self, message: ViewChanged) -> None:
         self._view = message.view
+        self._leaders = Planners(message.view)
+        self._lead()
         if self._joined_at is None:
             self._joined_at = self._clock.now()
 
@@ -213,7 +216,7 @@
             self._planner_clear(message.message)
 
     def _on_clear(self, message: BucketsClear) -> None:
-        leader = planner_of(message.group, self._view)
+        leader = self._leaders.of(message.group)
         if leader == self._instance:
             self._planner_clear(message)
         elif leader is not None:
@@ -240,7 +243,7 @@
         led = {
             group
             for group in self._configuration.groups
-            if planner_of(group, self._view) == self._instance
+            if self._leaders.of(group) == self._instance
         }
         self._unsaved = (self._unsaved | (led - self._led)) & led
         self._led = led
--- a/pearwell/planner.py
+++ b/pearwell/planner.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from xxhash import xxh3_64_intdigest
+
 from pearwell import change
 from pearwell.clock import Clock
 from pearwell.group import GroupSpec, TargetIntent, TargetSpec
@@ -14,21 +16,39 @@
     "PREPARE_WAIT_S",
     "GroupPlanner",
     "Pace",
+    "Planners",
     "placed_targets",
-    "planner_of",
 ]
 
 PREPARE_WAIT_S = 1.5
 ACKNOWLEDGED_WAIT_S = 0.1
 RELEASE_INTERVAL_S = 5.0
+SLOT_COUNT = 256
 
 _TAKES_PART = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
 
-def planner_of(group: str, view: View) -> str | None:
-    """Returns the instance that writes the placements of a group; None in an empty view."""
-    lasting = [member.instance for member in view.members if member.state in _TAKES_PART]
-    return next(iter(rank(f"planner/{group}", lasting, 1)), None)
+class Planners:
+    """Knows which instance plans for which group in one view.
+
+    Groups share a fixed number of slots, so that a change of the view costs the same however many
+    groups there are.
+
+    Args:
+        view: Members of the zone; those that leave plan nothing.
+    """
+
+    def __init__(self, view: View) -> None:
+        self._lasting = [member.instance for member in view.members if member.state in _TAKES_PART]
+        self._by_slot: dict[int, str | None] = {}
+
+    def of(self, group: str) -> str | None:
+        """Returns the instance that plans for a group; None in an empty view."""
+        slot = xxh3_64_intdigest(group.encode()) % SLOT_COUNT
+        if slot not in self._by_slot:
+            first = rank(f"planner/{slot}", self._lasting, 1)
+            self._by_slot[slot] = first[0] if first else None
+        return self._by_slot[slot]
 
 
 def placed_targets(
--- /dev/null
+++ b/tests/test_control_faults.py
@@ -0,0 +1,366 @@
+"""Fault matrix of the control plane: each fault at each step, in virtual time."""
+
+import asyncio
+import random
+
+import pytest
+
+from bench.control_zone import ControlZone
+from pearwell.configuration import Kind
+from pearwell.document import Document, encode_document
+from pearwell.group import GroupSpec, TargetSpec
+from pearwell.membership import MemberState
+from pearwell.messages import (
+    Ack,
+    Digest,
+    Held,
+    HoldersQuery,
+    Join,
+    MemberUpdates,
+    Offer,
+    Ping,
+    Pull,
+    Push,
+)
+from pearwell.object_store import Fault, RetryingObjectStore
+from pearwell.placement import Phase
+from pearwell.planner import Planners
+from tests.virtual_time import run
+
+COUNT = 6
+IN_FORCE_S = 3.0
+SETTLE_S = 20.0
+FAULT_S = 2.0
+DELAY_S = 0.0005
+
+DELIVERIES = {
+    "lost": lambda rng: (),
+    "late": lambda rng: (rng.uniform(0.2, 1.5),),
+    "doubled": lambda rng: (DELAY_S, DELAY_S),
+    "old": lambda rng: (DELAY_S, rng.uniform(2.0, 5.0)),
+}
+
+
+def group(count, weight=100):
+    return GroupSpec(
+        "g",
+        tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a", weight=weight) for n in range(count)),
+    )
+
+
+class World:
+    """A zone with a group, and what must hold of it."""
+
+    def __init__(self, zone):
+        self.zone = zone
+        self.accepted = {}
+        self.rng = random.Random(zone.seed)
+
+    @classmethod
+    async def start(cls, seed=1, count=COUNT):
+        world = cls(ControlZone(asyncio.get_running_loop(), seed))
+        await world.zone.start(*range(count))
+        await world.zone.until_joined()
+        await world.configure(group(2))
+        await world.settled()
+        return world
+
+    async def configure(self, spec):
+        value = encode_document(Document(Kind.GROUP, spec.name, spec=spec))
+        store = RetryingObjectStore(self.zone.platform, self.zone.clock, self.rng)
+        listed = await store.list("group")
+        held = next((item for item in listed.items if item.name == spec.name), None)
+        if held is None:
+            stored = await store.create("group", spec.name, value)
+        else:
+            stored = await store.update("group", spec.name, value, held.version)
+        self.accepted[spec.name] = (stored.version, asyncio.get_running_loop().time())
+        return stored.version
+
+    def disturb(self, types, fault):
+        """Applies a fault to all messages of some types for a while."""
+        zone, until = self.zone, self.zone.clock.now() + FAULT_S
+
+        def deliver(sender, to, message):
+            if isinstance(message, types) and zone.clock.now() < until:
+                return DELIVERIES[fault](self.rng)
+            return (DELAY_S,)
+
+        zone.faults.delivery = deliver
+
+    def planner(self):
+        view = next(iter(self.zone.instances.values())).membership.swim.view
+        return Planners(view).of("g")
+
+    def agreed(self):
+        instances = list(self.zone.instances.values())
+        placements = [i.placement.placement("g") for i in instances]
+        targets = {t.name for t in self.zone_spec().targets}
+        names = sorted(self.zone.instances)
+        return (
+            all(i.members == names for i in instances)
+            and all(m.state is MemberState.ALIVE for i in instances for m in i.view.members)
+            and all(i.observer.versions.get("g") == self.accepted["g"][0] for i in instances)
+            and len({p.generation for p in placements if p is not None}) == 1
+            and None not in placements
+            and placements[0].phase is not Phase.PREPARED
+            and targets == {placements[0].targets[index].name for index in placements[0].current}
+        )
+
+    def zone_spec(self):
+        return next(iter(self.zone.instances.values())).configuration.configuration.groups["g"]
+
+    async def settled(self):
+        """Waits until all agree, and checks that nothing ever fell."""
+        await self.zone.until(
+            lambda: "g" in next(iter(self.zone.instances.values())).observer.versions
+        )
+        await self.zone.until(self.agreed, SETTLE_S)
+        self.check()
+
+    def check(self):
+        zone = self.zone
+        assert [v for i in zone.instances.values() for v in i.observer.violations] == []
+        assert zone.values.conflicts == []
+
+    async def in_force(self, since=0.0):
+        """Waits until the latest accepted version is in force everywhere, within the bound."""
+        version, at = self.accepted["g"]
+        instances = self.zone.instances
+        await self.zone.until(
+            lambda: all(i.observer.versions.get("g", 0) >= version for i in instances.values())
+        )
+        assert asyncio.get_running_loop().time() - max(at, since) <= IN_FORCE_S + 0.02
+
+
+async def join(world):
+    await world.zone.start(COUNT)
+
+
+async def push(world):
+    await world.configure(group(3))
+
+
+async def hand_over(world):
+    await world.configure(group(3))
+    await asyncio.sleep(0.05)
+    await world.zone.kill(world.planner())
+
+
+async def leave(world):
+    name = sorted(world.zone.instances)[-1]
+    instance = world.zone.instances[name]
+    instance.membership.leave()
+    await asyncio.sleep(0.5)
+    del world.zone.instances[name]
+    await instance.kernel.stop()
+
+
+STEPS = {
+    "join": (join, [(Join,), (MemberUpdates,), (Push, Offer), (Digest,), (Ping, Ack)]),
+    "push": (push, [(Push, Offer), (Pull,), (Digest,), (Held, HoldersQuery)]),
+    "hand-over": (hand_over, [(MemberUpdates,), (Ping, Ack), (Push, Offer, Pull), (Held,)]),
+    "leave": (leave, [(MemberUpdates,), (Ping, Ack)]),
+}
+MATRIX = [
+    pytest.param(step, types, fault, id=f"{name}-{'+'.join(t.__name__ for t in types)}-{fault}")
+    for name, (step, messages) in STEPS.items()
+    for types in messages
+    for fault in DELIVERIES
+]
+
+
+@pytest.mark.parametrize(("step", "types", "fault"), MATRIX)
+def test_each_fault_at_each_step(step, types, fault):
+    async def check():
+        world = await World.start()
+        world.disturb(types, fault)
+        began = world.zone.clock.now()
+        await step(world)
+        await world.in_force(since=began + (FAULT_S if step is join else 0.0))
+        await world.settled()
+        await world.zone.stop()
+
+    run(check())
+
+
+PLATFORM_FAULTS = {
+    "outage": Fault.OUTAGE,
+    "lost request": Fault.LOST_REQUEST,
+    "lost answer": Fault.LOST_ANSWER,
+    "stale read": Fault.STALE,
+    "slow": Fault.SLOW,
+}
+
+
+@pytest.mark.parametrize("call", range(6))
+@pytest.mark.parametrize("fault", PLATFORM_FAULTS.values(), ids=PLATFORM_FAULTS.keys())
+def test_each_platform_fault_at_each_call_of_a_change(fault, call):
+    async def check():
+        world = await World.start()
+        world.zone.platform.freeze()
+        await world.configure(group(3))
+        world.zone.platform.faults.plan.extend([Fault.NONE] * call + [fault])
+        await world.in_force()
+        await world.settled()
+        await world.zone.stop()
+
+    run(check())
+
+
+@pytest.mark.parametrize("role", ["planner", "other"])
+@pytest.mark.parametrize("pause_s", [0.9, 1.6, 6.0, 30.0])
+def test_a_pause_in_the_middle_of_a_change(role, pause_s):
+    async def check():
+        world = await World.start()
+        zone = world.zone
+        await world.configure(group(3))
+        await zone.until(
+            lambda: any(
+                i.placement.placement("g").phase is Phase.PREPARED for i in zone.instances.values()
+            )
+        )
+        planner = world.planner()
+        name = planner if role == "planner" else min(set(zone.instances) - {planner})
+        paused = zone.instances[name]
+        paused.pause()
+        await asyncio.sleep(pause_s)
+        awake = [i for i in zone.instances.values() if i is not paused]
+        if pause_s > 5.0:
+            assert {i.placement.placement("g").phase for i in awake} == {Phase.ACTIVE}
+            assert all(name not in i.members for i in awake)
+        resumed_at = zone.clock.now()
+        paused.resume()
+        assert paused.observer.heard_at <= resumed_at - pause_s + 0.3
+        await world.settled()
+        await zone.until(lambda: paused.observer.heard_at >= resumed_at, IN_FORCE_S)
+        await zone.stop()
+
+    run(check())
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_a_zone_splits_and_heals(outage):
+    async def check():
+        world = await World.start()
+        zone = world.zone
+        half = set(sorted(zone.instances)[:3])
+        zone.cut_off = set(half)
+        zone.faults.delivery = lambda s, t, m: () if (s in half) != (t in half) else (DELAY_S,)
+        await asyncio.sleep(6.0)
+        assert {len(i.members) for i in zone.instances.values()} == {3}
+        version = await world.configure(group(3))
+        await asyncio.sleep(1.0)
+        zone.platform.faults.outage = outage
+        zone.platform.interrupt()
+        await asyncio.sleep(6.0)
+        reached = [i for name, i in zone.instances.items() if name not in half]
+        assert {i.observer.versions["g"] for i in reached} == {version}
+        zone.cut_off = set()
+        zone.faults.delivery = lambda s, t, m: (DELAY_S,)
+        await asyncio.sleep(10.0)
+        zone.platform.faults.outage = False
+        await world.settled()
+        await zone.stop()
+
+    run(check())
+
+
+REPLACEMENTS = {"one": 1, "half of the zone": 3, "all": COUNT}
+
+
+@pytest.mark.parametrize("outage", [False, True], ids=["platform up", "platform down"])
+@pytest.mark.parametrize("count", REPLACEMENTS.values(), ids=REPLACEMENTS.keys())
+def test_instances_replaced_within_a_minute_keep_placement_and_configuration(count, outage):
+    async def check():
+        world = await World.start()
+        zone = world.zone
+        (before,) = {i.placement.placement("g") for i in zone.instances.values()}
+        zone.platform.faults.outage = outage
+        zone.platform.interrupt()
+        names = sorted(zone.instances)[:count]
+        pause_s = 50.0 / count
+        for number, name in enumerate(names):
+            await zone.start(100 + number)
+            await asyncio.sleep(pause_s)
+            await zone.kill(name)
+        await world.settled()
+        assert {i.placement.placement("g") for i in zone.instances.values()} == {before}
+        await zone.stop()
+
+    run(check())
+
+
+@pytest.mark.parametrize("outage", [False, True], ids=["platform up", "platform down"])
+def test_half_of_the_zone_dies_at_once(outage):
+    async def check():
+        world = await World.start()
+        zone = world.zone
+        (before,) = {i.placement.placement("g") for i in zone.instances.values()}
+        zone.platform.faults.outage = outage
+        zone.platform.interrupt()
+        await zone.kill(*sorted(zone.instances)[:3])
+        await zone.start(100, 101, 102)
+        await world.settled()
+        assert {i.placement.placement("g") for i in zone.instances.values()} == {before}
+        await zone.stop()
+
+    run(check())
+
+
+def test_all_instances_die_at_once_and_start_from_the_platform():
+    async def check():
+        world = await World.start()
+        zone = world.zone
+        (before,) = {i.placement.placement("g") for i in zone.instances.values()}
+        await zone.kill(*zone.instances)
+        await zone.start(*range(100, 104))
+        await world.settled()
+        assert {i.placement.placement("g") for i in zone.instances.values()} == {before}
+        await zone.stop()
+
+    run(check())
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_random_runs_keep_the_invariants(seed):
+    async def check():
+        world = await World.start(seed)
+        zone, rng = world.zone, world.rng
+        kinds = [*DELIVERIES, "", "", "", ""]
+        zone.faults.delivery = lambda s, t, m: (
+            DELIVERIES[kind](rng) if (kind := rng.choice(kinds * 3 + [""] * 20)) else (DELAY_S,)
+        )
+        number = 100
+        for _ in range(25):
+            action = rng.choice(["configure", "start", "kill", "pause", "outage", "lost"])
+            if action == "configure" and not zone.platform.faults.outage:
+                await world.configure(group(rng.randint(1, 4), rng.randint(50, 150)))
+            elif action == "start" and len(zone.instances) < 8:
+                number += 1
+                await zone.start(number)
+            elif action == "kill" and len(zone.instances) > 4:
+                await zone.kill(rng.choice(sorted(zone.instances)))
+            elif action == "pause":
+                rng.choice(sorted(zone.instances.items()))[1].pause()
+            elif action == "outage":
+                zone.platform.faults.outage = not zone.platform.faults.outage
+                zone.platform.interrupt()
+            elif action == "lost":
+                zone.platform.faults.lose_answers = 1
+            await asyncio.sleep(rng.uniform(0.1, 3.0))
+            for instance in zone.instances.values():
+                if rng.random() < 0.5:
+                    instance.resume()
+            world.check()
+        for instance in zone.instances.values():
+            instance.resume()
+        zone.platform.faults.outage = False
+        zone.faults.delivery = lambda s, t, m: (DELAY_S,)
+        await asyncio.sleep(10.0)
+        await world.configure(group(2))
+        await world.in_force()
+        await world.settled()
+        await zone.stop()
+
+    run(check())
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -11,7 +11,7 @@
 from pearwell.placement import Generation, Phase, PlacedTarget, TargetState
 from pearwell.placement_codec import decode_entry, decode_stored, encode_entry
 from pearwell.placement_store import PlacementStore, SaveOutcome
-from pearwell.planner import GroupPlanner, Pace, planner_of
+from pearwell.planner import GroupPlanner, Pace, Planners
 from tests.virtual_time import run
 
 
@@ -113,9 +113,9 @@
 def test_the_planner_is_a_lasting_member():
     states = (MemberState.LEAVING, MemberState.ALIVE, MemberState.SUSPECT)
     members = tuple(Member(f"i{n}", "127.0.0.1", 1, 2, 0, state) for n, state in enumerate(states))
-    chosen = {planner_of(f"g{n}", View(members)) for n in range(50)}
+    chosen = {Planners(View(members)).of(f"g{n}") for n in range(50)}
     assert chosen == {"i1", "i2"}
-    assert planner_of("g", View()) is None
+    assert Planners(View()).of("g") is None
 
 
 def placement(counter, instance="i0", targets=TWO):
