--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -24,7 +24,7 @@
 from pearwell.packet_path import PacketPath
 from pearwell.peers import Peers
 from pearwell.placement_service import PlacementService
-from pearwell.placement_store import PlacementStore
+from pearwell.placement_store import SAVE_POLICY, PlacementStore
 from pearwell.platform_client import PlatformClient
 from pearwell.prober import Prober
 from pearwell.settings import Endpoint, Settings
@@ -166,12 +166,13 @@
         )
 
     def _make_placement(self) -> PlacementService:
+        store = RetryingObjectStore(self._platform, self._clock, self._rng, SAVE_POLICY)
         return PlacementService(
             self._settings.instance,
             self._settings.zone,
             self._gossip.gossip,
             self._peers,
-            PlacementStore(self._store, self._settings.zone, self._clock),
+            PlacementStore(store, self._settings.zone, self._clock),
             self._clock,
         )
 
--- a/pearwell/placement_store.py
+++ b/pearwell/placement_store.py
@@ -8,13 +8,15 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code, PlatformError
-from pearwell.object_store import ObjectStore, StoredObject
+from pearwell.object_store import ObjectStore, RetryPolicy, StoredObject
 from pearwell.placement import Generation, Placement
 from pearwell.placement_codec import PLACEMENT_KIND, decode_stored, encode_value, object_name
 
-__all__ = ["PlacementStore", "SaveOutcome", "Saved"]
+__all__ = ["SAVE_POLICY", "PlacementStore", "SaveOutcome", "Saved"]
 
-ATTEMPT_TIMEOUT_S = 0.6
+SAVE_TIMEOUT_S = 0.6
+# Bounds of the calls that a save consists of, for the store that it is given.
+SAVE_POLICY = RetryPolicy(attempt_timeout_s=0.25, deadline_s=0.5)
 OUTAGE_PAUSE_S = 2.0
 MAX_CONFLICTS = 3
 
@@ -78,7 +80,7 @@
         if not self.reachable:
             return Saved(SaveOutcome.UNREACHABLE)
         try:
-            async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+            async with asyncio.timeout(SAVE_TIMEOUT_S):
                 return await self._save(placement, fresh)
         except TimeoutError:
             self._note_outage("timeout")
