--- a/pearwell/owner.py
+++ b/pearwell/owner.py
@@ -112,8 +112,11 @@
         if not (from_peer and event & FlowEvent.START):
             return None
         value = group.records.find(flow_hash)
-        fresh = value is not None and self._is_fresh(group, value)
-        return group.record_verdict(value) if value is not None and fresh else None
+        if value is None or not self._is_fresh(group, value):
+            return None
+        verdict = group.record_verdict(value)
+        # A server that doesn't know yet of a target's death assigns the repeated SYN anew later.
+        return verdict if verdict.action is Action.FORWARD else _DROP
 
     def _is_fresh(self, group: SteeredGroup, value: int) -> bool:
         return (group.records.stamp - stamp_of(value)) * STAMP_S <= COPY_FRESH_S
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -202,6 +202,21 @@
     assert cluster.cores[name] in holders
 
 
+def test_a_start_on_a_target_that_only_the_backup_knows_dead_is_dropped_not_refused():
+    cluster = Cluster(4)
+    flow = cluster.split()
+    verdict, backup = cluster.send(flow, START)
+    counter = cluster.placement.generation.counter + 1
+    failed = fail(cluster.placement, verdict.target, Generation(counter, "p"))
+    core = cluster.cores[backup]
+    core.apply_placement(failed)
+    assert core.decide(core.table("g"), flow, START, from_peer=True).action is Action.DROP
+    cluster.show(failed)
+    cluster.send(flow, START)
+    cluster.run(0.6)
+    assert cluster.target(flow, START) in ("t0", "t1", "t2")
+
+
 def test_an_owner_that_was_paused_decides_nothing_before_its_view_is_renewed():
     cluster = Cluster(4)
     flow = cluster.split()
