--- a/pearwell/gossip.py
+++ b/pearwell/gossip.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from xxhash import xxh3_64_intdigest
-
 from pearwell.clock import Clock
+from pearwell.entry_set import EntrySet, domain_of
+from pearwell.holders import Holders
 from pearwell.messages import (
     Digest,
     Entry,
@@ -24,14 +24,11 @@
 
 __all__ = ["URGENT_DOMAINS", "Gossip"]
 
-SHARD_COUNT = 128
 PUSH_CHUNK_BYTES = 32_768
 PUSH_BYTES_PER_S = 8_000
 PUSH_BURST_BYTES = 64_000
 COMPARE_INTERVAL_S = 0.5
 STRANGER_INTERVAL_S = 5.0
-QUERY_INTERVAL_S = 0.5
-INTEREST_S = 10.0
 ENTRY_OVERHEAD_BYTES = 16
 # Larger entries are offered first, so that each instance gets them only once.
 OFFER_FROM_BYTES = 1_024
@@ -41,15 +38,6 @@
 URGENT_DOMAINS = frozenset({"config", "placement"})
 
 
-@dataclass(slots=True)
-class _Interest:
-    """An instance's wish to know the holders of a key."""
-
-    until: float
-    queried_at: float = float("-inf")
-    holders: dict[str, EntryVersion] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class _Wanted:
     """An offered entry that was pulled and hasn't arrived."""
@@ -86,10 +74,8 @@
         self._clock = clock
         self._rng = rng
         self._adopted = adopted
-        self._entries: dict[str, Entry] = {}
-        self._shards = [0] * SHARD_COUNT
-        self._shard_keys: list[set[str]] = [set() for _ in range(SHARD_COUNT)]
-        self._domains: dict[str, int] = {}
+        self._entries = EntrySet(clock)
+        self._holders = Holders(instance, transport, clock, self._entries)
         self._peers: tuple[str, ...] = ()
         self._neighbours: tuple[str, ...] = ()
         self._outbox: dict[str, Entry] = {}
@@ -97,23 +83,16 @@
         self._tokens_at = clock.now()
         self._compare_at = clock.now()
         self._stranger_at = clock.now() + STRANGER_INTERVAL_S * rng.random()
-        self._interests: dict[str, _Interest] = {}
-        self._watchers: dict[str, dict[str, float]] = {}
         self._wanted: dict[str, _Wanted] = {}
         self._handlers: dict[type[Message], Callable[[str, Any], None]] = {
             Push: self._on_push,
             Offer: self._on_offer,
             Digest: self._on_digest,
             Pull: self._on_pull,
-            HoldersQuery: self._on_holders_query,
-            Held: self._on_held,
+            HoldersQuery: self._holders.on_query,
+            Held: self._holders.on_held,
         }
 
-    @property
-    def message_types(self) -> tuple[type[Message], ...]:
-        """Types of messages that handle takes."""
-        return tuple(self._handlers)
-
     @property
     def neighbours(self) -> tuple[str, ...]:
         """Peers that new entries are pushed to."""
@@ -136,25 +115,18 @@
 
     def entries(self, prefix: str) -> list[Entry]:
         """Returns all held entries whose key starts with a prefix, in order of key."""
-        return [self._entries[key] for key in sorted(self._entries) if key.startswith(prefix)]
+        return self._entries.with_prefix(prefix)
 
     def checksum(self, domain: str) -> int:
         """Returns a hash over the keys and versions with the same first path element."""
-        return self._domains.get(domain, 0)
+        return self._entries.domain_checksum(domain)
 
     def holders(self, key: str) -> dict[str, EntryVersion]:
         """Returns the version of a key that each instance is known to hold.
 
         The first call for a key starts to ask the peers; call it again until it is complete.
         """
-        now = self._clock.now()
-        interest = self._interests.setdefault(key, _Interest(until=now))
-        interest.until = now + INTEREST_S
-        if now - interest.queried_at >= QUERY_INTERVAL_S:
-            self._query([key])
-        held = self._entries.get(key)
-        own = {self._instance: held.version} if held else {}
-        return interest.holders | own
+        return self._holders.of(key)
 
     def set_peers(self, instances: Iterable[str]) -> None:
         """Sets the other members of the zone.
@@ -164,14 +136,11 @@
         """
         self._peers = tuple(sorted(set(instances) - {self._instance}))
         self._neighbours = successors(self._instance, self._peers)
-        for interest in self._interests.values():
-            interest.holders = {
-                name: version for name, version in interest.holders.items() if name in self._peers
-            }
+        self._holders.set_peers(self._peers)
 
     def compare(self, peer: str) -> None:
         """Starts to compare all entries with a peer."""
-        self._transport.send(peer, Digest(self._checksum()))
+        self._transport.send(peer, Digest(self._entries.checksum))
 
     def handle(self, sender: str, message: Message) -> None:
         """Handles a message of a peer; types that aren't gossip's are ignored."""
@@ -190,39 +159,27 @@
         if now >= self._stranger_at and self._peers:
             self._stranger_at = now + STRANGER_INTERVAL_S
             self.compare(self._rng.choice(self._peers))
-        self._forget(now)
-        self._query([key for key, i in self._interests.items() if self._is_due(i, now)])
+        self._entries.expire()
+        self._holders.tick()
 
     def _adopt(self, entry: Entry) -> bool:
-        held = self._entries.get(entry.key)
-        if held is not None and entry.version <= held.version:
-            return False
-        shard = _shard_of(entry.key)
-        domain = entry.key.partition("/")[0]
-        change = _fingerprint(entry) ^ (_fingerprint(held) if held else 0)
-        self._shards[shard] ^= change
-        self._domains[domain] = self._domains.get(domain, 0) ^ change
-        self._shard_keys[shard].add(entry.key)
-        self._entries[entry.key] = entry
-        self._adopted(entry)
-        return True
+        adopted = self._entries.adopt(entry)
+        if adopted is not None:
+            self._adopted(adopted)
+        return adopted is not None
 
-    def _checksum(self) -> int:
-        total = 0
-        for checksum in self._shards:
-            total ^= checksum
-        return total
+    # Pushing.
 
     def _spread(self, entries: list[Entry], without: str) -> None:
         self._refill()
-        urgent = [e for e in entries if e.key.partition("/")[0] in URGENT_DOMAINS]
+        urgent = [e for e in entries if domain_of(e.key) in URGENT_DOMAINS]
         self._push_to_neighbours(urgent, without)
-        others = [e for e in entries if e.key.partition("/")[0] not in URGENT_DOMAINS]
+        others = [e for e in entries if domain_of(e.key) not in URGENT_DOMAINS]
         if self._tokens > 0 and not self._outbox:
             self._push_to_neighbours(others, without)
         else:
             self._outbox.update((entry.key, entry) for entry in others)
-        self._notify_watchers(entries)
+        self._holders.adopted(entries)
 
     def _push_to_neighbours(self, entries: list[Entry], without: str) -> None:
         small = [entry for entry in entries if _size_of(entry) < OFFER_FROM_BYTES]
@@ -237,8 +194,9 @@
         batch: list[Entry] = []
         while self._outbox and room > 0:
             entry = self._outbox.pop(next(iter(self._outbox)))
-            room -= _size_of(entry)
-            batch.append(entry)
+            if self._entries.get(entry.key) is not None:
+                room -= _size_of(entry)
+                batch.append(entry)
         self._push_to_neighbours(batch, without="")
 
     def _refill(self) -> None:
@@ -253,7 +211,7 @@
         chunk: list[Entry] = []
         chunk_bytes = 0
         for entry in entries:
-            chunk.append(entry)
+            chunk.append(self._entries.aged(entry))
             chunk_bytes += _size_of(entry)
             if chunk_bytes >= PUSH_CHUNK_BYTES:
                 self._transport.send(peer, Push(tuple(chunk)))
@@ -273,7 +231,7 @@
         pulled = []
         for key, version in message.versions:
             wanted = self._wanted.get(key)
-            if not self._is_lower(key, version):
+            if not self._entries.lacks(key, version):
                 continue
             if wanted is not None and wanted.version >= version:
                 wanted.others.append(sender)
@@ -286,7 +244,7 @@
     def _pull_again(self, now: float) -> None:
         """Asks another peer for what was offered and hasn't arrived."""
         for key, wanted in list(self._wanted.items()):
-            if not self._is_lower(key, wanted.version):
+            if not self._entries.lacks(key, wanted.version):
                 del self._wanted[key]
             elif now - wanted.pulled_at >= PULL_RETRY_S:
                 wanted.pulled_at = now
@@ -300,96 +258,38 @@
         if news:
             self._spread(news, without=sender)
 
+    def _on_pull(self, sender: str, message: Pull) -> None:
+        found = [entry for key in message.keys if (entry := self._entries.get(key)) is not None]
+        self._push(sender, found)
+
+    # Comparing.
+
     def _on_digest(self, sender: str, message: Digest) -> None:
-        if message.checksum == self._checksum():
+        if message.checksum == self._entries.checksum:
             return
         if message.listed:
             self._reconcile(sender, message)
         elif message.shards:
             self._transport.send(sender, self._list_versions(message))
         else:
-            answer = Digest(self._checksum(), shards=tuple(self._shards))
+            answer = Digest(self._entries.checksum, shards=self._entries.shards)
             self._transport.send(sender, answer)
 
     def _list_versions(self, message: Digest) -> Digest:
-        pairs = zip(self._shards, message.shards, strict=False)
+        pairs = zip(self._entries.shards, message.shards, strict=False)
         listed = tuple(index for index, (own, other) in enumerate(pairs) if own != other)
-        keys = [key for index in listed for key in self._shard_keys[index]]
-        versions = tuple((key, self._entries[key].version) for key in keys)
-        return Digest(self._checksum(), versions=versions, listed=listed)
+        held = self._entries.in_shards(listed)
+        versions = tuple((entry.key, entry.version) for entry in held)
+        return Digest(self._entries.checksum, versions=versions, listed=listed)
 
     def _reconcile(self, sender: str, message: Digest) -> None:
         theirs = dict(message.versions)
-        wanted = tuple(key for key, version in theirs.items() if self._is_lower(key, version))
-        shards = [index for index in message.listed if 0 <= index < SHARD_COUNT]
-        held = [self._entries[key] for index in shards for key in self._shard_keys[index]]
+        wanted = tuple(key for key, version in theirs.items() if self._entries.lacks(key, version))
+        held = self._entries.in_shards(message.listed)
         self._push(sender, [e for e in held if e.key not in theirs or theirs[e.key] < e.version])
         if wanted:
             self._transport.send(sender, Pull(wanted))
 
-    def _is_lower(self, key: str, version: EntryVersion) -> bool:
-        held = self._entries.get(key)
-        return held is None or held.version < version
-
-    def _on_pull(self, sender: str, message: Pull) -> None:
-        self._push(sender, [self._entries[key] for key in message.keys if key in self._entries])
-
-    def _query(self, keys: list[str]) -> None:
-        by_peer: dict[str, list[str]] = {}
-        for key in keys:
-            interest = self._interests[key]
-            interest.queried_at = self._clock.now()
-            held = self._entries.get(key)
-            for peer in self._peers:
-                version = interest.holders.get(peer)
-                if version is None or (held is not None and version < held.version):
-                    by_peer.setdefault(peer, []).append(key)
-        for peer, lacking in by_peer.items():
-            self._transport.send(peer, HoldersQuery(tuple(lacking)))
-
-    def _is_due(self, interest: _Interest, now: float) -> bool:
-        return now - interest.queried_at >= QUERY_INTERVAL_S
-
-    def _forget(self, now: float) -> None:
-        self._interests = {k: i for k, i in self._interests.items() if i.until > now}
-        for key in list(self._watchers):
-            live = {peer: until for peer, until in self._watchers[key].items() if until > now}
-            if live:
-                self._watchers[key] = live
-            else:
-                del self._watchers[key]
-
-    def _on_holders_query(self, sender: str, message: HoldersQuery) -> None:
-        until = self._clock.now() + INTEREST_S
-        for key in message.keys:
-            self._watchers.setdefault(key, {})[sender] = until
-        held = [self._entries[key] for key in message.keys if key in self._entries]
-        self._transport.send(sender, Held(tuple((e.key, e.version) for e in held)))
-
-    def _notify_watchers(self, entries: list[Entry]) -> None:
-        by_peer: dict[str, list[tuple[str, EntryVersion]]] = {}
-        for entry in entries:
-            for peer in self._watchers.get(entry.key, ()):
-                by_peer.setdefault(peer, []).append((entry.key, entry.version))
-        for peer, versions in by_peer.items():
-            self._transport.send(peer, Held(tuple(versions)))
-
-    def _on_held(self, sender: str, message: Held) -> None:
-        for key, version in message.versions:
-            interest = self._interests.get(key)
-            known = interest.holders.get(sender) if interest else None
-            if interest is not None and (known is None or known < version):
-                interest.holders[sender] = version
-
-
-def _shard_of(key: str) -> int:
-    return xxh3_64_intdigest(key.encode()) % SHARD_COUNT
-
 
 def _size_of(entry: Entry) -> int:
     return len(entry.payload) + len(entry.key) + ENTRY_OVERHEAD_BYTES
-
-
-def _fingerprint(entry: Entry) -> int:
-    version = entry.version
-    return xxh3_64_intdigest(f"{entry.key}\0{version.counter}\0{version.instance}".encode())
--- a/pearwell/messages/gossip.py
+++ b/pearwell/messages/gossip.py
@@ -26,11 +26,13 @@
         key: Name, with the owning service as its first path element.
         version: Orders the values of this key.
         payload: The encoded value.
+        age_s: Seconds since it was written, while it is sent; 0 elsewhere.
     """
 
     key: str
     version: EntryVersion
     payload: bytes
+    age_s: int = 0
 
 
 @wire
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -136,3 +136,19 @@
     assert zone.network.bytes_sent["i0"] < 100_000
     zone.run(20.0)
     assert zone.versions("load/g/t1") == {2000}
+
+
+def test_reports_that_nobody_renews_are_forgotten_by_all_and_by_late_joiners():
+    zone = Zone(6)
+    zone.cores["i0"].put(entry("verdict/g/t1/i0"))
+    zone.cores["i0"].put(entry())
+    zone.run(290.0)
+    joiner = zone.start("i9")
+    zone.run(2.0)
+    assert joiner.get("verdict/g/t1/i0") is not None
+    zone.run(20.0)
+    assert zone.versions("verdict/g/t1/i0") == {None}
+    assert zone.versions("config/service/intake") == {1}
+    sent = dict(zone.network.bytes_sent)
+    zone.run(10.0)
+    assert max(zone.network.bytes_sent[name] - sent[name] for name in sent) < 1000
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -2,11 +2,12 @@
 
 import random
 
+import msgspec
 import pytest
 
 from pearwell.clock import ManualClock
 from pearwell.membership import Member, MemberState
-from pearwell.messages import Ping
+from pearwell.messages import MemberUpdates, Ping
 from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
 from pearwell.transport import MemoryNetwork
 
@@ -192,3 +193,19 @@
         zone.run(4.0)
         pings[count] = sum(isinstance(m, Ping) for m in seen) / count
     assert pings[10] == pings[80] == 4.0 / TICK_INTERVAL_S
+
+
+def test_two_instances_with_one_id_contradict_each_other_slowly():
+    zone = Zone(5)
+    zone.run(8.0)
+    seen = []
+    zone.network._delivery = lambda s, t, m: (seen.append(m), (0.001,))[1]
+    claim = msgspec.structs.replace(member(4), address="127.40.0.99")
+    for incarnation in range(1, 1000):
+        update = msgspec.structs.replace(claim, incarnation=incarnation)
+        zone.cores["i4"].handle("i0", MemberUpdates((update,)))
+        zone.run(0.002)
+    assert zone.cores["i4"].view.find("i4").address == "127.40.0.5"
+    told = [m for message in seen if isinstance(message, MemberUpdates) for m in message.members]
+    own = {m.incarnation for m in told if (m.instance, m.address) == ("i4", "127.40.0.5")}
+    assert len(own) <= 4
