--- a/pearwell/messages/gossip.py
+++ b/pearwell/messages/gossip.py
@@ -4,7 +4,7 @@
 
 from pearwell.messages.base import Message, wire
 
-__all__ = ["Digest", "Entry", "EntryVersion", "Held", "HoldersQuery", "Pull", "Push"]
+__all__ = ["Digest", "Entry", "EntryVersion", "Held", "HoldersQuery", "Offer", "Pull", "Push"]
 
 
 class EntryVersion(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -26,11 +26,13 @@
         key: Name, with the owning service as its first path element.
         version: Orders the values of this key.
         payload: The encoded value.
+        age_s: Seconds since it was written, while it is sent; 0 elsewhere.
     """
 
     key: str
     version: EntryVersion
     payload: bytes
+    age_s: int = 0
 
 
 @wire
@@ -40,6 +42,13 @@
     entries: tuple[Entry, ...]
 
 
+@wire
+class Offer(Message, frozen=True):
+    """Versions of large entries that may be news to the receiver, which pulls what it lacks."""
+
+    versions: tuple[tuple[str, EntryVersion], ...]
+
+
 @wire
 class Digest(Message, frozen=True):
     """Summary of the entries that the sender holds, finer with every round of a comparison.
--- a/pearwell/weights.py
+++ b/pearwell/weights.py
@@ -29,6 +29,8 @@
 PLAUSIBLE_DEVIATIONS = 3.0
 SLOW_START_STEPS = 4
 FEEDBACK_DELAY_S = 20.0
+# Mean open flows of a target at which half of an excess counts; below, it is mostly chance.
+CREDIBLE_FLOWS = 200.0
 SHED_DECREASE = 0.5
 SHED_RECOVERY = 0.02
 MIN_SHED_FACTOR = 0.2
@@ -222,9 +224,10 @@
         open_flows = sum(self._open_flows().values())
         dead_band = self._dead_band(open_flows)
         gain = self._stable_gain(open_flows)
+        credibility = self._credibility(open_flows)
         wanted = {}
         for name, target in self._targets.items():
-            excess = loads.get(name, 1.0) - 1.0
+            excess = (loads.get(name, 1.0) - 1.0) * credibility
             leave_band = dead_band * (0.5 if target.correcting else 1.0)
             target.correcting = abs(excess) > leave_band
             self._update_shedding(name, target)
@@ -244,6 +247,11 @@
         life_s = self._expected.flow_life(open_flows)
         return min(self._policy.gain, life_s / (2.0 * FEEDBACK_DELAY_S))
 
+    def _credibility(self, open_flows: float) -> float:
+        """Returns the share of an excess that counts, which grows with the number of flows."""
+        mean = open_flows / len(self._targets)
+        return mean / (mean + CREDIBLE_FLOWS)
+
     def _relative_loads(self) -> dict[str, float]:
         """Returns each target's load in units of the mean for its configured weight."""
         flows = _relative(self._open_flows(), self._targets)
