--- a/pearwell/replication.py
+++ b/pearwell/replication.py
@@ -7,7 +7,7 @@
 from pearwell.messages import Message
 from pearwell.messages.steering import ClearMark, Forget, Replicate, ReplicateAck
 from pearwell.placement import Generation
-from pearwell.record import FlowRecords, RecordFlag, flags_of
+from pearwell.record import SHARDS, FlowRecords, RecordFlag, flags_of
 from pearwell.transport import Transport
 
 __all__ = ["Replicator"]
@@ -50,6 +50,7 @@
         store: Takes the packed records of a sender; the flag tells whether they may replace
             others. Returns False if a target isn't known yet.
         mark: Takes a sender's proof that buckets are clear.
+        serves: Tells whether this instance decides for a shard; other records aren't repeated.
     """
 
     def __init__(
@@ -58,11 +59,13 @@
         clock: Clock,
         store: Callable[[bytes, bool], bool],
         mark: Callable[[ClearMark], bool],
+        serves: Callable[[int], bool],
     ) -> None:
         self._transport = transport
         self._clock = clock
         self._store = store
         self._mark = mark
+        self._serves = serves
         self._channels: dict[str, _Channel] = {}
         self._pending: dict[int, float] = {}
         self._forget_at = 0.0
@@ -123,6 +126,15 @@
         for batch in channel.unacknowledged.values():
             self._settle(batch)
 
+    def abandon(self) -> None:
+        """Stops to send what isn't acknowledged: this instance doesn't decide any more."""
+        for channel in self._channels.values():
+            for batch in channel.unacknowledged.values():
+                self._settle(batch)
+            channel.unacknowledged.clear()
+            channel.snapshot.clear()
+            channel.ended.clear()
+
     def handle(self, sender: str, message: Message) -> bool:
         """Handles a message; returns False if it is none of replication."""
         handler = self._handlers.get(type(message))
@@ -162,8 +174,16 @@
             batch.sent_at = now
             if batch.mark is not None:
                 self._transport.send(peer, batch.mark)
+            elif any(self._serves(flow_hash % SHARDS) for _, flow_hash in batch.flows):
+                self._repeat(peer, sequence, batch)
             else:
-                self._transport.send(peer, Replicate(sequence, _pack(batch.flows)))
+                self._settle(batch)
+                del channel.unacknowledged[sequence]
+
+    def _repeat(self, peer: str, sequence: int, batch: _Batch) -> None:
+        """Sends those records of a batch again that this instance still decides on."""
+        served = [flow for flow in batch.flows if self._serves(flow[1] % SHARDS)]
+        self._transport.send(peer, Replicate(sequence, _pack(served)))
 
     def _send_snapshot(self, peer: str, channel: _Channel) -> None:
         for _ in range(SNAPSHOT_BATCHES_PER_TICK):
--- a/pearwell/shard_state.py
+++ b/pearwell/shard_state.py
@@ -58,22 +58,33 @@
             self._by_tag[target_tag(name, target.name)] = group
 
     def store(self, records: bytes, replacing: bool) -> bool:
-        """Stores copies; returns False, with nothing stored, if a target isn't known yet."""
+        """Stores copies of other servers' records.
+
+        Records of shards that this instance serves are ignored: they are late.
+
+        Args:
+            records: Packed records.
+            replacing: Whether they may replace copies held here.
+
+        Returns:
+            False, with nothing stored, if a target isn't known yet.
+        """
         unpacked = [
             (self._by_tag.get(tag), flow, tag, flags) for flow, tag, flags in unpack(records)
         ]
         if any(group is None for group, _, _, _ in unpacked):
             return False
         for group, flow, tag, flags in unpacked:
-            if group is not None and (replacing or group.records.find(flow) is None):
+            if group is None or self._serves(flow):
+                continue
+            if replacing or group.records.find(flow) is None:
                 group.records.put(flow, group.records.intern(tag), flags)
         return True
 
     def forget(self, name: str, flow_hash: int) -> None:
         """Drops the copy of a flow that ended, unless this instance decides for it now."""
         group = self._groups.get(name)
-        serves = self._ownership is not None and self._ownership.serves(flow_hash % SHARDS)
-        if group is not None and not serves:
+        if group is not None and not self._serves(flow_hash):
             group.records.discard(flow_hash)
 
     def mark(self, message: ClearMark) -> bool:
@@ -131,3 +142,6 @@
             for bucket in group.moving_in(shard)
         )
         self._counts[SteeringCount.BUCKETS_ORPHANED] += split
+
+    def _serves(self, flow_hash: int) -> bool:
+        return self._ownership is not None and self._ownership.serves(flow_hash % SHARDS)
--- a/pearwell/steering.py
+++ b/pearwell/steering.py
@@ -70,7 +70,9 @@
         self._counts: Counter[SteeringCount] = Counter()
         self._groups = SteeredGroups(self._counts)
         self._ownership = Ownership(instance, transport, clock, view_lease_s, self._groups)
-        self._replicator = Replicator(transport, clock, self._groups.store, self._groups.mark)
+        self._replicator = Replicator(
+            transport, clock, self._groups.store, self._groups.mark, self._ownership.serves
+        )
         self._replicator.on_forget(self._groups.forget)
         self._groups.connect(self._ownership, self._replicator)
         self._owner = Owner(clock, self._ownership, self._replicator, self._invariants)
@@ -260,6 +262,7 @@
         self._lapsed_awake_s = 0.0
         self._starts_after = self._clock.now() + BACKLOG_S
         self._ownership.suspend()
+        self._replicator.abandon()
         for group in self._groups.all():
             group.table.close()
         self._lease.ask()
