--- a/pearwell/forwarding.py
+++ b/pearwell/forwarding.py
@@ -128,11 +128,11 @@
         Returns:
             Where to send it, or None if it is dropped or refused.
         """
-        flow_key = steady_flow(buffer, length)
-        if flow_key is not None:
-            table = self._tables.get(flow_key[4:8] + flow_key[10:])
+        keys = steady_flow(buffer, length)
+        if keys is not None:
+            table = self._tables.get(keys[1])
             if table is not None:
-                address = table.slots[xxh3_64_intdigest(flow_key, table.seed) & table.mask]
+                address = table.slots[xxh3_64_intdigest(keys[0], table.seed) & table.mask]
                 if address is not None:
                     lower_ttl(buffer)
                     self._forwarded += 1
--- a/pearwell/packet.py
+++ b/pearwell/packet.py
@@ -25,12 +25,17 @@
 Buffer = bytes | bytearray | memoryview
 
 _IPV4_HEADER_BYTES = 20
-_IPV4_TCP_HEADER_BYTES = 40
+# IP and UDP headers.
+_SHORTEST_PACKET_BYTES = 28
+_SHORTEST_IPV6_PACKET_BYTES = 48
 _IPV4_WITHOUT_OPTIONS = 0x45
 _IPV6_HEADER_BYTES = 40
 _IPV6_FRAGMENT_BYTES = 8
 _TCP_HEADER_BYTES = 20
 _UDP_HEADER_BYTES = 8
+_TCP_DATA_OFFSET = 12
+_TCP_FLAGS_OFFSET = 13
+_UDP_LENGTH_OFFSET = 4
 
 _TCP = 6
 _UDP = 17
@@ -43,8 +48,10 @@
 
 # Version and length, total length, fragment field, protocol, both addresses.
 _IPV4 = struct.Struct("!BxHxxHxBxx8s")
-# The fields that steady_flow checks, and addresses and ports in one piece.
-_IPV4_TCP = struct.Struct("!BxHxxHBBxx12s8xBB")
+# Total length, fragment field, TTL, protocol, addresses and ports in one piece.
+_PLAIN_IPV4 = struct.Struct("!2xHxxHBBxx12s")
+# Payload length, next header, hop limit, addresses and ports in one piece.
+_PLAIN_IPV6 = struct.Struct("!4xHBB36s")
 _TTL_TO_CHECKSUM = struct.Struct("!BBH")
 # Payload length, next header, both addresses.
 _IPV6 = struct.Struct("!4xHBx32s")
@@ -124,35 +131,50 @@
     raise PacketError(Code.PACKET_BAD_VERSION)
 
 
-def steady_flow(buffer: bytearray, length: int) -> bytes | None:
-    """Returns the flow key of a packet in the middle of a TCP flow over IPv4.
+def steady_flow(buffer: bytearray, length: int) -> tuple[bytes, bytes] | None:
+    """Returns the flow and service key of a packet that neither starts nor ends a flow.
 
-    This is the fast way for most packets; it accepts none that parse wouldn't accept with the
-    same flow key and no flow event, nor one whose TTL runs out.
+    This is the fast way for most packets: plain headers only. It accepts none that parse wouldn't
+    accept with the same keys and no start or end, nor one whose TTL runs out.
 
     Args:
         buffer: Starts with the packet.
         length: Bytes of the packet.
 
     Returns:
-        The flow key, or None for any other packet.
+        The keys as in ParsedPacket, or None for any other packet.
     """
-    if length < _IPV4_TCP_HEADER_BYTES:
+    if length < _SHORTEST_PACKET_BYTES:
         return None
-    version_ihl, total, fragment, ttl, protocol, key, data_offset, flags = _IPV4_TCP.unpack_from(
-        buffer
-    )
-    if (
-        version_ihl != _IPV4_WITHOUT_OPTIONS
-        or protocol != _TCP
-        or total != length
-        or fragment & _ANY_FRAGMENT_MASK
-        or flags & _LIFE_FLAGS
-        or ttl <= 1
-        or not _TCP_HEADER_BYTES <= (data_offset >> 4) * 4 <= length - _IPV4_HEADER_BYTES
-    ):
+    version = buffer[0]
+    if version == _IPV4_WITHOUT_OPTIONS:
+        total, fragment, ttl, protocol, key = _PLAIN_IPV4.unpack_from(buffer)
+        if total != length or fragment & _ANY_FRAGMENT_MASK or ttl <= 1:
+            return None
+        offset, address = _IPV4_HEADER_BYTES, key[4:8]
+    elif version >> 4 == 6 and length >= _SHORTEST_IPV6_PACKET_BYTES:
+        payload, protocol, ttl, key = _PLAIN_IPV6.unpack_from(buffer)
+        if payload + _IPV6_HEADER_BYTES != length or ttl <= 1:
+            return None
+        offset, address = _IPV6_HEADER_BYTES, key[16:32]
+    else:
+        return None
+    if protocol == _TCP:
+        if length < offset + _TCP_HEADER_BYTES:
+            return None
+        if buffer[offset + _TCP_FLAGS_OFFSET] & _LIFE_FLAGS:
+            return None
+        header = (buffer[offset + _TCP_DATA_OFFSET] >> 4) * 4
+        if not _TCP_HEADER_BYTES <= header <= length - offset:
+            return None
+    elif protocol == _UDP:
+        stated = buffer[offset + _UDP_LENGTH_OFFSET] << 8 | buffer[offset + _UDP_LENGTH_OFFSET + 1]
+        if not min(stated, length - offset) >= _UDP_HEADER_BYTES:
+            return None
+    else:
         return None
-    return key + b"\x06"
+    rest = _PROTOCOL_BYTES[protocol]
+    return key + rest, address + key[-2:] + rest
 
 
 def lower_ttl(packet: bytearray | memoryview) -> None:
--- a/pearwell/standins/caller.py
+++ b/pearwell/standins/caller.py
@@ -12,8 +12,10 @@
 
 __all__ = ["CallerCore", "CallerService", "FlowOutcome", "FlowPlan"]
 
-RETRANSMIT_S = 0.4
-MAX_TRIES = 12
+FIRST_RETRANSMIT_S = 0.4
+RETRANSMIT_FACTOR = 1.5
+MAX_RETRANSMIT_S = 2.0
+MAX_TRIES = 8
 FIRST_PORT = 10_000
 PORTS_PER_ADDRESS = 50_000
 
@@ -204,8 +206,9 @@
 
     def _transmit(self, flow: _Flow, now: float) -> None:
         assert flow.waiting is not None
+        pause = FIRST_RETRANSMIT_S * RETRANSMIT_FACTOR**flow.tries
         flow.tries += 1
-        self._set_timer(flow, now + RETRANSMIT_S)
+        self._set_timer(flow, now + min(pause, MAX_RETRANSMIT_S))
         self.send(flow.waiting.packet())
 
     def _end(self, flow: _Flow, outcome: FlowOutcome, reason: str = "") -> None:
--- a/tests/test_packet.py
+++ b/tests/test_packet.py
@@ -130,30 +130,48 @@
     assert buffer[7] == 63
 
 
+SHORT_TCP6 = _patched(tcp_packet(6)[:50], 4, b"\x00\x0a")
+
+
 @pytest.mark.parametrize(
     ("packet", "steady"),
     [
         (tcp_packet(flags=0x10, data=b"x"), True),
+        (tcp_packet(6, flags=0x10, data=b"x"), True),
+        (udp_packet(data=b"x"), True),
+        (udp_packet(6), True),
         (tcp_packet(flags=0x12), False),
         (tcp_packet(flags=0x11), False),
-        (tcp_packet(flags=0x14), False),
-        (tcp_packet(6, flags=0x10), False),
-        (udp_packet(), False),
+        (tcp_packet(6, flags=0x14), False),
+        (SHORT_TCP6, False),
+        (_fragment6(0), False),
+        (_patched(udp_packet(), 6, b"\x20\x00"), False),
         (_patched(tcp_packet(flags=0x10), 8, b"\x01"), False),
+        (_patched(tcp_packet(6, flags=0x10), 7, b"\x01"), False),
     ],
 )
 def test_steady_flow(packet, steady):
-    key = steady_flow(bytearray(packet), len(packet))
-    assert key == (parse(packet).flow_key if steady else None)
+    expected = parse(packet)[:2] if steady else None
+    assert steady_flow(bytearray(packet), len(packet)) == expected
+    assert steady_flow(bytearray(packet) + bytes(60), len(packet)) == expected
 
 
-@settings(derandomize=True, max_examples=1000)
-@given(st.lists(st.tuples(st.integers(0, 60), st.integers(0, 255)), max_size=3), st.integers(0, 20))
-def test_steady_flow_accepts_only_what_parse_accepts(changes, cut):
-    packet = bytearray(tcp_packet(flags=0x10, data=b"x" * 21))
+@settings(derandomize=True, max_examples=3000)
+@given(
+    st.sampled_from((tcp_packet, udp_packet)),
+    st.sampled_from((4, 6)),
+    st.lists(st.tuples(st.integers(0, 70), st.integers(0, 255)), max_size=3),
+    st.integers(0, 60),
+)
+def test_steady_flow_accepts_only_what_parse_accepts(build, version, changes, cut):
+    packet = bytearray(build(version, data=b"x" * 50))
+    if build is tcp_packet:
+        packet[-50 - 7] = 0x10
     for offset, value in changes:
         packet[offset] = value
-    length = len(packet) - cut
-    key = steady_flow(packet, length)
-    if key is not None:
-        assert parse(packet[:length])[::2] == (key, FlowEvent.NONE)
+    del packet[len(packet) - cut :]
+    keys = steady_flow(packet, len(packet))
+    if keys is not None:
+        parsed = parse(packet)
+        assert parsed[:2] == keys
+        assert parsed.event in (FlowEvent.NONE, FlowEvent.DATAGRAM)
