--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -62,6 +62,8 @@
 DRAIN_AT = 0.18
 ADD_AT = 0.25
 SETTLED_AT = 0.8
+# Time after which the platform takes a killed instance off its list.
+PLATFORM_NOTICES_S = 3.0
 # Time after which a leaving target takes no new flows.
 DRAIN_SETTLE_S = 2.0
 
@@ -199,6 +201,8 @@
         await self._wait_until(lambda: len(self._fabric.instances) == INSTANCES + 1, "entry-5")
         if _KILL.value:
             self._zone.kill_instance(1)
+            await asyncio.sleep(PLATFORM_NOTICES_S)
+            await InstanceList(self._platform, ZONE, self._rng).remove("entry-1")
             return
         status = await self._zone.stop_instance(1)
         if status:
