--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ARGS ?=
 BENCHES = packet steering control balance capacity configuration
 
-.PHONY: demo test check format generate $(addprefix bench-,$(BENCHES))
+.PHONY: demo test check format generate capacity-page $(addprefix bench-,$(BENCHES))
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -44,3 +44,8 @@
 	$(PY) -m bench.capacity $(ARGS)
 bench-configuration: $(VENV)/.ready
 	$(PY) -m bench.configuration $(ARGS)
+
+# Measures the slopes anew and works out docs/CAPACITY.md from them.
+capacity-page: $(VENV)/.ready
+	$(PY) -m bench.capacity $(ARGS) > docs/capacity-slopes.jsonl
+	$(PY) -m scripts.capacity
