--- a/pearwell/editor.py
+++ b/pearwell/editor.py
@@ -29,6 +29,9 @@
 # Attempts of a change that may start from any version.
 MAX_ATTEMPTS = 8
 MAX_PAGE_SIZE = 500
+# Time in which a change is made or given up: longer than one call with its retries, shorter than an
+# operator's client waits.
+WRITE_DEADLINE_S = 12.0
 # Longest pause before the second attempt, after a lost race or an old answer; it grows with each.
 RACE_PAUSE_S = 0.1
 
@@ -147,21 +150,11 @@
                 the same key tells.
         """
         _check_request(request)
-        for attempt in range(MAX_ATTEMPTS):
-            if attempt:
-                await asyncio.sleep(self._rng.uniform(0, RACE_PAUSE_S * attempt))
-            document = await self.read(request.kind, request.name)
-            earlier = find_entry(document.entries, request.key)
-            if earlier is not None:
-                return _repeat(request, document, earlier)
-            if _is_stale(request, document):
-                continue
-            _check_version(request, document)
-            changed = self._change(request, document, edit(document.spec))
-            stored = await self._try_write(request, document, changed)
-            if stored is not None:
-                return WriteOutcome(replace(changed, version=stored.version), stored.version)
-        raise ConflictError(Code.CONFIG_CONFLICT, f"{request.name} keeps changing")
+        try:
+            async with asyncio.timeout(WRITE_DEADLINE_S):
+                return await self._write(request, edit)
+        except TimeoutError as error:
+            raise PlatformError(Code.PLATFORM_TIMEOUT, "the change took too long") from error
 
     async def uses(self, holder: str, address: ServiceSpec) -> bool:
         """Returns whether a service uses the address, port and transport of another one."""
@@ -180,6 +173,23 @@
                 return False
         raise ConflictError(Code.CONFIG_CONFLICT, f"service {holder} keeps changing")
 
+    async def _write(self, request: WriteRequest, edit: Edit) -> WriteOutcome:
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(self._rng.uniform(0, RACE_PAUSE_S * attempt))
+            document = await self.read(request.kind, request.name)
+            earlier = find_entry(document.entries, request.key)
+            if earlier is not None:
+                return _repeat(request, document, earlier)
+            if _is_stale(request, document):
+                continue
+            _check_version(request, document)
+            changed = self._change(request, document, edit(document.spec))
+            stored = await self._try_write(request, document, changed)
+            if stored is not None:
+                return WriteOutcome(replace(changed, version=stored.version), stored.version)
+        raise ConflictError(Code.CONFIG_CONFLICT, f"{request.name} keeps changing")
+
     async def _try_write(
         self, request: WriteRequest, document: Document, changed: Document
     ) -> StoredObject | None:
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -8,14 +8,15 @@
 import pytest
 
 from pearwell import edits
+from pearwell.admin_client import DEFAULT_TIMEOUT_S
 from pearwell.audit import MAX_ENTRIES, Action, records
 from pearwell.claims import CLAIM_KIND
 from pearwell.configuration import Kind
 from pearwell.document import decode_document, encode_document
-from pearwell.editor import ConfigurationEditor, WriteRequest
+from pearwell.editor import WRITE_DEADLINE_S, ConfigurationEditor, WriteRequest
 from pearwell.errors import Code, PearwellError, PlatformError
 from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore
+from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore, RetryPolicy
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.validation import endpoint
 from tests.virtual_time import run
@@ -319,6 +320,29 @@
     assert run(scenario()) is Code.CONFIG_KEY_REUSED
 
 
+def test_each_inner_timeout_is_shorter_than_the_outer_one():
+    policy = RetryPolicy()
+    inner_to_outer = [
+        policy.attempt_timeout_s,
+        policy.deadline_s,
+        WRITE_DEADLINE_S,
+        DEFAULT_TIMEOUT_S,
+    ]
+    assert inner_to_outer == sorted(set(inner_to_outer))
+
+    async def scenario():
+        store = await prepared()
+        store.faults.delay_s = 1.4
+        store.faults.lose_requests = 3
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(PlatformError) as failed:
+            await attempt(store, "move-service", True, None)
+        return failed.value.code, asyncio.get_running_loop().time() - began
+
+    code, took = run(scenario())
+    assert (code, took) == (Code.PLATFORM_TIMEOUT, WRITE_DEADLINE_S)
+
+
 def test_the_audit_trail_is_bounded_and_gives_versions_before_and_after():
     async def scenario():
         store = await prepared()
