--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -34,9 +34,10 @@
 from pearwell.porcelain import Write
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.tls import TlsCredentials
+from tests.addresses import own_address
 from tests.certificates import Authority
 
-ADDRESS = "127.20.0.2"
+ADDRESS = own_address()
 PORT = 20900
 SERVER = f"{ADDRESS}:{PORT}"
 TARGETS = tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 3))
@@ -70,7 +71,7 @@
     with structlog.testing.capture_logs():
         await server.start()
         try:
-            async with AdminClient(["127.20.0.2:20901", SERVER]) as client:
+            async with AdminClient([f"{ADDRESS}:20901", SERVER]) as client:
                 yield store, client
         finally:
             await server.stop()
@@ -285,7 +286,7 @@
         ("nonsense", (), 2, "unknown command"),
         ("service get", (), 2, "service get intake"),
         ("service get s", ("--nonsense",), 2, "nonsense"),
-        ("service get s", ("--server=127.20.0.2:20901",), 7, "501 PEER_UNREACHABLE"),
+        ("service get s", (f"--server={ADDRESS}:20901",), 7, "501 PEER_UNREACHABLE"),
     ],
 )
 async def test_each_command_has_output_and_an_exit_status(words, options, status, text, capsys):
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -10,8 +10,9 @@
 from pearwell.object_store import MemoryObjectStore, WatchEventType
 from pearwell.platform_client import PlatformClient
 from pearwell.standins.platform import PlatformStandin
+from tests.addresses import own_address
 
-ADDRESS = "127.20.0.1"
+ADDRESS = own_address()
 PORT = 20800
 URL = f"http://{ADDRESS}:{PORT}"
 
