--- a/bench/control.py
+++ b/bench/control.py
@@ -13,6 +13,7 @@
 import tracemalloc
 from collections.abc import Sequence
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -41,6 +42,7 @@
 CHANGE_INTERVAL_S = 2.0
 IN_FORCE_LIMIT_S = 30.0
 START_BATCH = 20
+GRPC_START_BATCH = 4
 START_PAUSE_S = 0.25
 LATENCY_S = 0.0005
 
@@ -61,18 +63,20 @@
     async def run(self) -> dict[str, Any]:
         """Starts the zone, measures a quiet time and then the changes."""
         zone = self._zone
-        tracemalloc.start()
+        if not _GRPC.value:
+            tracemalloc.start()
         for number in range(_GROUPS.value):
             await self._configure(number)
         gc.collect()
-        memory = tracemalloc.get_traced_memory()[0]
-        for first in range(0, _INSTANCES.value, START_BATCH):
-            await zone.start(*range(first, min(first + START_BATCH, _INSTANCES.value)))
+        memory = _memory_bytes()
+        batch = GRPC_START_BATCH if _GRPC.value else START_BATCH
+        for first in range(0, _INSTANCES.value, batch):
+            await zone.start(*range(first, min(first + batch, _INSTANCES.value)))
             await asyncio.sleep(START_PAUSE_S)
         joined = await zone.until_joined()
         await zone.until(self._all_placed, 60.0)
         gc.collect()
-        memory = tracemalloc.get_traced_memory()[0] - memory
+        memory = _memory_bytes() - memory
         tracemalloc.stop()
         quiet = await self._measure(asyncio.sleep(_QUIET_S.value))
         delays: list[float] = []
@@ -163,6 +167,14 @@
     return usage.ru_utime + usage.ru_stime
 
 
+def _memory_bytes() -> int:
+    """Returns traced memory, or the resident set over gRPC, whose core isn't traced."""
+    if not _GRPC.value:
+        return tracemalloc.get_traced_memory()[0]
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
 def _quantile(values: list[float], share: float) -> float:
     ordered = sorted(values)
     return round(ordered[max(0, math.ceil(share * len(ordered)) - 1)], 4)
--- a/pearwell/swim.py
+++ b/pearwell/swim.py
@@ -27,6 +27,8 @@
 INDIRECT_TIMEOUT_S = 0.75
 INDIRECT_COUNT = 3
 PAUSE_S = 0.75
+LATE_TICK_S = 0.1
+MAX_STRAIN = 3
 JOIN_CONTACTS = 3
 JOIN_RETRY_S = 0.5
 ALONE_AFTER_S = 3.0
@@ -115,6 +117,7 @@
         self._reconnect_at = clock.now() + RECONNECT_INTERVAL_S * rng.random()
         self._ticked_at = clock.now()
         self._pauses = 0
+        self._strain = 0
         self._handlers: dict[type[Message], Callable[[str, Any], None]] = {
             Ping: self._on_ping,
             Ack: self._on_ack,
@@ -145,9 +148,9 @@
         return self._pauses
 
     @property
-    def message_types(self) -> tuple[type[Message], ...]:
-        """Types of messages that handle takes."""
-        return tuple(self._handlers)
+    def strain(self) -> int:
+        """How late this instance itself seems to be, from 0 to MAX_STRAIN."""
+        return self._strain
 
     def seed(self, members: Iterable[Member]) -> None:
         """Names instances that may be members, from the settings or the platform's list."""
@@ -176,8 +179,11 @@
     def tick(self) -> None:
         """Sends the next ping and acts on answers that are overdue."""
         now = self._clock.now()
-        paused = now - self._ticked_at > PAUSE_S
+        elapsed = now - self._ticked_at
+        paused = elapsed > PAUSE_S
         self._ticked_at = now
+        if elapsed > TICK_INTERVAL_S + LATE_TICK_S:
+            self._strain_by(1)
         if paused:
             self._resume(now)
         if not self._joined:
@@ -264,6 +270,8 @@
         if probe is None or probe.target != sender:
             return
         del self._probes[message.sequence]
+        if not probe.asked_others:
+            self._strain_by(-1)
         self._table.answered(sender)
         if message.view_checksum != self._table.view_checksum:
             self._exchange(sender)
@@ -286,14 +294,19 @@
 
     def _check_probes(self, now: float) -> None:
         for sequence, probe in list(self._probes.items()):
-            age = now - probe.sent_at
+            age = (now - probe.sent_at) / (1 + self._strain)
             if age >= INDIRECT_TIMEOUT_S:
                 del self._probes[sequence]
                 self._table.suspect(probe.target)
             elif age >= DIRECT_TIMEOUT_S and not probe.asked_others:
                 probe.asked_others = True
+                self._strain_by(1)
                 self._ask_others(sequence, probe.target)
 
+    def _strain_by(self, change: int) -> None:
+        """Adapts the timeouts: late answers are likely due to the own load if there are many."""
+        self._strain = min(MAX_STRAIN, max(0, self._strain + change))
+
     def _ask_others(self, sequence: int, target: str) -> None:
         known = (self._own_name, target)
         others = [m.instance for m in self.view.members if m.instance not in known]
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -209,3 +209,19 @@
     told = [m for message in seen if isinstance(message, MemberUpdates) for m in message.members]
     own = {m.incarnation for m in told if (m.instance, m.address) == ("i4", "127.40.0.5")}
     assert len(own) <= 4
+
+
+def test_an_instance_that_hears_late_adapts_its_timeouts_and_accuses_no_one():
+    zone = Zone(10)
+    zone.run(8.0)
+    zone.network._delivery = lambda s, t, m: (0.9,) if t == "i0" else (0.001,)
+    zone.run(5.0)
+    assert zone.cores["i0"].strain > 0
+    for views in zone.views.values():
+        views.clear()
+    zone.run(30.0)
+    seen = [m for views in zone.views.values() for view in views for m in view.members]
+    assert {m.instance for m in seen if m.state is not MemberState.ALIVE} <= {"i0"}
+    zone.network._delivery = lambda s, t, m: (0.001,)
+    zone.run(3.0)
+    assert zone.cores["i0"].strain == 0
