--- a/pearwell/peer_link.py
+++ b/pearwell/peer_link.py
@@ -29,6 +29,7 @@
     ("grpc.keepalive_time_ms", 10_000),
     ("grpc.keepalive_timeout_ms", 3_000),
     ("grpc.enable_retries", 0),
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.use_local_subchannel_pool", 1),
 )
 
--- a/pearwell/peers.py
+++ b/pearwell/peers.py
@@ -41,6 +41,7 @@
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.http2.bdp_probe", 0),
 )
 
 # Messages that an instance may send before it is a member.
