--- a/pearwell/configuration_service.py
+++ b/pearwell/configuration_service.py
@@ -116,18 +116,6 @@
         """Number of objects that weren't applied because they are invalid."""
         return self._rejected
 
-    def gauges(self) -> dict[str, float]:
-        """Returns what the metrics page shows of this service."""
-        versions = self._published.versions.values()
-        return {
-            "configuration_applied_version": max(versions, default=0),
-            "configuration_services": len(self._published.services),
-            "configuration_groups": len(self._published.groups),
-            "configuration_rejected": self._rejected,
-            "configuration_relay": self.is_relay,
-            "configuration_platform_reachable": self.platform_reachable,
-        }
-
     async def start(self, kernel: Kernel) -> None:
         """Applies what the zone's entries hold already, and starts."""
         await super().start(kernel)
