--- a/pearwell/ownership.py
+++ b/pearwell/ownership.py
@@ -2,11 +2,8 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import Protocol
 
-from xxhash import xxh3_64_intdigest
-
 from pearwell.clock import Clock
 from pearwell.membership import Member, MemberState, View
 from pearwell.messages import Message
@@ -18,6 +15,7 @@
     ShardState,
 )
 from pearwell.record import SHARDS
+from pearwell.shard_rank import outranks, rank_owners
 from pearwell.transport import Transport
 
 __all__ = ["Ownership", "ShardKeeper"]
@@ -27,8 +25,6 @@
 RETRY_S = 0.3
 LOSS_WINDOW_S = 5.0
 
-_RANKED = 3
-
 
 class ShardKeeper(Protocol):
     """Holds the state of shards that moves between owners."""
@@ -79,24 +75,6 @@
         self.granted = {s: grant for s, grant in self.granted.items() if grant[0] != instance}
 
 
-@lru_cache(maxsize=4096)
-def _scores(instance: str) -> tuple[int, ...]:
-    """Returns the rendezvous score of an instance for every shard."""
-    return tuple(xxh3_64_intdigest(f"{shard}\0{instance}".encode()) for shard in range(SHARDS))
-
-
-@lru_cache(maxsize=16)
-def _rank_owners(instances: tuple[str, ...]) -> tuple[tuple[str, ...], ...]:
-    """Ranks instances for every shard by rendezvous hash: primary, backup, and one more."""
-    scores = {name: _scores(name) for name in instances}
-    return tuple(
-        tuple(sorted(instances, key=lambda name: (scores[name][shard], name), reverse=True))[
-            :_RANKED
-        ]
-        for shard in range(SHARDS)
-    )
-
-
 class Ownership:
     """The roles of one instance for all shards.
 
@@ -185,7 +163,7 @@
         candidates = ranked or list(self._members)
         earlier = self._owners
         backups = {shard: self.backup(shard) for shard in self.served}
-        self._owners = _rank_owners(tuple(sorted(candidates)))
+        self._owners = rank_owners(tuple(sorted(candidates)))
         self._round += 1
         for shard in range(SHARDS):
             self._follow(shard, earlier[shard], dropped)
@@ -327,7 +305,7 @@
                     self._grant(sender, message.round, shard)
                 else:
                     serving.append(shard)
-            elif shard in self._pulls and self._outranks(sender, shard):
+            elif shard in self._pulls and outranks(sender, self._instance, shard):
                 continue
             elif self._claims.granted.get(shard) == (sender, message.round):
                 self._grant(sender, message.round, shard)
@@ -335,10 +313,6 @@
                 idle.append(shard)
         self._answer(sender, message.round, idle, serving)
 
-    def _outranks(self, other: str, shard: int) -> bool:
-        mine = (_scores(self._instance)[shard], self._instance)
-        return (_scores(other)[shard], other) > mine
-
     def _grant(self, to: str, number: int, shard: int) -> None:
         self._serving.discard(shard)
         self._claims.granted[shard] = (to, number)
