Keep reports within the bandwidth: gather them, two rings, rare repairs

Probers renew each verdict every 30 s, which at 1,000 targets in a zone is 100 reports a second. Configuration and placements go their way as before; a comparison that differs in reports only is answered every 3 s.

--- a/pearwell/gossip.py
+++ b/pearwell/gossip.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import reduce
+from operator import xor
 from typing import Any
 
 from pearwell.clock import Clock
@@ -25,10 +27,15 @@
 __all__ = ["URGENT_DOMAINS", "Gossip"]
 
 PUSH_CHUNK_BYTES = 32_768
-PUSH_BYTES_PER_S = 8_000
+PUSH_BYTES_PER_S = 12_000
 PUSH_BURST_BYTES = 64_000
+# With fewer tokens than this, reports are gathered and go along fewer rings.
+PUSH_RESERVE_BYTES = 48_000
+REPORT_RINGS = 2
 COMPARE_INTERVAL_S = 0.5
 STRANGER_INTERVAL_S = 5.0
+# Least time between two answers to comparisons that differ in reports only.
+REPORT_REPAIR_INTERVAL_S = 3.0
 ENTRY_OVERHEAD_BYTES = 16
 # Larger entries are offered first, so that each instance gets them only once.
 OFFER_FROM_BYTES = 1_024
@@ -78,11 +85,12 @@
         self._holders = Holders(instance, transport, clock, self._entries)
         self._peers: tuple[str, ...] = ()
         self._neighbours: tuple[str, ...] = ()
-        self._outbox: dict[str, Entry] = {}
+        self._outbox: dict[str, tuple[Entry, str]] = {}
         self._tokens = float(PUSH_BURST_BYTES)
         self._tokens_at = clock.now()
         self._compare_at = clock.now()
         self._stranger_at = clock.now() + STRANGER_INTERVAL_S * rng.random()
+        self._repaired_at = float("-inf")
         self._wanted: dict[str, _Wanted] = {}
         self._handlers: dict[type[Message], Callable[[str, Any], None]] = {
             Push: self._on_push,
@@ -140,7 +148,7 @@
 
     def compare(self, peer: str) -> None:
         """Starts to compare all entries with a peer."""
-        self._transport.send(peer, Digest(self._entries.checksum))
+        self._transport.send(peer, Digest(self._entries.checksum, urgent=self._urgent_checksum()))
 
     def handle(self, sender: str, message: Message) -> None:
         """Handles a message of a peer; types that aren't gossip's are ignored."""
@@ -175,10 +183,10 @@
         urgent = [e for e in entries if domain_of(e.key) in URGENT_DOMAINS]
         self._push_to_neighbours(urgent, without)
         others = [e for e in entries if domain_of(e.key) not in URGENT_DOMAINS]
-        if self._tokens > 0 and not self._outbox:
+        if self._tokens > PUSH_RESERVE_BYTES and not self._outbox:
             self._push_to_neighbours(others, without)
         else:
-            self._outbox.update((entry.key, entry) for entry in others)
+            self._outbox.update((entry.key, (entry, without)) for entry in others)
         self._holders.adopted(entries)
 
     def _push_to_neighbours(self, entries: list[Entry], without: str) -> None:
@@ -189,15 +197,19 @@
                 self._tokens -= self._push(peer, small) + self._offer(peer, large)
 
     def _flush(self) -> None:
+        """Pushes gathered reports, as far as the budget goes."""
         self._refill()
-        room = self._tokens / max(1, len(self._neighbours))
-        batch: list[Entry] = []
+        neighbours = self._neighbours[:REPORT_RINGS]
+        room = self._tokens / max(1, len(neighbours))
+        batch: list[tuple[Entry, str]] = []
         while self._outbox and room > 0:
-            entry = self._outbox.pop(next(iter(self._outbox)))
+            entry, sender = self._outbox.pop(next(iter(self._outbox)))
             if self._entries.get(entry.key) is not None:
                 room -= _size_of(entry)
-                batch.append(entry)
-        self._push_to_neighbours(batch, without="")
+                batch.append((entry, sender))
+        for peer in neighbours:
+            news = [entry for entry, sender in batch if sender != peer]
+            self._tokens -= self._push(peer, news)
 
     def _refill(self) -> None:
         now = self._clock.now()
@@ -271,10 +283,20 @@
             self._reconcile(sender, message)
         elif message.shards:
             self._transport.send(sender, self._list_versions(message))
-        else:
+        elif message.urgent != self._urgent_checksum() or self._may_repair_reports():
             answer = Digest(self._entries.checksum, shards=self._entries.shards)
             self._transport.send(sender, answer)
 
+    def _urgent_checksum(self) -> int:
+        return reduce(xor, (self._entries.domain_checksum(name) for name in URGENT_DOMAINS))
+
+    def _may_repair_reports(self) -> bool:
+        now = self._clock.now()
+        if now - self._repaired_at < REPORT_REPAIR_INTERVAL_S:
+            return False
+        self._repaired_at = now
+        return True
+
     def _list_versions(self, message: Digest) -> Digest:
         pairs = zip(self._entries.shards, message.shards, strict=False)
         listed = tuple(index for index, (own, other) in enumerate(pairs) if own != other)
--- a/pearwell/messages/gossip.py
+++ b/pearwell/messages/gossip.py
@@ -58,12 +58,14 @@
         versions: Versions by key in the listed shards; the receiver answers with Push and Pull.
         shards: Checksum of each shard of the key space; empty in the first round.
         listed: Indices of the shards whose versions are given; empty before the last round.
+        urgent: Hash over the entries that mustn't be late, in the first round.
     """
 
     checksum: int
     versions: tuple[tuple[str, EntryVersion], ...] = ()
     shards: tuple[int, ...] = ()
     listed: tuple[int, ...] = ()
+    urgent: int = 0
 
 
 @wire
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -152,3 +152,22 @@
     sent = dict(zone.network.bytes_sent)
     zone.run(10.0)
     assert max(zone.network.bytes_sent[name] - sent[name] for name in sent) < 1000
+
+
+def test_many_reports_stay_within_the_bandwidth_and_delay_no_configuration():
+    zone, rng = Zone(30), random.Random(1)
+    zone.run(2.0)
+    before, began = dict(zone.network.bytes_sent), zone.clock.now()
+    for counter in range(1, 1001):
+        writer, target = f"i{rng.randrange(30)}", rng.randrange(100)
+        report = entry(f"verdict/g/t{target}/{writer}", counter, writer, b"x" * 20)
+        zone.cores[writer].put(report)
+        zone.run(0.01)
+    seconds = zone.clock.now() - began
+    rates = [(zone.network.bytes_sent[name] - before[name]) / seconds for name in before]
+    assert max(rates) < 25_000
+    zone.cores["i0"].put(entry())
+    zone.run(0.05)
+    assert zone.versions("config/service/intake") == {1}
+    zone.run(10.0)
+    assert len({core.checksum("verdict") for core in zone.cores.values()}) == 1
