Make no platform calls for groups without targets in the zone

A zone without a target of a group looked for its placement in the platform ten times a second: 199 reads in 20 s in a region of two zones as processes (trial). It now waits until the group has a target in the zone. The new test fails without the change.

--- a/pearwell/placement_service.py
+++ b/pearwell/placement_service.py
@@ -250,9 +250,11 @@
 
     def _advance(self, group: str) -> None:
         planner = self._planner(group)
-        self._want(planner, self._configuration.groups[group])
+        wanted = self._want(planner, self._configuration.groups[group])
         if planner.placement is None:
-            self._begin(group, self._find_first(group, planner))
+            # Without a target there is nothing to place, and so nothing to look for.
+            if wanted:
+                self._begin(group, self._find_first(group, planner))
             return
         following = planner.next(self._is_acknowledged(planner.placement))
         if following is not None:
@@ -260,12 +262,14 @@
         elif group in self._unsaved and self._store.reachable:
             self._begin(group, self._save_again(group, planner.placement))
 
-    def _want(self, planner: GroupPlanner, group: GroupSpec) -> None:
+    def _want(self, planner: GroupPlanner, group: GroupSpec) -> bool:
+        """Tells the planner the wanted targets; returns whether there are any."""
         states = self._states_of(group)
         taking = self._spill(group).choose(group, states)
         weights = self._weights.get(group.name, {})
         targets = placed_targets(group, self._zone, taking, states, weights)
         planner.want(targets, group.seed, self._pace(group.name))
+        return bool(targets)
 
     def _states_of(self, group: GroupSpec) -> dict[str, TargetState]:
         """Returns what is known of the targets; one whose drain deadline is over counts as dead."""
--- a/tests/test_placement_service.py
+++ b/tests/test_placement_service.py
@@ -87,6 +87,27 @@
     run(join_target())
 
 
+async def place_nothing():
+    zone = ControlZone(asyncio.get_running_loop(), 1)
+    await zone.start(*range(4))
+    await zone.until_joined()
+    elsewhere = GroupSpec("g", (TargetSpec("t1", "10.0.0.1", "pnw-b"),))
+    await configure(zone, elsewhere)
+    await asyncio.sleep(5.0)
+    before = zone.platform.calls.get("get", 0)
+    await asyncio.sleep(10.0)
+    assert zone.platform.calls.get("get", 0) - before <= 1
+    assert placements(zone) == {None}
+    await configure(zone, group("t1", "t2"))
+    took = await zone.until(agreed(zone, lambda p: names(p, p.current) == {"t1", "t2"}))
+    assert took < 3.0
+    await zone.stop()
+
+
+def test_a_group_without_targets_in_the_zone_makes_no_calls_until_it_has_some():
+    run(place_nothing())
+
+
 async def leave_target():
     zone = await started()
     await configure(zone, group("t1", "t2", leaving=["t2"]))
