--- a/pearwell/peer_link.py
+++ b/pearwell/peer_link.py
@@ -71,6 +71,7 @@
         self._wake = asyncio.Event()
         self._used_at = clock.now()
         self._batches = 0
+        self._writing = False
         self._task = asyncio.ensure_future(self._run())
 
     @property
@@ -105,9 +106,9 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def flush(self, timeout_s: float) -> None:
-        """Waits until no message is queued, at most for a number of seconds."""
+        """Waits until every message is written, at most for a number of seconds."""
         deadline = self._clock.now() + timeout_s
-        while self._queue and self._clock.now() < deadline:
+        while (self._queue or self._writing) and self._clock.now() < deadline:
             await asyncio.sleep(BATCH_DELAY_S)
 
     async def _run(self) -> None:
@@ -117,7 +118,8 @@
             batches = self._batches
             try:
                 await self._deliver()
-            except (grpc.RpcError, TimeoutError, asyncio.InvalidStateError) as error:
+            except Exception as error:
+                # Whatever ends a stream, the link has to go on.
                 self._give_up(error)
             if self._batches > batches:
                 backoff = FIRST_BACKOFF_S
@@ -132,9 +134,11 @@
             while not call.done():
                 await self._wake.wait()
                 await asyncio.sleep(BATCH_DELAY_S)
+                self._writing = True
                 batch = peer_pb2.Batch(sender=self._sender, messages=self._take())
                 async with asyncio.timeout(WRITE_TIMEOUT_S):
                     await call.write(batch)
+                self._writing = False
                 self._batches += 1
 
     def _channel(self) -> grpc.aio.Channel:
@@ -160,6 +164,7 @@
         return batch
 
     def _give_up(self, error: Exception) -> None:
+        self._writing = False
         lost = len(self._queue)
         self._queue.clear()
         self._queue_bytes = 0
--- a/pearwell/peers.py
+++ b/pearwell/peers.py
@@ -1,5 +1,6 @@
 """Peers: carries messages between the instances of a zone over gRPC."""
 
+import asyncio
 import random
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -123,11 +124,10 @@
     async def stop(self) -> None:
         """Sends what is queued, closes all links and stops listening."""
         await super().stop()
-        for link in self._links.values():
-            await link.flush(STOP_FLUSH_S)
-        for link in self._links.values():
-            await link.close()
+        links = list(self._links.values())
         self._links.clear()
+        await asyncio.gather(*(link.flush(STOP_FLUSH_S) for link in links))
+        await asyncio.gather(*(link.close() for link in links))
         if self._server is not None:
             await self._server.stop(STOP_GRACE_S)
             self._server = None
