Ask for newer placements four times in a lease, not with each tick

Cause: each tick of the packet path, ten a second, asked a peer for newer placements: 469 of 1,200 messages in 40 s of an idle zone of six, and as many answers.

--- a/pearwell/lease.py
+++ b/pearwell/lease.py
@@ -16,6 +16,8 @@
 VIEW_LEASE_S = 1.0
 # Peers that are asked at once after a lapse.
 URGENT_PEERS = 3
+# Share of the lease after which a peer is asked again, so that a few answers may be lost.
+ASK_SHARE = 0.25
 
 _NEVER = float("-inf")
 
@@ -23,8 +25,8 @@
 class ViewLease:
     """Holds while membership hears the zone and a peer confirms the placements.
 
-    Membership alone doesn't tell that no placement was missed, so a random peer is asked with
-    each tick whether it knows a higher generation.
+    Membership alone doesn't tell that no placement was missed, so a random peer is asked a few
+    times in each lease whether it knows a higher generation.
 
     Args:
         transport: Carries messages to other instances.
@@ -54,6 +56,7 @@
         self._heard_at = _NEVER
         self._confirmed_at = _NEVER
         self._number = 0
+        self._queried_at = _NEVER
         self._asked_at: dict[int, float] = {}
         self._missing: dict[str, Generation] = {}
         self._missing_at = _NEVER
@@ -79,10 +82,11 @@
             self._query(peer)
 
     def tick(self) -> None:
-        """Asks one peer, or a few while the lease doesn't hold."""
+        """Asks one peer when it is time to, or a few while the lease doesn't hold."""
+        due = self._clock.now() - self._queried_at >= self._lease_s * ASK_SHARE
         if not self.valid:
             self.ask()
-        elif self._peers:
+        elif self._peers and due:
             self._query(self._rng.choice(self._peers))
 
     def check_caught_up(self) -> None:
@@ -105,6 +109,7 @@
         now = self._clock.now()
         self._asked_at = {n: at for n, at in self._asked_at.items() if now - at < self._lease_s}
         self._number += 1
+        self._queried_at = now
         self._asked_at[self._number] = now
         self._transport.send(peer, PlacementQuery(self._number, _checksum(self._generations())))
 
