--- a/pearwell/cli/load.py
+++ b/pearwell/cli/load.py
@@ -122,10 +122,12 @@
         f"flows={report.flows} broken={report.broken} "
         f"lost_with_targets={report.broken_by_target_loss} misrouted={report.misrouted} "
         f"duplicated={report.duplicated} refused={report.refused} "
+        f"violations={report.invariant_violations} "
         f"imbalance={report.imbalance:.3f} report={_REPORT.value}"
     )
     unexpected = report.broken - report.broken_by_target_loss
-    return EXIT_BROKEN if unexpected or report.misrouted or report.duplicated else 0
+    faults = (unexpected, report.misrouted, report.duplicated, report.invariant_violations)
+    return EXIT_BROKEN if any(faults) else 0
 
 
 def _plot(arguments: Sequence[str]) -> int:
--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
+import aiohttp
 import structlog
 from hdrh.histogram import HdrHistogram
 
@@ -13,7 +14,7 @@
 from pearwell.errors import PearwellError
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.instance_list import InstanceList
-from pearwell.load.fleet import HEALTH_PORT, Fleet
+from pearwell.load.fleet import HEALTH_PORT, Fleet, ProcessUsage
 from pearwell.load.fleet_events import FleetEvents
 from pearwell.load.profile import Profile, ServiceProfile
 from pearwell.load.report import EventReport, InstanceReport, Report, Sample
@@ -33,6 +34,7 @@
 FINISH_TIMEOUT_S = 30.0
 READY_TIMEOUT_S = 60.0
 POLL_S = 0.1
+METRICS_TIMEOUT_S = 0.5
 IN_FORCE_WAIT_S = 10.0
 SERVICE_NETWORK = "198.51.100"
 SERVICE_PORT = 443
@@ -76,6 +78,20 @@
     last_at: float = 0.0
     last_cpu_s: float = 0.0
     memory_bytes: int = 0
+    first_bytes: float = -1.0
+    last_bytes: float = 0.0
+    violations: float = 0.0
+
+    def note(self, now: float, usage: ProcessUsage, metrics: Mapping[str, float]) -> None:
+        """Takes a later reading."""
+        sent = metrics.get("pearwell_peer_bytes_sent_total", 0.0)
+        if self.first_bytes < 0:
+            self.first_bytes = sent
+        self.last_at = now
+        self.last_cpu_s = usage.cpu_s
+        self.memory_bytes = usage.memory_bytes
+        self.last_bytes = sent
+        self.violations = metrics.get("pearwell_invariant_violations_total", 0.0)
 
 
 @dataclass(slots=True)
@@ -245,7 +261,7 @@
             sample = await self._sample((requests - before) / SAMPLE_INTERVAL_S)
             before = requests
             self._report.samples.append(sample)
-            self._note_usage()
+            await self._note_usage()
             self._show(_progress_line(sample, sum(sample.open_flows.values())))
 
     async def _sample(self, requests_per_s: float) -> Sample:
@@ -277,17 +293,17 @@
                 worst = max(worst, max(counts) * len(counts) / sum(counts))
         return worst
 
-    def _note_usage(self) -> None:
-        now = time.monotonic()
+    async def _note_usage(self) -> None:
         for name in list(self._fleet.instances):
             try:
                 usage = self._fleet.usage(name)
-            except LookupError:
+                async with asyncio.timeout(METRICS_TIMEOUT_S):
+                    metrics = await self._fleet.metrics(name)
+            except (LookupError, OSError, TimeoutError, aiohttp.ClientError):
                 continue
+            now = time.monotonic()
             seen = self._progress.usage.setdefault(name, _Usage(now, usage.cpu_s))
-            seen.last_at = now
-            seen.last_cpu_s = usage.cpu_s
-            seen.memory_bytes = usage.memory_bytes
+            seen.note(now, usage, metrics)
 
     async def _finish(self) -> None:
         """Lets the flows end after their current request."""
@@ -312,6 +328,9 @@
         samples = [s.imbalance for s in report.samples if s.at_s >= self._plan.ramp_s]
         report.imbalance = sum(samples) / len(samples) if samples else 1.0
         report.instances = [_usage_report(name, use) for name, use in self._progress.usage.items()]
+        report.invariant_violations = round(
+            sum(use.violations for use in self._progress.usage.values())
+        )
         await self._read_ledgers()
 
     async def _read_ledgers(self) -> None:
@@ -334,4 +353,5 @@
 def _usage_report(name: str, usage: _Usage) -> InstanceReport:
     seconds = max(usage.last_at - usage.first_at, SAMPLE_INTERVAL_S)
     share = (usage.last_cpu_s - usage.first_cpu_s) / seconds
-    return InstanceReport(name, share, usage.memory_bytes, 0.0)
+    sent = (usage.last_bytes - max(usage.first_bytes, 0.0)) / seconds
+    return InstanceReport(name, share, usage.memory_bytes, sent)
--- a/pearwell/load/fleet.py
+++ b/pearwell/load/fleet.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from pearwell.standins.target import Ledger, LoadReport, TargetConfig, TargetMode
-from pearwell.standins.zone import ZoneProcesses, read_ledger, read_load
+from pearwell.standins.zone import METRICS_PORT, ZoneProcesses, read_ledger, read_load
 
 __all__ = ["Fleet", "ProcessUsage"]
 
@@ -111,6 +111,20 @@
         peak = next((line for line in status.splitlines() if line.startswith("VmHWM")), "0 0")
         return ProcessUsage(ticks / os.sysconf("SC_CLK_TCK"), int(peak.split()[1]) * 1024)
 
+    async def metrics(self, name: str) -> dict[str, float]:
+        """Returns the samples of an instance's metrics page, summed over their labels."""
+        address = self.processes.instance_address(self.instances[name])
+        url = f"http://{address}:{METRICS_PORT}/metrics"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            lines = (await answer.text()).splitlines()
+        totals: dict[str, float] = {}
+        for line in lines:
+            if line and not line.startswith("#"):
+                sample, value = line.rsplit(" ", 1)
+                metric = sample.partition("{")[0]
+                totals[metric] = totals.get(metric, 0.0) + float(value)
+        return totals
+
     async def set_faults(self, **switches: Any) -> None:
         """Sets fault switches of the platform stand-in."""
         url = f"{self.processes.platform_url}/standin/faults"
--- a/pearwell/load/report.py
+++ b/pearwell/load/report.py
@@ -81,6 +81,7 @@
         misrouted: Packets that reached a target of another service or a second target.
         duplicated: Requests that ran twice.
         refused: Flows refused.
+        invariant_violations: Violations that the instances counted.
         requests: Requests answered.
         latency_ms: Latency of requests by percentile, in milliseconds.
         imbalance: Mean over time of the samples' imbalance.
@@ -99,6 +100,7 @@
     misrouted: int = 0
     duplicated: int = 0
     refused: int = 0
+    invariant_violations: int = 0
     requests: int = 0
     latency_ms: dict[str, float] = field(default_factory=dict)
     imbalance: float = 0.0
