Give each test process its own loopback addresses

Cause: test_sigterm_stops_cleanly failed once, 1 of 1117, while other test runs on this machine used the same fixed address. Ruled out: the daemon; alone it passed three times. Every test on real sockets now derives its addresses from its process id; no check changed.

--- a/tests/addresses.py
+++ b/tests/addresses.py
@@ -2,7 +2,9 @@
 
 import os
 
+FIRST_OCTET = 20
 
-def own_address():
-    """Returns an address of this process alone, so that test runs side by side don't clash."""
-    return f"127.20.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
+
+def own_address(number=0):
+    """Returns one of the addresses of this process alone, so that test runs don't clash."""
+    return f"127.{FIRST_OCTET + number}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -21,13 +21,14 @@
 from pearwell.standins.fabric import Fabric
 from pearwell.standins.platform import PlatformStandin
 from pearwell.standins.target import TargetConfig, TargetCore
+from tests.addresses import own_address
 from tests.test_entry import SETTINGS
 
-PLATFORM = ("127.10.8.100", 20205)
-RETURN = ("127.10.8.99", 20206)
+PLATFORM = (own_address(), 20205)
+RETURN = (own_address(1), 20206)
 TARGET_PORT = 20207
-INSTANCES = ("127.10.8.1", "127.10.8.2")
-TARGETS = {"one": "127.10.8.11", "two": "127.10.8.12"}
+INSTANCES = (own_address(2), own_address(3))
+TARGETS = {"one": own_address(4), "two": own_address(5)}
 INTAKE = CallerService("intake", "198.51.100.10", 443, "203.0.113.5")
 FLOWS = 40
 REQUESTS = 3
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,9 +7,10 @@
 
 from pearwell.daemon import Daemon
 from pearwell.settings import Settings
+from tests.addresses import own_address
 from tests.test_entry import SETTINGS
 
-ADDRESS = "127.10.9.21"
+ADDRESS = own_address()
 
 
 async def test_the_page_shows_every_part_of_the_daemon():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,7 @@
 from pearwell.tls import TlsCredentials
 from pearwell.v1 import peer_pb2, peer_pb2_grpc
 from tests.certificates import Authority
-from tests.zone_processes import Instance, settings_of, until
+from tests.zone_processes import NETWORK, Instance, settings_of, until
 
 ENTRY = Entry("config/service/intake", EntryVersion(3), b"payload")
 
@@ -91,7 +91,7 @@
 async def test_messages_of_strangers_and_malformed_ones_are_dropped(payload, code):
     (instance,) = await start(1, octet=3)
     try:
-        await deliver("127.40.3.1:20502", "stranger", payload)
+        await deliver(f"{NETWORK}.3.1:20502", "stranger", payload)
         assert instance.peers.dropped[code] == 1
         assert instance.gossip.gossip.get(ENTRY.key) is None
     finally:
@@ -103,7 +103,7 @@
     try:
         instance.peers.send("nobody", Ping(1))
         assert instance.peers.dropped[Code.PEER_UNKNOWN] == 1
-        instance.peers.introduce(Member("i9", "127.40.4.9", 1, 20599))
+        instance.peers.introduce(Member("i9", f"{NETWORK}.4.9", 1, 20599))
         for number in range(600):
             instance.peers.send("i9", Ping(number))
         assert instance.peers.dropped[Code.PEER_QUEUE_FULL] == 600 - 512
@@ -128,7 +128,7 @@
     try:
         await until(lambda: all(len(i.members) == 2 for i in instances))
         target = instances[0]
-        endpoint, ping = "127.40.6.1:20502", encode(Push((ENTRY,)))
+        endpoint, ping = f"{NETWORK}.6.1:20502", encode(Push((ENTRY,)))
         foreign = TlsCredentials(other.issue("i2"))
         assert await deliver(endpoint, "i2", ping) is grpc.StatusCode.UNAVAILABLE
         status = await deliver(endpoint, "i2", ping, credentials=foreign.channel(), name="i1")
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -12,8 +12,9 @@
 from pearwell.load_report import LoadReport
 from pearwell.probe import fetch_load, probe_health
 from pearwell.probe_history import Outcome
+from tests.addresses import own_address
 
-ADDRESS = "127.50.0.1"
+ADDRESS = own_address()
 CHECK = HealthCheck(port=21080, timeout_s=0.2)
 TARGET = TargetSpec("t", ADDRESS, "z", port=21081)
 
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -15,6 +15,7 @@
 from pearwell.messages.targets import LoadReported
 from pearwell.placement import TargetState
 from pearwell.prober import Prober
+from tests.addresses import own_address
 
 PORT = 21180
 CHECK = HealthCheck(port=PORT, interval_s=0.05, timeout_s=1.0, failures=2, successes=2)
@@ -74,7 +75,7 @@
 @pytest.mark.parametrize("code", [503, 200])
 async def test_prober_judges_and_reports_targets(code):
     statuses = [{"code": 200} for _ in range(3)]
-    addresses = [f"127.50.1.{i + 1}" for i in range(3)]
+    addresses = [own_address(i) for i in range(3)]
     runners = [await serve(a, s) for a, s in zip(addresses, statuses, strict=True)]
     targets = tuple(TargetSpec(f"t{i}", a, "a") for i, a in enumerate(addresses))
     kernel = Kernel()
--- a/tests/zone_processes.py
+++ b/tests/zone_processes.py
@@ -1,6 +1,7 @@
 """Instances with real gRPC between them, all in the test's process."""
 
 import asyncio
+import os
 import random
 
 from pearwell.clock import MonotonicClock
@@ -12,6 +13,9 @@
 from pearwell.settings import Endpoint, PeerSettings, Settings
 from pearwell.tls import load_tls
 
+# A network of this process alone, so that test runs side by side do not clash.
+NETWORK = f"127.{60 + os.getpid() % 180}"
+
 PORTS = {
     "fabric_port": 20500,
     "peer_port": 20501,
@@ -26,7 +30,7 @@
     peers = tuple(
         PeerSettings(
             instance=f"i{seed}",
-            address=f"127.40.{octet}.{seed}",
+            address=f"{NETWORK}.{octet}.{seed}",
             peer_port=PORTS["peer_port"],
             control_port=PORTS["control_port"],
         )
@@ -36,8 +40,8 @@
         instance=f"i{number}",
         region="pnw",
         zone="pnw-a",
-        address=f"127.40.{octet}.{number}",
-        platform=Endpoint(address=f"127.40.{octet}.250", port=20510),
+        address=f"{NETWORK}.{octet}.{number}",
+        platform=Endpoint(address=f"{NETWORK}.{octet}.250", port=20510),
         peers=peers,
         tls=tls,
         plaintext=tls is None,
