--- a/pearwell/bucket.py
+++ b/pearwell/bucket.py
@@ -4,7 +4,15 @@
 
 from pearwell.placement import Placement
 
-__all__ = ["TRANSITIONS", "BucketEvent", "BucketState", "moving_buckets", "reachable", "state_of"]
+__all__ = [
+    "TRANSITIONS",
+    "BucketEvent",
+    "BucketState",
+    "classify",
+    "moving_buckets",
+    "reachable",
+    "state_of",
+]
 
 
 class BucketState(IntEnum):
@@ -44,12 +52,20 @@
 }
 
 
+def classify(base: int, current: int, upcoming: int, returned: bool) -> BucketState:
+    """Returns the state of a bucket with these targets."""
+    split = base != current or returned
+    return BucketState((upcoming != current) | split << 1)
+
+
 def state_of(placement: Placement, bucket: int) -> BucketState:
     """Returns the state of a bucket."""
-    current = placement.current[bucket]
-    split = placement.base[bucket] != current or bucket in placement.returned
-    prepared = placement.upcoming[bucket] != current
-    return BucketState(prepared | split << 1)
+    return classify(
+        placement.base[bucket],
+        placement.current[bucket],
+        placement.upcoming[bucket],
+        bucket in placement.returned,
+    )
 
 
 def moving_buckets(placement: Placement) -> frozenset[int]:
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -141,7 +141,7 @@
         copies = len(placement.base) // max(len(before.base), 1)
         spread = {b + len(before.base) * copy for b in moved for copy in range(copies)}
         self.table.update(placement)
-        self._invariants.check_step(before, placement, moved | self.table.moving)
+        self._invariants.check_step(before, placement)
         self._refresh()
         self._forget_settled(spread - self.table.moving, frozenset(served))
         self._forget_changed(before)
