--- a/pearwell/shard_state.py
+++ b/pearwell/shard_state.py
@@ -75,10 +75,8 @@
         if any(group is None for group, _, _, _ in unpacked):
             return False
         for group, flow, tag, flags in unpacked:
-            if group is None or self._serves(flow):
-                continue
-            if replacing or group.records.find(flow) is None:
-                group.records.put(flow, group.records.intern(tag), flags)
+            if group is not None and not self._serves(flow):
+                group.store_copy(flow, tag, flags, replacing)
         return True
 
     def forget(self, name: str, flow_hash: int) -> None:
--- a/pearwell/steered_group.py
+++ b/pearwell/steered_group.py
@@ -197,6 +197,20 @@
                 known = self.moving_since.get(bucket, now)
                 self.moving_since[bucket] = min(known, now - age)
 
+    def store_copy(self, flow_hash: int, tag: int, flags: int, replacing: bool) -> None:
+        """Stores a server's record as its backup.
+
+        A late message replaces nothing, and adds no flow that a proof excludes. A new one ends a
+        proof that it contradicts: the server dropped that in a lapse.
+        """
+        bucket = flow_hash & self.table.mask
+        contradicts = bucket in self.cleared and self.current_tag(bucket) != tag
+        if not replacing and (contradicts or self.records.find(flow_hash) is not None):
+            return
+        if contradicts:
+            del self.cleared[bucket]
+        self.records.put(flow_hash, self.records.intern(tag), flags)
+
     def mark_cleared(self, proofs: Iterable[tuple[int, int]], generation: Generation) -> None:
         """Notes buckets proven clear.
 
