--- /dev/null
+++ b/tests/addresses.py
@@ -0,0 +1,10 @@
+"""Loopback addresses for tests on real sockets."""
+
+import os
+
+FIRST_OCTET = 20
+
+
+def own_address(number=0):
+    """Returns one of the addresses of this process alone, so that test runs don't clash."""
+    return f"127.{FIRST_OCTET + number}.{os.getpid() >> 8 & 255}.{os.getpid() & 255}"
--- a/tests/test_editor.py
+++ b/tests/test_editor.py
@@ -8,14 +8,15 @@
 import pytest
 
 from pearwell import edits
+from pearwell.admin_client import DEFAULT_TIMEOUT_S
 from pearwell.audit import MAX_ENTRIES, Action, records
 from pearwell.claims import CLAIM_KIND
 from pearwell.configuration import Kind
 from pearwell.document import decode_document, encode_document
-from pearwell.editor import ConfigurationEditor, WriteRequest
+from pearwell.editor import WRITE_DEADLINE_S, ConfigurationEditor, WriteRequest
 from pearwell.errors import Code, PearwellError, PlatformError
 from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore
+from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore, RetryPolicy
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.validation import endpoint
 from tests.virtual_time import run
@@ -43,6 +44,15 @@
     "put": (Action.PUT_TARGET, Kind.GROUP, "g", edits.put_target("g", replace(TARGETS[0], port=9))),
     "remove": (Action.REMOVE_TARGET, Kind.GROUP, "g", edits.remove_target("g", "t3")),
 }
+# Each fault alone, and those that may come together.
+FAULTS = [(fault,) for fault in Fault if fault is not Fault.NONE] + [
+    (Fault.LOST_ANSWER, Fault.LOST_ANSWER),
+    (Fault.LOST_ANSWER, Fault.OUTAGE),
+    (Fault.LOST_ANSWER, Fault.STALE),
+    (Fault.STALE, Fault.LOST_ANSWER),
+    (Fault.OUTAGE, Fault.LOST_ANSWER),
+    (Fault.SLOW, Fault.LOST_ANSWER),
+]
 STRICT = {Action.UPDATE, Action.DELETE}
 
 
@@ -92,10 +102,10 @@
     return await editor(store, retrying, seed).write(order, edit)
 
 
-async def run_with_fault(write, step, fault, retrying):
+async def run_with_faults(write, step, faults, retrying):
     store = await prepared()
     expected = await expected_version(store, write)
-    store.faults.plan = deque([Fault.NONE] * step + [fault])
+    store.faults.plan = deque([Fault.NONE] * step + list(faults))
     repetitions = 0
     while True:
         try:
@@ -103,24 +113,24 @@
         except PlatformError:
             repetitions += 1
             continue
-        reached = not store.faults.plan
+        reached = len(store.faults.plan) < len(faults)
         store.faults.plan.clear()
         return outcome, repetitions, reached, await state(store), store
 
 
 @pytest.mark.parametrize("retrying", [True, False], ids=["retrying", "repeated-by-operator"])
-@pytest.mark.parametrize("fault", [f for f in Fault if f is not Fault.NONE])
+@pytest.mark.parametrize("faults", FAULTS, ids="-".join)
 @pytest.mark.parametrize("write", WRITES)
-def test_every_fault_at_every_step_of_a_write_leaves_exactly_one_effect(write, fault, retrying):
+def test_every_fault_at_every_step_of_a_write_leaves_exactly_one_effect(write, faults, retrying):
     async def scenario():
-        _, _, _, wanted, _ = await run_with_fault(write, 0, Fault.NONE, retrying)
+        _, _, _, wanted, _ = await run_with_faults(write, 0, (Fault.NONE,), retrying)
         step, reached = 0, True
         while reached:
-            outcome, repetitions, reached, found, store = await run_with_fault(
-                write, step, fault, retrying
+            outcome, repetitions, reached, found, store = await run_with_faults(
+                write, step, faults, retrying
             )
             assert found == wanted, f"step {step}"
-            assert repetitions <= (0 if retrying else 1)
+            assert repetitions <= (0 if retrying else len(faults))
             stored = await store.get(WRITES[write][1], WRITES[write][2])
             assert outcome.version == stored.version
             step += 1
@@ -310,6 +320,29 @@
     assert run(scenario()) is Code.CONFIG_KEY_REUSED
 
 
+def test_each_inner_timeout_is_shorter_than_the_outer_one():
+    policy = RetryPolicy()
+    inner_to_outer = [
+        policy.attempt_timeout_s,
+        policy.deadline_s,
+        WRITE_DEADLINE_S,
+        DEFAULT_TIMEOUT_S,
+    ]
+    assert inner_to_outer == sorted(set(inner_to_outer))
+
+    async def scenario():
+        store = await prepared()
+        store.faults.delay_s = 1.4
+        store.faults.lose_requests = 3
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(PlatformError) as failed:
+            await attempt(store, "move-service", True, None)
+        return failed.value.code, asyncio.get_running_loop().time() - began
+
+    code, took = run(scenario())
+    assert (code, took) == (Code.PLATFORM_TIMEOUT, WRITE_DEADLINE_S)
+
+
 def test_the_audit_trail_is_bounded_and_gives_versions_before_and_after():
     async def scenario():
         store = await prepared()
