Remove the unused state table of a leaving instance

Cause: pearwell.shutdown does the same job in the daemon, so the logic stood twice. Change: InstanceDrain goes, with its table test; test_shutdown covers withdrawal, quiet, hand-over and both deadlines of what the daemon runs.

--- a/pearwell/drain.py
+++ b/pearwell/drain.py
@@ -1,8 +1,4 @@
-"""Graceful stops: a target that leaves its group and an instance that leaves its zone.
-
-Both are state tables without I/O. Every wait has a bound, so that a stop ends even if the platform
-or a peer doesn't answer; a bound that was needed is reported, since flows may then have been cut.
-"""
+"""Drain of a target that leaves its group; pearwell.shutdown stops an instance."""
 
 from collections.abc import Mapping
 from enum import Enum, auto
@@ -10,22 +6,10 @@
 from pearwell.clock import Clock
 from pearwell.errors import Code, InvariantError
 
-__all__ = [
-    "NEW_FLOW_GRACE_S",
-    "InstanceDrain",
-    "InstanceDrainState",
-    "TargetDrain",
-    "TargetDrainState",
-]
+__all__ = ["NEW_FLOW_GRACE_S", "TargetDrain", "TargetDrainState"]
 
 NEW_FLOW_GRACE_S = 2.0
 
-WITHDRAW_TIMEOUT_S = 10.0
-MIN_FORWARD_S = 2.0
-FABRIC_QUIET_S = 3.0
-FORWARD_TIMEOUT_S = 60.0
-HAND_OVER_TIMEOUT_S = 5.0
-
 
 class TargetDrainState(Enum):
     """States of a target with regard to leaving.
@@ -142,102 +126,3 @@
 
     def _on(self, event: _TargetEvent) -> None:
         self._state = _TARGET_STEPS.get((self._state, event), self._state)
-
-
-class InstanceDrainState(Enum):
-    """States of an instance that stops.
-
-    SERVING is normal work; WITHDRAWING waits until the platform lists it as leaving; FORWARDING
-    still forwards what the fabric sends; HANDING_OVER sends its flow records to their next owners;
-    DONE may exit.
-    """
-
-    SERVING = auto()
-    WITHDRAWING = auto()
-    FORWARDING = auto()
-    HANDING_OVER = auto()
-    DONE = auto()
-
-
-class _InstanceEvent(Enum):
-    STOP = auto()
-    WITHDRAWN = auto()
-    QUIET = auto()
-    HANDED_OVER = auto()
-    TIMEOUT = auto()
-
-
-_INSTANCE_STEPS: Mapping[tuple[InstanceDrainState, _InstanceEvent], InstanceDrainState] = {
-    (InstanceDrainState.SERVING, _InstanceEvent.STOP): InstanceDrainState.WITHDRAWING,
-    (InstanceDrainState.WITHDRAWING, _InstanceEvent.WITHDRAWN): InstanceDrainState.FORWARDING,
-    (InstanceDrainState.WITHDRAWING, _InstanceEvent.TIMEOUT): InstanceDrainState.FORWARDING,
-    (InstanceDrainState.FORWARDING, _InstanceEvent.QUIET): InstanceDrainState.HANDING_OVER,
-    (InstanceDrainState.FORWARDING, _InstanceEvent.TIMEOUT): InstanceDrainState.HANDING_OVER,
-    (InstanceDrainState.HANDING_OVER, _InstanceEvent.HANDED_OVER): InstanceDrainState.DONE,
-    (InstanceDrainState.HANDING_OVER, _InstanceEvent.TIMEOUT): InstanceDrainState.DONE,
-}
-
-_INSTANCE_TIMEOUTS_S: Mapping[InstanceDrainState, float] = {
-    InstanceDrainState.WITHDRAWING: WITHDRAW_TIMEOUT_S,
-    InstanceDrainState.FORWARDING: FORWARD_TIMEOUT_S,
-    InstanceDrainState.HANDING_OVER: HAND_OVER_TIMEOUT_S,
-}
-
-
-class InstanceDrain:
-    """Follows this instance through its graceful stop.
-
-    Args:
-        clock: Source of monotonic time.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._state = InstanceDrainState.SERVING
-        self._entered_at = clock.now()
-        self._last_packet_at = clock.now()
-        self._timeouts: list[InstanceDrainState] = []
-
-    @property
-    def state(self) -> InstanceDrainState:
-        """The current state."""
-        return self._state
-
-    @property
-    def timeouts(self) -> tuple[InstanceDrainState, ...]:
-        """States that were left by their time limit; empty after a clean stop."""
-        return tuple(self._timeouts)
-
-    def stop(self) -> None:
-        """Starts the stop; a second call changes nothing."""
-        self._on(_InstanceEvent.STOP)
-
-    def withdrawn(self) -> None:
-        """Notes that the platform lists this instance as leaving."""
-        self._on(_InstanceEvent.WITHDRAWN)
-
-    def fabric_packet(self) -> None:
-        """Notes a packet from the fabric."""
-        self._last_packet_at = self._clock.now()
-
-    def handed_over(self) -> None:
-        """Notes that the next owners confirmed all flow records."""
-        self._on(_InstanceEvent.HANDED_OVER)
-
-    def tick(self) -> InstanceDrainState:
-        """Applies the passing of time and returns the state."""
-        now = self._clock.now()
-        in_state_s = now - self._entered_at
-        quiet = now - self._last_packet_at >= FABRIC_QUIET_S and in_state_s >= MIN_FORWARD_S
-        if self._state is InstanceDrainState.FORWARDING and quiet:
-            self._on(_InstanceEvent.QUIET)
-        elif in_state_s >= _INSTANCE_TIMEOUTS_S.get(self._state, float("inf")):
-            self._timeouts.append(self._state)
-            self._on(_InstanceEvent.TIMEOUT)
-        return self._state
-
-    def _on(self, event: _InstanceEvent) -> None:
-        following = _INSTANCE_STEPS.get((self._state, event), self._state)
-        if following is not self._state:
-            self._state = following
-            self._entered_at = self._clock.now()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,10 +3,10 @@
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.drain import InstanceDrain, InstanceDrainState, TargetDrain, TargetDrainState
+from pearwell.drain import TargetDrain, TargetDrainState
 from pearwell.errors import InvariantError
 
-T, N = TargetDrainState, InstanceDrainState
+T = TargetDrainState
 
 
 @pytest.mark.parametrize(
@@ -57,36 +57,3 @@
     assert drain.keeps_old
     with pytest.raises(InvariantError):
         drain.check_start()
-
-
-@pytest.mark.parametrize(
-    ("withdrawn_at", "last_packet_at", "handed_over", "done_at", "timeouts"),
-    [
-        (0.5, 1.0, True, 4.0, ()),
-        (0.5, 0.0, True, 3.0, ()),
-        (5.0, 20.0, True, 23.0, ()),
-        (None, 1.0, True, 12.0, (N.WITHDRAWING,)),
-        (0.5, 1e9, True, 60.5, (N.FORWARDING,)),
-        (0.5, 1.0, False, 9.0, (N.HANDING_OVER,)),
-        (None, 1e9, False, 75.0, (N.WITHDRAWING, N.FORWARDING, N.HANDING_OVER)),
-    ],
-)
-def test_instance_drain_ends_in_bounded_time(
-    withdrawn_at, last_packet_at, handed_over, done_at, timeouts
-):
-    clock = ManualClock()
-    drain = InstanceDrain(clock)
-    drain.tick()
-    assert drain.state is N.SERVING
-    drain.stop()
-    drain.stop()
-    while drain.tick() is not N.DONE:
-        clock.advance(0.5)
-        if clock.now() <= last_packet_at:
-            drain.fabric_packet()
-        if withdrawn_at is not None and clock.now() >= withdrawn_at:
-            drain.withdrawn()
-        if handed_over and drain.state is N.HANDING_OVER:
-            drain.handed_over()
-    assert clock.now() == pytest.approx(done_at, abs=0.5)
-    assert drain.timeouts == timeouts
