--- a/bench/balance_model.py
+++ b/bench/balance_model.py
@@ -215,6 +215,7 @@
             for prober in PROBERS:
                 history = ProbeHistory(HealthCheck(), self.clock)
                 self.histories.setdefault((name, prober), history)
+        self.health.evaluate()
         self.verdicts = dict(self.health.states)
         if self.scheme.set_states(specs, self.verdicts):
             self.check_routes()
--- a/pearwell/silence.py
+++ b/pearwell/silence.py
@@ -6,12 +6,12 @@
 
 __all__ = ["SilenceDetector"]
 
-RELAPSE_WINDOW_S = 60.0
+RELAPSE_WINDOW_S = 120.0
 SILENCE_WINDOW_S = 10.0
 MIN_REPEATED_SYNS = 24
 MIN_REPEAT_RATIO = 0.3
-SILENCE_HOLD_S = 10.0
-MAX_SILENCE_HOLD_S = 80.0
+SILENCE_HOLD_S = 30.0
+MAX_SILENCE_HOLD_S = 480.0
 
 
 class SilenceDetector:
