--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,9 +1,12 @@
 """Tests of pearwell.shutdown."""
 
+import asyncio
+
 import pytest
 
 from pearwell.clock import ManualClock
 from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
+from tests.virtual_time import VirtualTimeLoop
 
 TIMES = ShutdownTimes(quiet_s=1.5, deadline_s=10.0, poll_s=0.1)
 
@@ -42,3 +45,35 @@
     assert await shut_down(steps, clock, TIMES, sleep) is finished
     assert [name for name, _ in calls] == ["leave", "withdraw", "remove"]
     assert calls[-1][1] == pytest.approx(ends_at, abs=0.2)
+
+
+@pytest.mark.parametrize("hangs", [("withdraw",), ("remove",), ("withdraw", "remove")])
+def test_a_platform_that_never_answers_delays_the_stop_by_a_bounded_time(hangs):
+    calls = []
+
+    def step(name):
+        async def called():
+            calls.append(name)
+            if name in hangs:
+                await asyncio.Event().wait()
+            return True
+
+        return called
+
+    async def stop():
+        loop = asyncio.get_running_loop()
+        steps = ShutdownSteps(
+            withdraw=step("withdraw"),
+            leave=lambda: calls.append("leave"),
+            last_packet_at=loop.time,
+            handed_over=lambda: False,
+            remove=step("remove"),
+        )
+        return await shut_down(steps, loop, TIMES), loop.time()
+
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        finished, ended_at = runner.run(stop())
+    assert not finished
+    assert calls == ["leave", "withdraw", "remove"]
+    longest = TIMES.deadline_s + TIMES.platform_s * ("remove" in hangs)
+    assert ended_at == pytest.approx(longest, abs=2 * TIMES.poll_s)
