--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -13,19 +13,16 @@
 from pearwell.admin_client import AdminClient
 from pearwell.errors import PearwellError
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
-from pearwell.instance_list import InstanceList
 from pearwell.load.fleet import HEALTH_PORT, Fleet, ProcessUsage
 from pearwell.load.fleet_events import FleetEvents
 from pearwell.load.profile import Profile, ServiceProfile
 from pearwell.load.report import EventReport, InstanceReport, Report, Sample
 from pearwell.load.schedule import Event
 from pearwell.load.traffic import TrafficShape, plan_flows
-from pearwell.platform_client import PlatformClient
 from pearwell.porcelain import Write, create_group, create_service, list_placements
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerService, FlowOutcome
 from pearwell.standins.caller_host import CallerHost
-from pearwell.standins.fabric import follow_instances
 from pearwell.standins.zone import ZONE
 
 __all__ = ["Experiment", "ExperimentPlan"]
@@ -117,7 +114,9 @@
         self._fleet = fleet
         self._show = show
         self._rng = random.Random(plan.seed)
-        self._callers = CallerHost(*fleet.processes.return_address, self._rng)
+        self._callers = CallerHost(
+            fleet.processes.return_address, fleet.processes.platform_url, ZONE, self._rng
+        )
         self._callers.core.on_latency = self._note_latency
         self._events = FleetEvents(fleet, self._rng)
         self._histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
@@ -129,12 +128,10 @@
         """Runs the experiment and returns its report."""
         await self._start_fleet()
         self._callers.start()
-        background = [asyncio.ensure_future(self._follow_instances())]
-        while len(self._callers.fabric.instances) < self._plan.instances:
-            await asyncio.sleep(POLL_S)
+        await self._callers.wait_for_instances(self._plan.instances, READY_TIMEOUT_S)
         self._started = time.monotonic()
         self._plan_flows()
-        background += [
+        background = [
             asyncio.ensure_future(self._sample_forever()),
             asyncio.ensure_future(self._cause_events()),
         ]
@@ -198,14 +195,6 @@
                     while len(await list_placements(client)) < wanted:
                         await asyncio.sleep(POLL_S)
 
-    async def _follow_instances(self) -> None:
-        platform = PlatformClient(self._fleet.processes.platform_url)
-        try:
-            instances = InstanceList(platform, ZONE, self._rng)
-            await follow_instances(self._callers.fabric, instances)
-        finally:
-            await platform.close()
-
     def _plan_flows(self) -> None:
         plan = self._plan
         for profile, service in self._services():
--- a/pearwell/load/fleet.py
+++ b/pearwell/load/fleet.py
@@ -82,9 +82,11 @@
         """Stops an instance gracefully and returns its exit status."""
         return await self.processes.stop_instance(self.instances.pop(name))
 
-    def crash_instance(self, name: str) -> None:
-        """Kills an instance."""
-        self.processes.kill_instance(self.instances.pop(name))
+    def crash_instance(self, name: str) -> int:
+        """Kills an instance and returns its number."""
+        number = self.instances.pop(name)
+        self.processes.kill_instance(number)
+        return number
 
     async def pause_instance(self, name: str, seconds: float) -> None:
         """Pauses an instance for a while."""
--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -8,12 +8,9 @@
 
 from pearwell.admin_client import AdminClient
 from pearwell.admin_codec import service_from_proto
-from pearwell.errors import PlatformError
 from pearwell.group import TargetSpec
-from pearwell.instance_list import InstanceList
 from pearwell.load.fleet import Fleet
 from pearwell.load.schedule import Event, EventKind
-from pearwell.platform_client import PlatformClient
 from pearwell.porcelain import (
     Write,
     drain_target,
@@ -28,7 +25,6 @@
 __all__ = ["EventOutcome", "FleetEvents"]
 
 ACTOR = "pearwell-load"
-LIST_LAG_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,8 +141,8 @@
 
     async def _crash_instance(self, event: Event) -> EventOutcome:
         name = self._instance(event)
-        self._fleet.crash_instance(name)
-        self._spawn(self._delist(name))
+        number = self._fleet.crash_instance(name)
+        self._spawn(self._fleet.processes.forget_instance(number))
         return EventOutcome(name)
 
     async def _pause_instance(self, event: Event) -> EventOutcome:
@@ -181,23 +177,6 @@
     async def _stop(self, name: str) -> None:
         await self._fleet.stop_instance(name)
 
-    async def _delist(self, name: str) -> None:
-        """Takes a dead instance off the platform's list, as the platform does after a while."""
-        await asyncio.sleep(LIST_LAG_S)
-        platform = PlatformClient(self._fleet.processes.platform_url)
-        try:
-            while not await self._try_delist(platform, name):
-                await asyncio.sleep(LIST_LAG_S)
-        finally:
-            await platform.close()
-
-    async def _try_delist(self, platform: PlatformClient, name: str) -> bool:
-        try:
-            await InstanceList(platform, ZONE, self._rng).remove(name)
-        except PlatformError:
-            return False
-        return True
-
     async def _clear_faults(self, seconds: float, **switches: object) -> None:
         await asyncio.sleep(seconds)
         await self._fleet.set_faults(**switches)
--- a/pearwell/standins/caller_host.py
+++ b/pearwell/standins/caller_host.py
@@ -3,56 +3,76 @@
 import asyncio
 import random
 import time
+from collections.abc import Coroutine
+from typing import Any
 
+from pearwell.instance_list import InstanceList
 from pearwell.packet_path import bind_udp
+from pearwell.platform_client import PlatformClient
 from pearwell.standins.caller import CallerCore
-from pearwell.standins.fabric import Fabric
+from pearwell.standins.fabric import Fabric, follow_instances
+from pearwell.verdict import Address
 
 __all__ = ["CallerHost"]
 
 BATCH_PACKETS = 256
 PACKET_BUFFER_BYTES = 65535
-SOCKET_BUFFER_BYTES = 8_000_000
 TICK_S = 0.005
+POLL_S = 0.1
 
 
 class CallerHost:
-    """Runs callers in this process.
+    """Runs callers and the fabric in this process.
 
     Args:
-        address: IP address that takes the answers.
-        port: UDP port that takes the answers.
+        return_address: IP address and UDP port that take the answers.
+        platform_url: Base URL of the platform, whose list of instances the fabric follows.
+        zone: Availability zone of the instances.
         rng: Source of all random choices.
     """
 
-    def __init__(self, address: str, port: int, rng: random.Random) -> None:
-        self._socket = bind_udp(address, port)
+    def __init__(
+        self, return_address: Address, platform_url: str, zone: str, rng: random.Random
+    ) -> None:
+        self._socket = bind_udp(*return_address)
         self._fabric = Fabric(self._socket, rng)
         self._core = CallerCore(self._fabric.send, rng)
-        self._task: asyncio.Task[None] | None = None
+        self._platform = PlatformClient(platform_url)
+        self._instances = InstanceList(self._platform, zone, rng)
+        self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def core(self) -> CallerCore:
         """The flows."""
         return self._core
 
-    @property
-    def fabric(self) -> Fabric:
-        """The fabric that sprays the callers' packets."""
-        return self._fabric
-
     def start(self) -> None:
-        """Starts to receive and to run timers."""
+        """Starts to receive, to run timers and to follow the list of instances."""
         asyncio.get_running_loop().add_reader(self._socket, self._drain)
-        self._task = asyncio.ensure_future(self._tick_forever())
+        self._spawn(self._tick_forever())
+        self._spawn(follow_instances(self._fabric, self._instances))
 
     async def stop(self) -> None:
         """Stops and closes the socket."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
+        await self._platform.close()
+
+    async def wait_for_instances(self, count: int, timeout_s: float) -> None:
+        """Waits until the fabric sprays over at least so many instances.
+
+        Raises:
+            TimeoutError: It doesn't in time.
+        """
+        async with asyncio.timeout(timeout_s):
+            while len(self._fabric.instances) < count:
+                await asyncio.sleep(POLL_S)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.ensure_future(work))
 
     async def _tick_forever(self) -> None:
         while True:
--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 
 import uvloop
@@ -22,13 +22,10 @@
 from pearwell import porcelain
 from pearwell.admin_client import AdminClient
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
-from pearwell.instance_list import InstanceList
-from pearwell.packet_path import bind_udp
-from pearwell.platform_client import PlatformClient
 from pearwell.porcelain import Write
 from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.standins.caller import CallerCore, CallerService, FlowOutcome, FlowPlan
-from pearwell.standins.fabric import Fabric, follow_instances
+from pearwell.standins.caller import CallerService, FlowOutcome, FlowPlan
+from pearwell.standins.caller_host import CallerHost
 from pearwell.standins.target import Ledger, TargetConfig
 from pearwell.standins.zone import ZONE, ZoneProcesses, read_ledger, read_load
 
@@ -47,13 +44,10 @@
 READY_TIMEOUT_S = 30.0
 FINISH_TIMEOUT_S = 25.0
 IN_FORCE_WAIT_S = 5.0
-TICK_S = 0.005
 SAMPLE_INTERVAL_S = 0.5
 POLL_S = 0.1
 REQUEST_INTERVAL_S = 1.0
 REQUESTS_PER_FLOW = 10
-BATCH_PACKETS = 256
-PACKET_BUFFER_BYTES = 65535
 INSTANCES = 4
 
 # Moments of the changes, and when the added target is no longer cold, as shares of the time that
@@ -62,8 +56,6 @@
 DRAIN_AT = 0.18
 ADD_AT = 0.25
 SETTLED_AT = 0.8
-# Time after which the platform takes a killed instance off its list.
-PLATFORM_NOTICES_S = 3.0
 # Time after which a leaving target takes no new flows.
 DRAIN_SETTLE_S = 2.0
 
@@ -89,10 +81,8 @@
         self._rng = random.Random(_SEED.value)
         self._return_address = (f"127.{octet}.0.1", RETURN_PORT)
         self._zone = ZoneProcesses(directory, octet, self._return_address)
-        self._socket = bind_udp(*self._return_address)
-        self._fabric = Fabric(self._socket, self._rng)
-        self._callers = CallerCore(self._fabric.send, self._rng)
-        self._platform = PlatformClient(self._zone.platform_url)
+        self._host = CallerHost(self._return_address, self._zone.platform_url, ZONE, self._rng)
+        self._callers = self._host.core
         self._admin = AdminClient(
             [self._zone.admin_endpoint(number) for number in range(2, INSTANCES + 1)]
         )
@@ -105,23 +95,18 @@
 
     async def run(self) -> str:
         """Runs everything and returns the final line; failures are kept."""
-        tasks: list[asyncio.Task[None]] = []
+        self._host.start()
         try:
             await self._start_zone()
             await self._configure()
-            instances = InstanceList(self._platform, ZONE, self._rng)
-            tasks.append(asyncio.ensure_future(follow_instances(self._fabric, instances)))
-            await self._wait_until(lambda: len(self._fabric.instances) == INSTANCES, "instances")
-            asyncio.get_running_loop().add_reader(self._socket, self._drain)
-            tasks.append(asyncio.ensure_future(self._change()))
-            await self._run_flows()
-            await tasks[-1]
+            await self._host.wait_for_instances(INSTANCES, READY_TIMEOUT_S)
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._change())
+                tasks.create_task(self._run_flows())
             return await self._summarize()
         finally:
-            for task in tasks:
-                task.cancel()
             await self._admin.close()
-            await self._platform.close()
+            await self._host.stop()
             self._zone.stop_all()
 
     @property
@@ -176,13 +161,6 @@
                     raise TimeoutError(f"entry-{number} has no placements")
                 await asyncio.sleep(POLL_S)
 
-    async def _wait_until(self, condition: Callable[[], bool], what: str) -> None:
-        deadline = time.monotonic() + READY_TIMEOUT_S
-        while not condition():
-            if time.monotonic() > deadline:
-                raise TimeoutError(f"{what} not ready")
-            await asyncio.sleep(POLL_S)
-
     async def _change(self) -> None:
         """Replaces an instance, drains a target and adds one while flows run."""
         steps = (
@@ -198,11 +176,10 @@
 
     async def _replace_instance(self) -> None:
         self._zone.start_instance(INSTANCES + 1)
-        await self._wait_until(lambda: len(self._fabric.instances) == INSTANCES + 1, "entry-5")
+        await self._host.wait_for_instances(INSTANCES + 1, READY_TIMEOUT_S)
         if _KILL.value:
             self._zone.kill_instance(1)
-            await asyncio.sleep(PLATFORM_NOTICES_S)
-            await InstanceList(self._platform, ZONE, self._rng).remove("entry-1")
+            await self._zone.forget_instance(1)
             return
         status = await self._zone.stop_instance(1)
         if status:
@@ -236,16 +213,7 @@
         self._opens_until = began + _SECONDS.value
         deadline = self._opens_until + FINISH_TIMEOUT_S
         while self._callers.open_flows and time.monotonic() < deadline:
-            self._callers.tick(time.monotonic())
-            await asyncio.sleep(TICK_S)
-
-    def _drain(self) -> None:
-        for _ in range(BATCH_PACKETS):
-            try:
-                packet = self._socket.recv(PACKET_BUFFER_BYTES)
-            except OSError:
-                return
-            self._callers.receive(packet, time.monotonic())
+            await asyncio.sleep(POLL_S)
 
     async def _ledgers(self) -> dict[str, Ledger]:
         return {name: await read_ledger(target) for name, target in self._targets.items()}
--- a/pearwell/standins/zone.py
+++ b/pearwell/standins/zone.py
@@ -1,6 +1,8 @@
 """A zone of real processes on loopback addresses: platform, targets and instances."""
 
 import asyncio
+import contextlib
+import random
 import subprocess
 import sys
 import time
@@ -10,6 +12,9 @@
 import aiohttp
 import msgspec
 
+from pearwell.errors import PlatformError
+from pearwell.instance_list import InstanceList
+from pearwell.platform_client import PlatformClient
 from pearwell.standins.target import Ledger, LoadReport, TargetConfig
 from pearwell.standins.target_host import HostConfig
 from pearwell.verdict import Address
@@ -26,6 +31,8 @@
 STOP_TIMEOUT_S = 20.0
 TEAR_DOWN_TIMEOUT_S = 5.0
 POLL_S = 0.05
+# Time until the platform notices that an instance died, and until it tries again in an outage.
+PLATFORM_NOTICES_S = 3.0
 
 REGION = "pnw"
 ZONE = "pnw-a"
@@ -104,6 +111,17 @@
         process.kill()
         process.wait()
 
+    async def forget_instance(self, number: int) -> None:
+        """Takes a dead instance off the platform's list, as the platform does after a while."""
+        async with PlatformClient(self.platform_url) as platform:
+            instances = InstanceList(platform, ZONE, random.Random(number))
+            listed = True
+            while listed:
+                await asyncio.sleep(PLATFORM_NOTICES_S)
+                with contextlib.suppress(PlatformError):
+                    await instances.remove(f"entry-{number}")
+                    listed = False
+
     def pid(self, name: str) -> int:
         """Returns the process id of a running process; raises LookupError if there is none."""
         return self._running[name].pid
