--- a/pearwell/cli/load.py
+++ b/pearwell/cli/load.py
@@ -122,11 +122,17 @@
         f"flows={report.flows} broken={report.broken} "
         f"lost_with_targets={report.broken_by_target_loss} misrouted={report.misrouted} "
         f"duplicated={report.duplicated} refused={report.refused} "
-        f"violations={report.invariant_violations} "
+        f"violations={report.invariant_violations} late_drains={len(report.late_drains)} "
         f"imbalance={report.imbalance:.3f} report={_REPORT.value}"
     )
     unexpected = report.broken - report.broken_by_target_loss
-    faults = (unexpected, report.misrouted, report.duplicated, report.invariant_violations)
+    faults = (
+        unexpected,
+        report.misrouted,
+        report.duplicated,
+        report.invariant_violations,
+        report.late_drains,
+    )
     return EXIT_BROKEN if any(faults) else 0
 
 
--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -11,6 +11,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pearwell.admin_client import AdminClient
+from pearwell.drain import NEW_FLOW_GRACE_S
 from pearwell.errors import PearwellError
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.load.fleet import HEALTH_PORT, Fleet, ProcessUsage
@@ -327,10 +328,16 @@
         for name in self._fleet.targets:
             ledger = await self._fleet.ledger(name)
             self._report.misrouted += ledger.misrouted
+            self._check_drain(name, ledger.last_start)
             for request, count in ledger.runs.items():
                 runs[request] = runs.get(request, 0) + count
         self._report.duplicated = sum(count - 1 for count in runs.values())
 
+    def _check_drain(self, target: str, last_start: float) -> None:
+        drained_at = self._events.drained_at.get(target)
+        if drained_at is not None and last_start > drained_at + NEW_FLOW_GRACE_S:
+            self._report.late_drains[target] = round(last_start - drained_at, 3)
+
 
 def _progress_line(sample: Sample, open_flows: int) -> str:
     return (
--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from pearwell.admin_client import AdminClient
@@ -51,7 +52,7 @@
     def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self._drained: set[str] = set()
+        self._drained: dict[str, float] = {}
         self._crashed: set[str] = set()
         self._background: set[asyncio.Task[None]] = set()
         self._causes: dict[EventKind, Callable[[Event], Awaitable[EventOutcome]]] = {
@@ -72,7 +73,12 @@
     @property
     def serving(self) -> set[str]:
         """Names of the targets that are neither drained nor crashed."""
-        return set(self._fleet.targets) - self._drained - self._crashed
+        return set(self._fleet.targets) - self._drained.keys() - self._crashed
+
+    @property
+    def drained_at(self) -> Mapping[str, float]:
+        """Unix time in seconds at which the drain of each drained target was accepted."""
+        return self._drained
 
     async def cause(self, event: Event) -> EventOutcome:
         """Causes an event; those that last go on in the background.
@@ -102,14 +108,14 @@
         name = self._target(event, self.serving)
         async with self._client() as client:
             await drain_target(client, _group_of(name), name, Write(ACTOR))
-        self._drained.add(name)
+        self._drained[name] = time.time()
         return EventOutcome(name)
 
     async def _undrain_target(self, event: Event) -> EventOutcome:
         name = self._target(event, set(self._drained))
         async with self._client() as client:
             await undrain_target(client, _group_of(name), name, Write(ACTOR))
-        self._drained.discard(name)
+        self._drained.pop(name, None)
         return EventOutcome(name)
 
     async def _join_target(self, event: Event) -> EventOutcome:
--- a/pearwell/load/report.py
+++ b/pearwell/load/report.py
@@ -83,6 +83,8 @@
         refused: Flows refused.
         invariant_violations: Violations that the instances counted.
         requests: Requests answered.
+        late_drains: Seconds after its drain at which a target took its last new flow, by target,
+            where that is beyond the allowed time.
         latency_ms: Latency of requests by percentile, in milliseconds.
         imbalance: Mean over time of the samples' imbalance.
         samples: Readings over time.
@@ -102,6 +104,7 @@
     refused: int = 0
     invariant_violations: int = 0
     requests: int = 0
+    late_drains: dict[str, float] = field(default_factory=dict)
     latency_ms: dict[str, float] = field(default_factory=dict)
     imbalance: float = 0.0
     samples: list[Sample] = field(default_factory=list)
