Count flows and runs of target stand-ins as they come

Cause: each load report summed all requests ever run and all flows; pearwell-load at the bureau's full size spent 39% of a core on one host of seven targets and fell behind.

--- a/pearwell/standins/target.py
+++ b/pearwell/standins/target.py
@@ -138,6 +138,8 @@
     ledger: Ledger = field(default_factory=Ledger)
     _flows: dict[Endpoints, _Flow] = field(default_factory=dict)
     _services: frozenset[tuple[bytes, int]] = frozenset()
+    _open_flows: int = 0
+    _runs: int = 0
 
     def __post_init__(self) -> None:
         ends = (Endpoints.of("::", 0, address, port) for address, port in self.config.services)
@@ -146,7 +148,12 @@
     @property
     def open_flows(self) -> int:
         """Flows that no FIN has closed."""
-        return sum(not flow.closed for flow in self._flows.values())
+        return self._open_flows
+
+    @property
+    def runs(self) -> int:
+        """Requests run so far."""
+        return self._runs
 
     def receive(self, packet: bytes, now: float) -> None:
         """Takes one decapsulated packet.
@@ -169,7 +176,7 @@
         if segment.flags & Flags.SYN:
             self._open(segment, flow, now)
         elif segment.flags & Flags.RST:
-            self._flows.pop(ends, None)
+            self._forget(ends)
         elif flow is None:
             self.ledger.unknown += 1
             self._reset(segment)
@@ -186,7 +193,9 @@
             self._reset(segment)
             return
         answer = Segment(segment.endpoints.reversed(), Flags.SYN | Flags.ACK, 1, segment.end)
+        self._forget(segment.endpoints)
         self._flows[segment.endpoints] = _Flow(segment.sequence, segment.end, answer.end, answer)
+        self._open_flows += 1
         self.ledger.started += 1
         self.ledger.last_start = now
         self.send(answer.packet())
@@ -205,13 +214,19 @@
     def _run(self, segment: Segment, flow: _Flow) -> Segment:
         ends = segment.endpoints.reversed()
         if segment.flags & Flags.FIN:
+            self._open_flows -= not flow.closed
             flow.closed = True
             return Segment(ends, Flags.FIN | Flags.ACK, flow.sequence, segment.end)
         request = segment.payload[:REQUEST_ID_BYTES].hex()
+        self._runs += 1
         self.ledger.runs[request] = self.ledger.runs.get(request, 0) + 1
         payload = segment.payload + ANSWER_SUFFIX
         return Segment(ends, Flags.ACK, flow.sequence, segment.end, payload)
 
+    def _forget(self, ends: Endpoints) -> None:
+        flow = self._flows.pop(ends, None)
+        self._open_flows -= flow is not None and not flow.closed
+
     def _reset(self, segment: Segment) -> None:
         if segment.flags & Flags.RST:
             return
--- a/pearwell/standins/target_host.py
+++ b/pearwell/standins/target_host.py
@@ -119,7 +119,7 @@
     def _measure(self, now: float) -> LoadReport:
         """Returns the mean load since the last report."""
         core = self._core
-        runs = sum(core.ledger.runs.values())
+        runs = core.runs
         rate = (runs - self._runs_reported) / max(now - self._reported_at, MIN_REPORT_S)
         self._runs_reported, self._reported_at = runs, now
         in_use = min(float(core.config.slots), rate * REQUEST_S) * core.mode.load_factor
