--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -60,6 +60,7 @@
             EventKind.TARGET_UNDRAIN: self._undrain_target,
             EventKind.TARGET_JOIN: self._join_target,
             EventKind.TARGET_CRASH: self._crash_target,
+            EventKind.TARGET_SILENCE: self._silence_target,
             EventKind.INSTANCE_JOIN: self._join_instance,
             EventKind.INSTANCE_STOP: self._stop_instance,
             EventKind.INSTANCE_CRASH: self._crash_instance,
@@ -130,9 +131,16 @@
         return EventOutcome(name)
 
     async def _crash_target(self, event: Event) -> EventOutcome:
+        return await self._silence(event, TargetMode(silent=True))
+
+    async def _silence_target(self, event: Event) -> EventOutcome:
+        """Makes a target answer no packet while its health endpoint says that it works."""
+        return await self._silence(event, TargetMode(silent=True, health="healthy"))
+
+    async def _silence(self, event: Event, mode: TargetMode) -> EventOutcome:
         name = self._target(event, self.serving)
         lost = (await self._fleet.load(name)).open_flows
-        await self._fleet.set_mode(name, TargetMode(silent=True))
+        await self._fleet.set_mode(name, mode)
         self._crashed.add(name)
         return EventOutcome(name, lost)
 
--- a/pearwell/load/schedule.py
+++ b/pearwell/load/schedule.py
@@ -18,6 +18,7 @@
     TARGET_UNDRAIN = "target-undrain"
     TARGET_JOIN = "target-join"
     TARGET_CRASH = "target-crash"
+    TARGET_SILENCE = "target-silence"
     INSTANCE_JOIN = "instance-join"
     INSTANCE_STOP = "instance-stop"
     INSTANCE_CRASH = "instance-crash"
