--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,6 +18,7 @@
 import msgspec
 from absl import app, flags
 
+from bench.idle_zone import measure_idle
 from pearwell.admission import Admission
 from pearwell.change import activate, initial, prepare
 from pearwell.clock import ManualClock
@@ -89,6 +90,7 @@
     yield from _decision_slopes(seed)
     yield from _message_slopes()
     yield from _process_slopes()
+    yield from _idle_slopes()
     yield from _packet_slopes(seed)
     yield from _control_slopes(seed, GRPC_INSTANCES, grpc=True)
     for size in sizes:
@@ -299,6 +301,19 @@
     yield Slope("process_memory", float(done.stdout) * 1024, "B")
 
 
+def _idle_slopes() -> Iterator[Slope]:
+    """Measures real daemons without flows; the difference of both runs is the cost of probes."""
+    silent = measure_idle(probing=False)
+    probing = measure_idle(probing=True)
+    yield Slope("idle_cpu", silent.cpu_share, "core")
+    yield Slope("idle_memory", silent.memory_bytes, "B")
+    yield Slope("idle_bytes", silent.bytes_per_s, "B/s")
+    per_probe = (probing.cpu_share - silent.cpu_share) / probing.probes_per_s
+    yield Slope("probe_cpu", per_probe * MICROSECOND, "µs")
+    extra = (probing.bytes_per_s - silent.bytes_per_s) / probing.probes_per_s
+    yield Slope("probe_bytes", extra, "B")
+
+
 def _packet_slopes(seed: int) -> Iterator[Slope]:
     """Runs bench-packet for the packets that one core forwards."""
     report = _run_bench("bench.packet", f"--seed={seed}", "--turns=3")
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -69,7 +69,6 @@
 
 Slopes = dict[str, float]
 
-GRPC_INSTANCES = 6
 GENERATIONS_PER_CHANGE = 4
 OWNERS = 2
 PROBERS = 3
@@ -90,9 +89,10 @@
 
 FOOTER = """## Not measured
 
-- Zones of 173 real processes: control traffic at that size is measured on the real cores over an
-  in-memory network, gRPC's share on a zone of six over real sockets and scaled by messages.
-- Processor time of health probes, and memory of the probers' connections.
+- Zones of 173 real processes: the cores' cost at that size is measured over an in-memory network,
+  the daemon's on a zone of six over real sockets.
+- Gossip of verdicts when many of 1,000 targets change state at once, and memory of the probers'
+  connections.
 - The platform itself: the stand-in answers from memory.
 - Regions that lose each other: a zone needs no other region to serve; its configuration waits for
   the platform.
@@ -137,14 +137,14 @@
         _membership(slopes),
         _configuration(size, slopes),
         _placement(size, slopes),
-        _prober(size),
+        _prober(size, slopes),
         _admin(size, slopes),
     ]
 
 
 def _process(slopes: Slopes) -> Role:
-    note = "interpreter and libraries, before any state"
-    return Role("process", "one process a node", slopes["process_memory"] / MEGABYTE, note=note)
+    note = "interpreter, libraries and connections of an idle daemon in a zone of six"
+    return Role("process", "one process a node", slopes["idle_memory"] / MEGABYTE, note=note)
 
 
 def _packet_path(size: Size, slopes: Slopes) -> Role:
@@ -170,13 +170,18 @@
 
 def _membership(slopes: Slopes) -> Role:
     quiet = "quiet_{}_at_173".format
+    growth = slopes[quiet("cpu")] - slopes["quiet_cpu_at_20"]
+    note = (
+        f"an idle daemon of a zone of six, with the growth of the cores from 20 to 173 instances; "
+        f"{slopes[quiet('messages')]:.1f} messages a second of membership and gossip"
+    )
     return Role(
-        "membership and gossip",
+        "membership, gossip, leases, timers",
         "SWIM and anti-entropy along four rings",
         slopes["control_memory_at_173"] / MEGABYTE,
-        slopes[quiet("bytes")],
-        slopes[quiet("cpu")] + _grpc_share(slopes, slopes[quiet("messages")]),
-        f"{slopes[quiet('messages')]:.1f} messages a second at 173 instances",
+        slopes["idle_bytes"],
+        slopes["idle_cpu"] + max(growth, 0.0),
+        note,
     )
 
 
@@ -203,10 +208,12 @@
     return Role("placement", mechanism, memory / MEGABYTE, wire, cpu, note)
 
 
-def _prober(size: Size) -> Role:
+def _prober(size: Size, slopes: Slopes) -> Role:
     probes = size.hosts / size.zones * PROBERS / size.nodes_per_zone
-    note = f"{probes:.1f} probes a second; their processor time isn't measured"
-    return Role("prober", "three probers a target by rendezvous", note=note)
+    cpu = probes * slopes["probe_cpu"] / MICROSECONDS_PER_SECOND
+    note = f"{probes:.1f} probes a second, each with its share of load reports"
+    mechanism = "three probers a target by rendezvous"
+    return Role("prober", mechanism, 0.0, probes * slopes["probe_bytes"], cpu, note)
 
 
 def _admin(size: Size, slopes: Slopes) -> Role:
@@ -216,13 +223,6 @@
     return Role("admin", "conditional update with key and audit entry", cpu_share=cpu, note=note)
 
 
-def _grpc_share(slopes: Slopes, messages_per_s: float) -> float:
-    """Returns the share of a core that carrying messages over gRPC adds."""
-    carried = slopes[f"quiet_messages_grpc_{GRPC_INSTANCES}"]
-    extra = slopes[f"quiet_cpu_grpc_{GRPC_INSTANCES}"]
-    return extra * messages_per_s / carried if carried else 0.0
-
-
 def _changing_groups(size: Size) -> float:
     """Groups of a zone with a change under way, by Little's law."""
     changes = size.changes_per_day / size.zones / SECONDS_PER_DAY
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,14 @@
+"""Tests of scripts.capacity: the page is what the committed slopes give."""
+
+from scripts.capacity import PAGE, Size, read_slopes, render
+
+
+def test_the_page_is_current():
+    assert PAGE.read_text() == render(Size(), read_slopes())
+
+
+def test_the_size_follows_from_the_letter():
+    size = Size()
+    assert round(size.nodes_per_zone) == 173
+    assert round(size.flow_life_s) == 426
+    assert size.flows / size.nodes > 31_000
