--- a/bench/balance.py
+++ b/bench/balance.py
@@ -21,6 +21,8 @@
 from pearwell.service import Preference
 from pearwell.weights import POLICIES, WeightPolicy
 
+__all__ = ["main"]
+
 EVEN_LIMIT = 1.05
 EVEN_FOR_S = 60.0
 SWEEP = ((0.05, 2, 1.5), (0.03, 2, 1.5), (0.02, 3, 2.0), (0.02, 4, 3.0), (0.015, 4, 3.0))
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -26,6 +26,8 @@
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.standins.platform import PlatformStandin
 
+__all__ = ["main"]
+
 ADDRESS = "127.20.0.9"
 PORT = 20950
 TARGETS_PER_GROUP = 10
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -12,198 +12,29 @@
 from pearwell.applied import key_of
 from pearwell.audit import Action
 from pearwell.configuration import Kind
-from pearwell.configuration_service import ConfigurationService
-from pearwell.editor import ConfigurationEditor, WriteRequest
+from pearwell.editor import WriteRequest
 from pearwell.errors import PearwellError, PlatformError
-from pearwell.gossip import Gossip
-from pearwell.group import GroupSpec, TargetSpec
 from pearwell.in_force import wait_in_force
-from pearwell.kernel import Kernel
 from pearwell.membership import Member, View
-from pearwell.messages import ConfigurationChanged, EntryAdopted, ViewChanged
-from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore
+from pearwell.messages import ViewChanged
+from pearwell.object_store import Fault
 from pearwell.relay import RELAY_COUNT
-from pearwell.status_store import PlatformInForce, StatusStore
 from pearwell.tombstones import RETENTION_S
+from tests.configuration_zone import (
+    GROUP,
+    IN_FORCE_S,
+    MESSAGE_DELAY_S,
+    WRITES_EACH,
+    Instance,
+    Spy,
+    Zone,
+    check_all,
+    names,
+    prepared,
+    write_elsewhere,
+)
 from tests.virtual_time import run
 
-GROUP = GroupSpec("g", tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 4)))
-MESSAGE_DELAY_S = 0.02
-TICK_INTERVAL_S = 0.1
-IN_FORCE_S = 3.0
-WRITES_EACH = 8
-
-
-class Recorder:
-    """A kernel service that checks that no applied version ever falls."""
-
-    name = "recorder"
-    accepts = (ConfigurationChanged,)
-
-    def __init__(self):
-        self.configuration = None
-
-    async def start(self, kernel):
-        pass
-
-    async def stop(self):
-        pass
-
-    def deliver(self, message):
-        found = message.configuration
-        if self.configuration is not None:
-            for key, version in self.configuration.versions.items():
-                assert found.versions[key] >= version, f"{key} fell from {version}"
-        self.configuration = found
-
-
-class Zone:
-    """Instances that gossip over a network with delays and cuts."""
-
-    def __init__(self, store, names, seed=1, zone="pnw-a"):
-        self.zone, self.store, self.rng = zone, store, random.Random(seed)
-        self.loop = asyncio.get_running_loop()
-        self.instances = {}
-        self.cut_off = set()
-        self.wall_offset = 0.0
-        self.names = list(names)
-        self.ticking = asyncio.ensure_future(self._tick_forever())
-
-    async def start(self, *names):
-        for name in names or self.names:
-            self.instances[name] = Instance(self, name)
-            await self.instances[name].kernel.start()
-        self.show_view()
-
-    async def stop(self, *names):
-        for name in names or tuple(self.instances):
-            await self.instances.pop(name).kernel.stop()
-        if not names:
-            self.ticking.cancel()
-
-    def show_view(self):
-        for name, instance in self.instances.items():
-            near = sorted(n for n in self.instances if not self._is_cut(n, name))
-            view = View(tuple(Member(n, "127.20.0.1", 1, 2) for n in near), 1)
-            instance.kernel.publish(ViewChanged(view))
-            instance.table.set_peers(near)
-
-    def wall_time(self):
-        return self.loop.time() + self.wall_offset
-
-    def all(self):
-        return tuple(self.instances.values())
-
-    def transport(self, name):
-        return Transport(lambda to, message: self._send(name, to, message))
-
-    def _send(self, name, to, message):
-        if not self._is_cut(name, to):
-            delay = self.rng.uniform(0, MESSAGE_DELAY_S)
-            self.loop.call_later(delay, self._deliver, name, to, message)
-
-    def _deliver(self, name, to, message):
-        if to in self.instances:
-            self.instances[to].table.handle(name, message)
-
-    def _is_cut(self, one, other):
-        return (one in self.cut_off) != (other in self.cut_off)
-
-    async def _tick_forever(self):
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            for instance in list(self.instances.values()):
-                instance.table.tick()
-
-
-class Transport:
-    """Sends by a function."""
-
-    def __init__(self, send):
-        self.send = send
-
-
-class Instance:
-    """One instance of a zone."""
-
-    def __init__(self, zone, name):
-        self.kernel = Kernel()
-        rng = random.Random(f"{name}/{zone.rng.random()}")
-        self.table = Gossip(
-            name,
-            zone.transport(name),
-            zone.loop,
-            rng,
-            lambda entry: self.kernel.publish(EntryAdopted(entry)),
-        )
-        self.store = RetryingObjectStore(zone.store, zone.loop, rng)
-        self.editor = ConfigurationEditor(self.store, rng, name, zone.wall_time)
-        self.service = ConfigurationService(
-            name, zone.zone, self.table, self.store, zone.loop, rng, zone.wall_time
-        )
-        self.recorder = Recorder()
-        self.kernel.add(self.recorder)
-        self.kernel.add(self.service)
-        self.in_force = PlatformInForce(
-            zone.zone, self.table, self.service.members, StatusStore(self.store), zone.wall_time
-        )
-
-    async def drain(self, deadline_s, key):
-        request = WriteRequest(Kind.GROUP, "g", Action.DRAIN_TARGET, key, "f", "ada")
-        outcome = await self.editor.write(request, edits.drain_target("g", "t1", deadline_s))
-        if not outcome.repeated:
-            self.service.written(outcome.document)
-        return outcome.version
-
-    @property
-    def version(self):
-        found = self.recorder.configuration
-        return found.versions.get((Kind.GROUP, "g"), 0) if found else 0
-
-    @property
-    def deadline_s(self):
-        return self.recorder.configuration.groups["g"].targets[0].drain_deadline_s
-
-
-class Spy:
-    """Calls a function and remembers what could be seen after each call."""
-
-    def __init__(self, function, look):
-        self._function, self._look, self.seen = function, look, set()
-
-    def __call__(self):
-        self._function()
-        self.seen.add(self._look())
-
-
-def names(count, zone="pnw-a"):
-    return [f"{zone}-{n}" for n in range(1, count + 1)]
-
-
-async def prepared(count=5, **arguments):
-    store = MemoryObjectStore(**arguments)
-    editor = ConfigurationEditor(store, random.Random(1), "setup", lambda: 0.0)
-    request = WriteRequest(Kind.GROUP, "g", Action.CREATE, "setup", "f", "ada")
-    await editor.write(request, edits.create(GROUP))
-    zone = Zone(store, names(count))
-    await zone.start()
-    await asyncio.sleep(4.0)
-    assert [i.version for i in zone.all()] == [1] * count
-    return store, zone, editor
-
-
-async def write_elsewhere(editor, deadline_s):
-    """A change made in another zone, so that only the watches can bring it."""
-    request = WriteRequest(Kind.GROUP, "g", Action.DRAIN_TARGET, f"k{deadline_s}", "f", "ada")
-    edit = edits.drain_target("g", "t1", deadline_s)
-    return (await editor.write(request, edit)).version
-
-
-def check_all(zone, version):
-    assert {name: i.version for name, i in zone.instances.items()} == dict.fromkeys(
-        zone.instances, version
-    )
-
 
 def test_calls_to_the_platform_dont_grow_with_instances():
     async def scenario(count):
