--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -3,17 +3,15 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from pearwell.admin_client import AdminClient
 from pearwell.admin_codec import service_from_proto
-from pearwell.errors import PlatformError
 from pearwell.group import TargetSpec
-from pearwell.instance_list import InstanceList
 from pearwell.load.fleet import Fleet
 from pearwell.load.schedule import Event, EventKind
-from pearwell.platform_client import PlatformClient
 from pearwell.porcelain import (
     Write,
     drain_target,
@@ -28,7 +26,6 @@
 __all__ = ["EventOutcome", "FleetEvents"]
 
 ACTOR = "pearwell-load"
-LIST_LAG_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +52,7 @@
     def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self._drained: set[str] = set()
+        self._drained: dict[str, float] = {}
         self._crashed: set[str] = set()
         self._background: set[asyncio.Task[None]] = set()
         self._causes: dict[EventKind, Callable[[Event], Awaitable[EventOutcome]]] = {
@@ -63,6 +60,7 @@
             EventKind.TARGET_UNDRAIN: self._undrain_target,
             EventKind.TARGET_JOIN: self._join_target,
             EventKind.TARGET_CRASH: self._crash_target,
+            EventKind.TARGET_SILENCE: self._silence_target,
             EventKind.INSTANCE_JOIN: self._join_instance,
             EventKind.INSTANCE_STOP: self._stop_instance,
             EventKind.INSTANCE_CRASH: self._crash_instance,
@@ -76,7 +74,12 @@
     @property
     def serving(self) -> set[str]:
         """Names of the targets that are neither drained nor crashed."""
-        return set(self._fleet.targets) - self._drained - self._crashed
+        return set(self._fleet.targets) - self._drained.keys() - self._crashed
+
+    @property
+    def drained_at(self) -> Mapping[str, float]:
+        """Unix time in seconds at which the drain of each drained target was accepted."""
+        return self._drained
 
     async def cause(self, event: Event) -> EventOutcome:
         """Causes an event; those that last go on in the background.
@@ -106,14 +109,14 @@
         name = self._target(event, self.serving)
         async with self._client() as client:
             await drain_target(client, _group_of(name), name, Write(ACTOR))
-        self._drained.add(name)
+        self._drained[name] = time.time()
         return EventOutcome(name)
 
     async def _undrain_target(self, event: Event) -> EventOutcome:
         name = self._target(event, set(self._drained))
         async with self._client() as client:
             await undrain_target(client, _group_of(name), name, Write(ACTOR))
-        self._drained.discard(name)
+        self._drained.pop(name, None)
         return EventOutcome(name)
 
     async def _join_target(self, event: Event) -> EventOutcome:
@@ -128,9 +131,16 @@
         return EventOutcome(name)
 
     async def _crash_target(self, event: Event) -> EventOutcome:
+        return await self._silence(event, TargetMode(silent=True))
+
+    async def _silence_target(self, event: Event) -> EventOutcome:
+        """Makes a target answer no packet while its health endpoint says that it works."""
+        return await self._silence(event, TargetMode(silent=True, health="healthy"))
+
+    async def _silence(self, event: Event, mode: TargetMode) -> EventOutcome:
         name = self._target(event, self.serving)
         lost = (await self._fleet.load(name)).open_flows
-        await self._fleet.set_mode(name, TargetMode(silent=True))
+        await self._fleet.set_mode(name, mode)
         self._crashed.add(name)
         return EventOutcome(name, lost)
 
@@ -145,8 +155,8 @@
 
     async def _crash_instance(self, event: Event) -> EventOutcome:
         name = self._instance(event)
-        self._fleet.crash_instance(name)
-        self._spawn(self._delist(name))
+        number = self._fleet.crash_instance(name)
+        self._spawn(self._fleet.processes.forget_instance(number))
         return EventOutcome(name)
 
     async def _pause_instance(self, event: Event) -> EventOutcome:
@@ -181,23 +191,6 @@
     async def _stop(self, name: str) -> None:
         await self._fleet.stop_instance(name)
 
-    async def _delist(self, name: str) -> None:
-        """Takes a dead instance off the platform's list, as the platform does after a while."""
-        await asyncio.sleep(LIST_LAG_S)
-        platform = PlatformClient(self._fleet.processes.platform_url)
-        try:
-            while not await self._try_delist(platform, name):
-                await asyncio.sleep(LIST_LAG_S)
-        finally:
-            await platform.close()
-
-    async def _try_delist(self, platform: PlatformClient, name: str) -> bool:
-        try:
-            await InstanceList(platform, ZONE, self._rng).remove(name)
-        except PlatformError:
-            return False
-        return True
-
     async def _clear_faults(self, seconds: float, **switches: object) -> None:
         await asyncio.sleep(seconds)
         await self._fleet.set_faults(**switches)
