Wait for placements and count probers by one piece of code each

Cause: the demo and the load tool each polled an instance for its placements, and two benches held their own copy of the number of probers. ZoneProcesses.wait_for_placements and health.PROBERS_PER_TARGET serve all of them.

--- a/bench/idle_zone.py
+++ b/bench/idle_zone.py
@@ -7,6 +7,7 @@
 
 from pearwell.admin_client import AdminClient
 from pearwell.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.health import PROBERS_PER_TARGET
 from pearwell.load.fleet import HEALTH_PORT, Fleet
 from pearwell.porcelain import Write, create_group
 from pearwell.standins.zone import ZONE, ZoneProcesses
@@ -15,7 +16,6 @@
 
 INSTANCES = 6
 TARGETS = 10
-PROBERS_PER_TARGET = 3
 OCTET = 74
 RETURN_PORT = 20120
 SETTLE_S = 5.0
--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -20,7 +20,7 @@
 from pearwell.load.report import EventReport, InstanceReport, Report, Sample
 from pearwell.load.schedule import Event
 from pearwell.load.traffic import TrafficShape, plan_flows
-from pearwell.porcelain import Write, create_group, create_service, list_placements
+from pearwell.porcelain import Write, create_group, create_service
 from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerService, FlowOutcome
 from pearwell.standins.caller_host import CallerHost
@@ -31,7 +31,6 @@
 SAMPLE_INTERVAL_S = 1.0
 FINISH_TIMEOUT_S = 30.0
 READY_TIMEOUT_S = 60.0
-POLL_S = 0.1
 METRICS_TIMEOUT_S = 0.5
 IN_FORCE_WAIT_S = 10.0
 SERVICE_NETWORK = "198.51.100"
@@ -162,7 +161,9 @@
         async with AdminClient(self._fleet.admin_servers) as client:
             for profile, service in self._services():
                 await self._create(client, profile, service)
-        await self._wait_for_placements()
+        groups = len(self._plan.profile.services)
+        for number in self._fleet.instances.values():
+            await self._fleet.processes.wait_for_placements(number, groups)
 
     async def _create(
         self, client: AdminClient, profile: ServiceProfile, service: CallerService
@@ -187,15 +188,6 @@
         )
         await create_service(client, spec, Write("pearwell-load", wait_s=IN_FORCE_WAIT_S))
 
-    async def _wait_for_placements(self) -> None:
-        """Waits until every instance has a placement of each group."""
-        wanted = len(self._plan.profile.services)
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            for server in self._fleet.admin_servers:
-                async with AdminClient([server]) as client:
-                    while len(await list_placements(client)) < wanted:
-                        await asyncio.sleep(POLL_S)
-
     def _plan_flows(self) -> None:
         plan = self._plan
         for profile, service in self._services():
--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -151,15 +151,7 @@
             await porcelain.create_group(self._admin, group, _write())
             await porcelain.create_service(self._admin, spec, _write())
         for number in range(1, INSTANCES + 1):
-            await self._wait_for_placements(number)
-
-    async def _wait_for_placements(self, number: int) -> None:
-        async with AdminClient([self._zone.admin_endpoint(number)]) as client:
-            deadline = time.monotonic() + READY_TIMEOUT_S
-            while len(await porcelain.list_placements(client)) < len(SERVICES):
-                if time.monotonic() > deadline:
-                    raise TimeoutError(f"entry-{number} has no placements")
-                await asyncio.sleep(POLL_S)
+            await self._zone.wait_for_placements(number, len(SERVICES))
 
     async def _change(self) -> None:
         """Replaces an instance, drains a target and adds one while flows run."""
--- a/pearwell/standins/zone.py
+++ b/pearwell/standins/zone.py
@@ -12,9 +12,11 @@
 import aiohttp
 import msgspec
 
+from pearwell.admin_client import AdminClient
 from pearwell.errors import PlatformError
 from pearwell.instance_list import InstanceList
 from pearwell.platform_client import PlatformClient
+from pearwell.porcelain import list_placements
 from pearwell.standins.target import Ledger, LoadReport, TargetConfig
 from pearwell.standins.target_host import HostConfig
 from pearwell.verdict import Address
@@ -99,6 +101,15 @@
         """Waits until an instance serves its admin API."""
         await wait_for_port(self.instance_address(number), ADMIN_PORT)
 
+    async def wait_for_placements(self, number: int, groups: int) -> None:
+        """Waits until an instance has placements of so many groups; raises TimeoutError."""
+        async with (
+            asyncio.timeout(START_TIMEOUT_S),
+            AdminClient([self.admin_endpoint(number)]) as client,
+        ):
+            while len(await list_placements(client)) < groups:
+                await asyncio.sleep(POLL_S)
+
     async def stop_instance(self, number: int) -> int:
         """Stops an instance with SIGTERM and returns its exit status."""
         process = self._running.pop(f"entry-{number}")
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from pearwell.health import PROBERS_PER_TARGET
+
 ROOT = Path(__file__).resolve().parent.parent
 SLOPES = ROOT / "docs" / "capacity-slopes.jsonl"
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -71,7 +73,6 @@
 
 GENERATIONS_PER_CHANGE = 4
 OWNERS = 2
-PROBERS = 3
 RELAYS = 3
 RINGS = 4
 WATCHED_KINDS = 3
@@ -209,7 +210,7 @@
 
 
 def _prober(size: Size, slopes: Slopes) -> Role:
-    probes = size.hosts / size.zones * PROBERS / size.nodes_per_zone
+    probes = size.hosts / size.zones * PROBERS_PER_TARGET / size.nodes_per_zone
     cpu = probes * slopes["probe_cpu"] / MICROSECONDS_PER_SECOND
     note = f"{probes:.1f} probes a second, each with its share of load reports"
     mechanism = "three probers a target by rendezvous"
