Carry traffic on the users' platform by tokens in packets

The platform returns a field of our choice (echo) with every packet of a flow, so the packet itself names its target and no instance keeps flow state that could be lost. Ruled out: owners with records and per-node tables, which lose flows when all instances lose power; hashing alone, which moves flows with each change of targets. asyncio, typing and dataclasses are left out of the role's imports, as each restart pays for them on machines with 0.116 to 0.7 of a core.

Unit tests are still to come.

--- /dev/null
+++ b/pearwell/affinity/chooser.py
@@ -0,0 +1,65 @@
+"""Choice of the target of a new flow.
+
+Load pattern: steady starts with targets that are cold, leaving or silent, and the wave in which
+every client comes back at once after all instances were down. Each instance sees only its own
+share of the flows, so it evens out that share; ties are broken by the flow's hash, which spreads
+the first flows of a wave over the targets although no instance knows of any load yet.
+"""
+
+from collections.abc import Iterable
+from zlib import crc32
+
+from pearwell.affinity.target import Target
+
+__all__ = ["choose_target"]
+
+# A request that waits for its answer weighs as much as this many open flows; most open flows are
+# idle between two requests.
+IN_FLIGHT_WEIGHT = 2.0
+# How much longer a target works on a request while it is cold; sites state 1.6 (cold_x).
+COLD_FACTOR = 1.6
+
+# Classes of preference, lower is better.
+_OWN_ZONE, _OTHER_ZONE, _SUSPECT, _TRIED = range(4)
+
+
+def choose_target(
+    targets: Iterable[Target], zone: str, tried: Iterable[Target], flow: bytes, now: float
+) -> Target | None:
+    """Returns the target of a new flow, or None if no target may take one.
+
+    Targets of the own zone come first, as flows to other zones hang when a zone is cut off.
+
+    Args:
+        targets: Listed targets of the flow's service.
+        zone: Own availability zone.
+        tried: Targets that left an earlier copy of the SYN unanswered.
+        flow: Addresses and ports of the flow.
+        now: Current time in seconds of the clock.
+    """
+    best, best_score = None, (len((_OWN_ZONE, _OTHER_ZONE, _SUSPECT, _TRIED)), 0.0)
+    for target in targets:
+        if target.draining or target.shadowed or target.gone:
+            continue
+        if target in tried:
+            tier = _TRIED
+        elif now < target.suspect_until:
+            tier = _SUSPECT
+        else:
+            tier = _OWN_ZONE if target.zone == zone else _OTHER_ZONE
+        if tier > best_score[0]:
+            continue
+        load = 1.0 + target.open_flows + IN_FLIGHT_WEIGHT * target.in_flight
+        if now < target.warm_at:
+            load *= COLD_FACTOR
+        score = (tier, load)
+        if score > best_score:
+            continue
+        if score == best_score and best is not None and _draw(flow, best) > _draw(flow, target):
+            continue
+        best, best_score = target, score
+    return best
+
+
+def _draw(flow: bytes, target: Target) -> int:
+    return crc32(target.tag, crc32(flow))
--- /dev/null
+++ b/pearwell/affinity/directory.py
@@ -0,0 +1,165 @@
+"""Directory of targets: who may take new flows and where the packets of open flows go.
+
+A target that the platform no longer lists keeps its flows until it is certainly gone. Listings
+lapse while the platform's store is away and their targets go on serving, so a missing entry alone
+says little.
+"""
+
+from collections.abc import Iterable
+
+from pearwell.affinity.target import Target
+
+__all__ = ["SETTLE_S", "Change", "Directory"]
+
+# Entries that lapsed with the store are back about 2 s after its return (platform's page on
+# service discovery); half a second is for the delay of the watch.
+SETTLE_S = 2.5
+# Longest life of a flow on the platform, MaxFlowS; an unlisted target has none after it.
+FORGET_S = 60.0
+
+# What a listing changed: the event's name and the target.
+Change = tuple[str, Target]
+
+
+class Directory:
+    """All targets that an instance knows, by token and by service."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, Target] = {}
+        self._by_token: dict[int, Target] = {}
+        self._by_service: dict[str, list[Target]] = {}
+        self._unlisted: dict[str, Target] = {}
+        self._known = False
+
+    @property
+    def known(self) -> bool:
+        """Whether a complete listing was taken."""
+        return self._known
+
+    @property
+    def unlisted(self) -> Iterable[Target]:
+        """Targets that were listed once and may still hold flows."""
+        return self._unlisted.values()
+
+    def __iter__(self) -> Iterable[Target]:
+        return iter(self._by_name.values())
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def of_token(self, token: int) -> Target | None:
+        """Returns the target whose flows carry a token."""
+        return self._by_token.get(token)
+
+    def of_service(self, service: str) -> list[Target]:
+        """Returns the listed targets of a service, draining ones included."""
+        return self._by_service.get(service, [])
+
+    def replace(self, listing: Iterable[Target], now: float) -> list[Change]:
+        """Takes a complete listing and returns what changed."""
+        fresh = {target.name: target for target in listing}
+        changes = [
+            change
+            for name in [*self._by_name]
+            if name not in fresh
+            for change in self.remove(name, now)
+        ]
+        for target in fresh.values():
+            changes.extend(self.put(target))
+        self._known = True
+        return changes
+
+    def put(self, target: Target) -> list[Change]:
+        """Takes the description of one listed target and returns what changed."""
+        held = self._by_name.get(target.name) or self._unlisted.get(target.name)
+        if held is not None and held.same_incarnation(target):
+            return self._update(held, target)
+        changes: list[Change] = []
+        if held is not None:
+            held.gone = True
+            self._unlist(held)
+            self._unlisted.pop(held.name, None)
+            changes.append(("target_restarted", target))
+        else:
+            changes.append(("target_listed", target))
+        self._by_name[target.name] = target
+        self._by_service.setdefault(target.service, []).append(target)
+        self._claim_token(target)
+        for other in self._unlisted.values():
+            if other.address == target.address and not other.gone:
+                other.gone = True
+                changes.append(("target_address_reused", other))
+        return changes
+
+    def remove(self, name: str, now: float) -> list[Change]:
+        """Takes that a target is no longer listed and returns what changed."""
+        target = self._by_name.get(name)
+        if target is None:
+            return []
+        self._unlist(target)
+        target.listed = False
+        target.removed_at = now
+        # A draining target is removed when it has left.
+        target.gone = target.draining
+        self._unlisted[name] = target
+        return [("target_left" if target.gone else "target_unlisted", target)]
+
+    def settle(self, now: float, store_good_since: float) -> list[Change]:
+        """Decides which unlisted targets are gone, and forgets old ones.
+
+        Args:
+            now: Current time in seconds of the clock.
+            store_good_since: Since when the store has answered without a failure.
+        """
+        changes: list[Change] = []
+        for target in [*self._unlisted.values()]:
+            since = max(target.removed_at, store_good_since, target.life_at)
+            if not target.gone and now - since >= SETTLE_S:
+                target.gone = True
+                changes.append(("target_gone", target))
+            if now - target.removed_at >= FORGET_S:
+                del self._unlisted[target.name]
+                self._release_token(target)
+        return changes
+
+    def _update(self, held: Target, told: Target) -> list[Change]:
+        changes: list[Change] = []
+        if not held.listed:
+            del self._unlisted[held.name]
+            held.listed = True
+            held.gone = False
+            self._by_name[held.name] = held
+            self._by_service.setdefault(held.service, []).append(held)
+            self._claim_token(held)
+            changes.append(("target_listed", held))
+        if held.draining != told.draining:
+            changes.append(("target_draining" if told.draining else "target_ready", told))
+        held.draining = told.draining
+        held.warm_at = told.warm_at
+        held.zone = told.zone
+        return changes
+
+    def _unlist(self, target: Target) -> None:
+        if self._by_name.get(target.name) is target:
+            del self._by_name[target.name]
+        members = self._by_service.get(target.service, [])
+        if target in members:
+            members.remove(target)
+
+    def _release_token(self, target: Target) -> None:
+        if self._by_token.get(target.token) is target:
+            del self._by_token[target.token]
+        for other in self._by_name.values():
+            if other.shadowed and other.token == target.token:
+                self._claim_token(other)
+
+    def _claim_token(self, target: Target) -> None:
+        """Gives the token to the older of two listed targets; the other takes no new flows."""
+        owner = self._by_token.get(target.token)
+        if owner is not None and owner.listed and owner.name != target.name:
+            target.shadowed = (owner.born, owner.name) <= (target.born, target.name)
+            if target.shadowed:
+                return
+            owner.shadowed = True
+        target.shadowed = False
+        self._by_token[target.token] = target
--- /dev/null
+++ b/pearwell/affinity/routes.py
@@ -0,0 +1,99 @@
+"""Routes: which service takes the new flows of an address, by versions that only rise."""
+
+from zlib import crc32
+
+__all__ = ["Route", "RouteTable", "Routes"]
+
+DEFAULT_IDLE_S = 15.0
+
+
+class Route:
+    """Where the flows of one address and port go.
+
+    Attributes:
+        name: Name of the route.
+        services: Services that share the new flows, with their weights.
+        total: Sum of the weights.
+    """
+
+    __slots__ = ("name", "services", "total")
+
+    def __init__(self, name: str, services: tuple[tuple[str, int], ...]) -> None:
+        self.name = name
+        self.services = services
+        self.total = sum(weight for _, weight in services)
+
+    def service_of(self, flow: bytes) -> str:
+        """Returns the service of a new flow, the same for all copies of its SYN; "" for none."""
+        if len(self.services) == 1:
+            return self.services[0][0]
+        if self.total <= 0:
+            return ""
+        point = crc32(flow) % self.total
+        for service, weight in self.services:
+            point -= weight
+            if point < 0:
+                return service
+        return ""
+
+
+class Routes:
+    """One version of the configuration.
+
+    Attributes:
+        version: Version that the operator gave it.
+        by_address: Routes by the 6 bytes of destination port and address, as packets hold them.
+        idle_s: Time in seconds after which an idle flow may be discarded.
+    """
+
+    __slots__ = ("by_address", "idle_s", "version")
+
+    def __init__(
+        self, version: int, by_address: dict[bytes, Route], idle_s: float = DEFAULT_IDLE_S
+    ) -> None:
+        self.version = version
+        self.by_address = by_address
+        self.idle_s = idle_s
+
+
+class RouteTable:
+    """The routes in force; an older version never replaces a newer one."""
+
+    def __init__(self) -> None:
+        self._routes = Routes(-1, {})
+        self._applied_at = 0.0
+
+    @property
+    def version(self) -> int:
+        """Version in force; -1 before the first one."""
+        return self._routes.version
+
+    @property
+    def known(self) -> bool:
+        """Whether a version is in force."""
+        return self._routes.version >= 0
+
+    @property
+    def applied_at(self) -> float:
+        """When the version came into force, in seconds of the clock."""
+        return self._applied_at
+
+    @property
+    def idle_s(self) -> float:
+        """Time in seconds after which an idle flow may be discarded."""
+        return self._routes.idle_s
+
+    def __len__(self) -> int:
+        return len(self._routes.by_address)
+
+    def find(self, address: bytes) -> Route | None:
+        """Returns the route of the 6 bytes of destination port and address."""
+        return self._routes.by_address.get(address)
+
+    def apply(self, routes: Routes, now: float) -> bool:
+        """Takes a version; returns False if it isn't newer than the one in force."""
+        if routes.version <= self._routes.version:
+            return False
+        self._routes = routes
+        self._applied_at = now
+        return True
--- a/pearwell/errors.py
+++ b/pearwell/errors.py
@@ -18,7 +18,7 @@
 
 class Code(IntEnum):
     """Result codes: 1xx settings, 2xx packets, 3xx configuration, 4xx platform, 5xx peers,
-    6xx admission, 7xx targets, 9xx invariants."""
+    6xx admission, 7xx targets, 8xx flows by token, 9xx invariants."""
 
     OK = 0
 
@@ -84,6 +84,12 @@
     TARGET_DEADLINE = 702
     TARGET_BAD_REPORT = 703
 
+    FLOW_NO_ROUTE = 801
+    FLOW_NO_TARGET = 802
+    FLOW_TARGET_GONE = 803
+    FLOW_UNKNOWN_TOKEN = 804
+    FLOW_UNSETTLED = 805
+
     INVARIANT_VIOLATED = 901
 
 
--- /dev/null
+++ b/pearwell/platform/objects.py
@@ -0,0 +1,119 @@
+"""Objects of the platform's store, decoded once into the product's types."""
+
+from collections.abc import Mapping
+from socket import inet_aton
+
+from pearwell.affinity.routes import DEFAULT_IDLE_S, Route, Routes
+from pearwell.affinity.target import NEVER, Target
+from pearwell.errors import Code, PlatformError
+
+__all__ = ["decode_routes", "decode_target", "object_name"]
+
+# The platform lists the targets as "servers" and holds the configuration as config/main.
+TARGET_KIND = "servers"
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+
+_STATES = {"ready": False, "draining": True}
+
+
+def object_name(item: object) -> str:
+    """Returns the name of an object; "" if it has none."""
+    meta = item.get("meta") if isinstance(item, Mapping) else None
+    name = meta.get("Name") if isinstance(meta, Mapping) else None
+    return name if isinstance(name, str) else ""
+
+
+def decode_target(item: object, now: float) -> Target:
+    """Returns the target that an object names.
+
+    Args:
+        item: The object as JSON gave it.
+        now: Current time in seconds of the clock.
+
+    Raises:
+        PlatformError: PLATFORM_BAD_ANSWER if the object names no target that could be used.
+    """
+    name = object_name(item)
+    spec = item.get("spec") if isinstance(item, Mapping) else None
+    if not isinstance(spec, Mapping):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r} has no fields")
+    state = spec.get("State")
+    if not isinstance(state, str) or state not in _STATES:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: state {state!r}")
+    # How much longer the target is slow after its start, from the moment of the report.
+    warm_ms = spec.get("WarmupLeftMs", 0)
+    if not _is_number(warm_ms):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: warm-up {warm_ms!r}")
+    born = spec.get("born", 0)
+    return Target(
+        name=name,
+        tag=_tag(name),
+        service=_text(spec, "Service", name),
+        address=_address(spec, name),
+        zone=_text(spec, "Zone", name),
+        born=born if _is_number(born) else 0,
+        draining=_STATES[state],
+        warm_at=now + warm_ms / 1000 if warm_ms > 0 else NEVER,
+    )
+
+
+def decode_routes(item: object) -> Routes:
+    """Returns the routes of the configuration object.
+
+    Raises:
+        PlatformError: PLATFORM_BAD_ANSWER if it isn't a configuration.
+    """
+    try:
+        spec = item["spec"]  # type: ignore[index]
+        version = spec["Version"]
+        routes = {}
+        for told in spec["Routes"]:
+            split = told.get("TrafficSplit")
+            services = (
+                tuple((part["Service"], part["Weight"]) for part in split)
+                if split
+                else ((told["Service"], 1),)
+            )
+            # PathPrefix is a port between slashes, Host an IP address.
+            port = int(told["PathPrefix"].strip("/"))
+            address = port.to_bytes(2, "big") + inet_aton(told["Host"])
+            routes[address] = Route(str(told.get("Name", "")), services)
+        idle_ms = spec.get("Limits", {}).get("IdleTimeoutMs")
+    except (AttributeError, KeyError, OSError, OverflowError, TypeError, ValueError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"configuration: {error!r}") from error
+    if not isinstance(version, int):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"configuration version {version!r}")
+    idle_s = idle_ms / 1000 if _is_number(idle_ms) and idle_ms > 0 else DEFAULT_IDLE_S
+    return Routes(version, routes, idle_s)
+
+
+def _tag(name: str) -> bytes:
+    digits = name.rpartition("-")[2]
+    try:
+        return int(digits, 16).to_bytes(8, "big")
+    except (OverflowError, ValueError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: no identity") from error
+
+
+def _text(spec: Mapping[str, object], key: str, name: str) -> str:
+    value = spec.get(key)
+    if not isinstance(value, str) or not value:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: {key} {value!r}")
+    return value
+
+
+def _address(spec: Mapping[str, object], name: str) -> tuple[str, int]:
+    ip, _, port = _text(spec, "Address", name).rpartition(":")
+    try:
+        inet_aton(ip)
+        number = int(port)
+    except (OSError, ValueError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: address") from error
+    if not 0 < number < 1 << 16:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: port {number}")
+    return ip, number
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
--- /dev/null
+++ b/pearwell/platform/packet.py
@@ -0,0 +1,49 @@
+"""Packets of the platform: a header of 32 bytes, then data.
+
+    seq 0:4   ack 4:8   len 8:10   sport 10:12   src 12:16   dport 16:18   dst 18:22
+    flags 22  pad 23    sum 24:28  echo 28:32
+
+The field `echo` is the token. On a SYN, `ack` counts the copies that the client sent before.
+"""
+
+from struct import Struct
+
+from pearwell.affinity.director import Packet
+from pearwell.errors import Code, PacketError
+
+__all__ = ["HEADER_BYTES", "decode_packet", "encode_forwarded", "encode_reset"]
+
+HEADER_BYTES = 32
+_FIELDS = Struct(">IIH12sBB4sI")
+_ECHO = Struct(">I")
+_FLAG_RST = 16
+
+
+def decode_packet(data: bytes) -> Packet:
+    """Returns what decisions need of a packet.
+
+    Raises:
+        PacketError: PACKET_TRUNCATED or PACKET_BAD_HEADER.
+    """
+    if len(data) < HEADER_BYTES:
+        raise PacketError(Code.PACKET_TRUNCATED, f"{len(data)} bytes")
+    seq, ack, length, key, flags, _, _, echo = _FIELDS.unpack_from(data)
+    if length != len(data) - HEADER_BYTES:
+        raise PacketError(Code.PACKET_BAD_HEADER, f"length {length} of {len(data)} bytes")
+    return key, key[6:], flags, seq, ack, length, echo
+
+
+def encode_forwarded(data: bytes, tag: bytes, token: int) -> bytes:
+    """Returns the datagram for a target: its tag, then the packet with its token."""
+    return b"".join((tag, data[:28], _ECHO.pack(token), data[32:]))
+
+
+def encode_reset(packet: Packet) -> bytes:
+    """Returns the reset of the flow of a client's packet; it needs no valid sum."""
+    key, _, _, _, ack, _, _ = packet
+    return _FIELDS.pack(ack, 0, 0, key[6:] + key[:6], _FLAG_RST, 0, b"\0\0\0\0", 0)
+
+
+def client_ip(key: bytes) -> str:
+    """Returns the client's IP address of a flow key."""
+    return ".".join(map(str, key[2:6]))
--- /dev/null
+++ b/pearwell/platform/settings.py
@@ -0,0 +1,105 @@
+"""Settings file of the platform: lines of the form a.b=value."""
+
+from collections.abc import Mapping
+
+from pearwell.errors import Code, SettingsError
+
+__all__ = ["PATH_VARIABLE", "InstanceSettings", "parse_settings", "read_settings"]
+
+# Environment variable that holds the path of the settings file.
+PATH_VARIABLE = "PEARWELL_BOOT"
+
+Address = tuple[str, int]
+
+
+class InstanceSettings:
+    """What the platform tells an instance.
+
+    Attributes:
+        instance: Name of the instance.
+        zone: Its availability zone.
+        ip: Its IP address.
+        packets: Address that takes packets; clients take them at the same port number.
+        ready: Address of the readiness probe.
+        store: Address of the store.
+        drain_s: Time in seconds in which a leaving target has to stop getting new flows.
+        config_s: Time in seconds in which a configuration has to be in force.
+        grace_s: Time in seconds between the request to stop and the forced end.
+    """
+
+    __slots__ = (
+        "config_s",
+        "drain_s",
+        "grace_s",
+        "instance",
+        "ip",
+        "packets",
+        "ready",
+        "store",
+        "zone",
+    )
+
+    def __init__(self, fields: Mapping[str, str]) -> None:
+        self.instance = _text(fields, "NodeName")
+        self.zone = _text(fields, "Zone")
+        self.ip = _text(fields, "Ip")
+        self.packets = _address(fields, "ListenAddrs.DatagramAddr")
+        self.ready = _address(fields, "ListenAddrs.Ready")
+        self.store = _address(fields, "platform.Address")
+        self.drain_s = _number(fields, "Bounds.DrainMs") / 1000
+        self.config_s = _number(fields, "Bounds.ConfigApplyMs") / 1000
+        self.grace_s = _number(fields, "Bounds.GraceS")
+
+
+def read_settings(path: str) -> InstanceSettings:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: SETTINGS_UNREADABLE, SETTINGS_MISSING_KEY or SETTINGS_INVALID_VALUE.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(Code.SETTINGS_UNREADABLE, f"{path}: {error}") from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> InstanceSettings:
+    """Returns the settings in a file's text; unknown keys are ignored.
+
+    Raises:
+        SettingsError: SETTINGS_MISSING_KEY or SETTINGS_INVALID_VALUE.
+    """
+    fields = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator:
+            fields[key.strip()] = value.strip()
+    return InstanceSettings(fields)
+
+
+def _text(fields: Mapping[str, str], key: str) -> str:
+    value = fields.get(key, "")
+    if not value:
+        raise SettingsError(Code.SETTINGS_MISSING_KEY, key)
+    return value
+
+
+def _number(fields: Mapping[str, str], key: str) -> float:
+    value = _text(fields, key)
+    try:
+        number = float(value)
+    except ValueError as error:
+        raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={value}") from error
+    if not 0 <= number < float("inf"):
+        raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={value}")
+    return number
+
+
+def _address(fields: Mapping[str, str], key: str) -> Address:
+    value = _text(fields, key)
+    ip, _, port = value.rpartition(":")
+    if not (ip and port.isdecimal() and 0 < int(port) < 1 << 16):
+        raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={value}")
+    return ip, int(port)
--- /dev/null
+++ b/pearwell/platform/store.py
@@ -0,0 +1,169 @@
+"""Client of the platform's store over HTTP/1.1: lists and watches, one connection for each kind."""
+
+import json
+import socket
+
+from pearwell.errors import Code, PlatformError
+from pearwell.http_message import Message, MessageReader, encode_message
+from pearwell.reactor import Reactor
+
+__all__ = ["StoreAnswer", "StoreClient"]
+
+# A connection is set up within a few milliseconds; the store's answers take up to 350 ms when it
+# is slow (platform_slow of the site files) and a list is sent through links of 5 Mbit/s.
+CONNECT_S = 0.6
+ANSWER_S = 1.8
+# Silence after which the kernel probes a connection, pause and number of its probes: a connection
+# that has gone silent is found broken in 3 s, within the time in which a configuration must apply.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PAUSE_S = 1
+KEEPALIVE_PROBES = 2
+RECEIVE_BYTES = 262_144
+
+_CODES = {
+    404: Code.PLATFORM_NOT_FOUND,
+    409: Code.PLATFORM_CONFLICT,
+    410: Code.PLATFORM_WATCH_EXPIRED,
+    429: Code.PLATFORM_UNAVAILABLE,
+    503: Code.PLATFORM_UNAVAILABLE,
+}
+
+
+class StoreAnswer:
+    """A part of the store's objects.
+
+    Attributes:
+        items: Objects of a list, or events of a watch, as JSON gave them.
+        revision: Revision of the store that they show.
+        more: Whether the list goes on.
+    """
+
+    __slots__ = ("items", "more", "revision")
+
+    def __init__(self, items: list[object], revision: int, more: bool) -> None:
+        self.items = items
+        self.revision = revision
+        self.more = more
+
+
+class StoreClient:
+    """One connection to the store.
+
+    Every method raises PlatformError; PLATFORM_WATCH_EXPIRED if a watch can't be resumed.
+
+    Args:
+        reactor: Event loop.
+        address: Address of the store.
+    """
+
+    def __init__(self, reactor: Reactor, address: tuple[str, int]) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._sock: socket.socket | None = None
+        self._reader = MessageReader()
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls sent so far."""
+        return self._calls
+
+    async def list(self, kind: str, after: str) -> StoreAnswer:
+        """Returns the objects of a kind after a name, as many as the store gives at once."""
+        query = f"?after={after}" if after else ""
+        answer = await self._call(f"/objects/{kind}{query}", ANSWER_S)
+        return _decode(answer, "items")
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> StoreAnswer:
+        """Returns the events after a revision, once there is one or the wait is over."""
+        query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
+        answer = await self._call(f"/objects/{kind}{query}", wait_s + ANSWER_S)
+        return _decode(answer, "events")
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Makes further connections to another address."""
+        self._address = address
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens another one."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+        self._reader = MessageReader()
+
+    async def _call(self, path: str, timeout_s: float) -> Message:
+        try:
+            answer = await self._exchange(path, timeout_s)
+        except OSError as error:
+            self.close()
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, str(error)) from error
+        except PlatformError:
+            self.close()
+            raise
+        if answer.headers.get("connection", "").lower() == "close":
+            self.close()
+        if answer.status != 200:
+            code = _CODES.get(answer.status, Code.PLATFORM_BAD_ANSWER)
+            raise PlatformError(code, f"status {answer.status}")
+        return answer
+
+    async def _exchange(self, path: str, timeout_s: float) -> Message:
+        sock = self._sock or await self._connect()
+        host = f"{self._address[0]}:{self._address[1]}"
+        self._calls += 1
+        # A request is far smaller than the send buffer of an idle connection.
+        sock.send(encode_message(f"GET {path} HTTP/1.1", {"Host": host}))
+        deadline = self._reactor.now() + timeout_s
+        while True:
+            left = deadline - self._reactor.now()
+            if left <= 0 or not await self._reactor.readable(sock, left):
+                raise PlatformError(Code.PLATFORM_TIMEOUT, f"no answer in {timeout_s:.1f} s")
+            data = sock.recv(RECEIVE_BYTES)
+            if not data:
+                raise PlatformError(Code.PLATFORM_UNAVAILABLE, "the connection was closed")
+            answer = self._reader.feed(data)
+            if answer is not None:
+                return answer
+
+    async def _connect(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock = sock
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PAUSE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        if not await connected(self._reactor, sock, self._address, CONNECT_S):
+            raise PlatformError(Code.PLATFORM_TIMEOUT, "no connection")
+        return sock
+
+
+async def connected(
+    reactor: Reactor, sock: socket.socket, address: tuple[str, int], timeout_s: float
+) -> bool:
+    """Connects a non-blocking socket; returns False if the timeout passed first.
+
+    Raises:
+        OSError: The connection was refused or has failed.
+    """
+    try:
+        sock.connect(address)
+        return True
+    except BlockingIOError:
+        if not await reactor.writable(sock, timeout_s):
+            return False
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, "connect failed")
+    return True
+
+
+def _decode(answer: Message, key: str) -> StoreAnswer:
+    try:
+        told = json.loads(answer.body)
+        items, revision = told[key], told["AsOf"]
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"answer: {error!r}") from error
+    if not isinstance(items, list) or not isinstance(revision, int):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, "answer of another shape")
+    return StoreAnswer(items, revision, told.get("HasMore") is True)
--- /dev/null
+++ b/pearwell/reactor.py
@@ -0,0 +1,157 @@
+"""A small event loop: coroutines that wait for a socket or a time, on one epoll.
+
+asyncio takes 40 ms of processor time to import, which a restarted instance on a small machine
+would add as a quarter of a second to the time in which it forwards nothing.
+"""
+
+import select
+import socket
+from collections.abc import Callable, Coroutine, Generator
+from heapq import heappop, heappush
+
+__all__ = ["Reactor", "Wait"]
+
+READ = select.EPOLLIN
+WRITE = select.EPOLLOUT
+
+
+class Wait:
+    """What a coroutine waits for: a socket's readiness, a time, or the earlier of both.
+
+    Attributes:
+        sock: The socket, or None.
+        events: READ or WRITE.
+        deadline: Time in seconds of the clock, or None.
+    """
+
+    __slots__ = ("deadline", "events", "sock")
+
+    def __init__(self, sock: socket.socket | None, events: int, deadline: float | None) -> None:
+        self.sock = sock
+        self.events = events
+        self.deadline = deadline
+
+    def __await__(self) -> Generator["Wait", bool, bool]:
+        return (yield self)
+
+
+class _Task:
+    __slots__ = ("coroutine", "fd", "turn")
+
+    def __init__(self, coroutine: Coroutine[Wait, bool, None]) -> None:
+        self.coroutine = coroutine
+        self.fd = -1
+        self.turn = 0
+
+
+class Reactor:
+    """Runs callbacks and coroutines until it is stopped.
+
+    Attributes:
+        now: Returns the current time in seconds.
+
+    Args:
+        now: Returns the current time in seconds of a steady clock.
+        on_error: Takes an exception that ended a coroutine.
+    """
+
+    def __init__(self, now: Callable[[], float], on_error: Callable[[BaseException], None]) -> None:
+        self.now = now
+        self._on_error = on_error
+        self._epoll = select.epoll()
+        self._readers: dict[int, Callable[[], None]] = {}
+        self._waiting: dict[int, _Task] = {}
+        self._timers: list[tuple[float, int, _Task, int]] = []
+        self._started = 0
+        self._stopped = False
+
+    def add_reader(self, sock: socket.socket, callback: Callable[[], None]) -> None:
+        """Calls back whenever a socket can be read."""
+        self._readers[sock.fileno()] = callback
+        self._epoll.register(sock.fileno(), READ)
+
+    def spawn(self, coroutine: Coroutine[Wait, bool, None]) -> None:
+        """Runs a coroutine."""
+        self._step(_Task(coroutine), True)
+
+    def readable(self, sock: socket.socket, timeout_s: float) -> Wait:
+        """Returns an awaitable for data; it gives False if the timeout passed first."""
+        return Wait(sock, READ, self.now() + timeout_s)
+
+    def writable(self, sock: socket.socket, timeout_s: float) -> Wait:
+        """Returns an awaitable for room to write; it gives False if the timeout passed first."""
+        return Wait(sock, WRITE, self.now() + timeout_s)
+
+    def sleep(self, seconds: float) -> Wait:
+        """Returns an awaitable for a time."""
+        return Wait(None, 0, self.now() + seconds)
+
+    def stop(self) -> None:
+        """Ends run()."""
+        self._stopped = True
+
+    def run(
+        self,
+        next_due: Callable[[], float | None] = lambda: None,
+        on_due: Callable[[float], None] = lambda now: None,
+    ) -> None:
+        """Runs until stop() is called.
+
+        Args:
+            next_due: Returns the time in seconds of the clock at which on_due is wanted, or None.
+            on_due: Called at that time, after everything that could be read was read.
+        """
+        while not self._stopped:
+            self._poll(next_due())
+            now = self.now()
+            while self._timers and self._timers[0][0] <= now:
+                _, _, task, turn = heappop(self._timers)
+                if task.turn == turn:
+                    self._step(task, False)
+            due = next_due()
+            if due is not None and due <= now:
+                on_due(now)
+
+    def _poll(self, due: float | None) -> None:
+        wakeups = [due] if due is not None else []
+        while self._timers and self._timers[0][2].turn != self._timers[0][3]:
+            heappop(self._timers)
+        if self._timers:
+            wakeups.append(self._timers[0][0])
+        timeout = max(0.0, min(wakeups) - self.now()) if wakeups else None
+        for fd, _ in self._epoll.poll(timeout):
+            callback = self._readers.get(fd)
+            if callback is not None:
+                callback()
+                continue
+            task = self._waiting.get(fd)
+            if task is not None:
+                self._step(task, True)
+
+    def _step(self, task: _Task, ready: bool) -> None:
+        task.turn += 1
+        if task.fd >= 0:
+            self._waiting.pop(task.fd, None)
+            self._forget(task.fd)
+            task.fd = -1
+        try:
+            wait = task.coroutine.send(ready if task.turn > 1 else None)  # type: ignore[arg-type]
+        except StopIteration:
+            return
+        except Exception as error:
+            self._on_error(error)
+            return
+        if wait.sock is not None:
+            task.fd = wait.sock.fileno()
+            self._waiting[task.fd] = task
+            self._epoll.register(task.fd, wait.events)
+        if wait.deadline is not None:
+            self._started += 1
+            heappush(self._timers, (wait.deadline, self._started, task, task.turn))
+
+    def _forget(self, fd: int) -> None:
+        try:
+            self._epoll.unregister(fd)
+        except FileNotFoundError:
+            # The descriptor was closed, which has taken it out of the set.
+            return
