List again after each failed call to the store; keep watches short

Ruled out by the logs of edge-pnw-c-15 and edge-mid-c-3: slow instances and lost answers. Keep-alive probes don't show it, as the store's connection lives. A failed call is now followed by a list, and watches end 1.6 s before bounds hold again.

--- a/pearwell/affinity/follower.py
+++ b/pearwell/affinity/follower.py
@@ -17,8 +17,10 @@
 # Longest pause. Changes made during an outage have to be in force 3 s after it, calls may take
 # over a second, so the next attempt has to start soon.
 MAX_BACKOFF_S = 1.2
-# Longest time that a watch waits; the platform allows 30 s at most.
-WATCH_S = 25.0
+# What is left of the time to regain touch after an outage of the store for a watch that the outage
+# has swallowed: the time-out of its answer, the first pause and the list that follows.
+REGAIN_MARGIN_S = 1.6
+MIN_WATCH_S = 1.0
 
 
 class Call:
@@ -27,25 +29,33 @@
     Attributes:
         delay_s: Pause in seconds before it.
         revision: Revision to watch from; None for a list.
+        wait_s: Longest time in seconds that a watch waits for events.
     """
 
-    __slots__ = ("delay_s", "revision")
+    __slots__ = ("delay_s", "revision", "wait_s")
 
-    def __init__(self, delay_s: float, revision: int | None) -> None:
+    def __init__(self, delay_s: float, revision: int | None, wait_s: float) -> None:
         self.delay_s = delay_s
         self.revision = revision
+        self.wait_s = wait_s
 
 
 class Follower:
     """Follows one kind.
 
+    A store that was silent answers no watch that it got meanwhile, and one that drops its history
+    may let a watch wait without events. So watches are short, and every failure is followed by a
+    list.
+
     Args:
         pace_s: Least time in seconds between two watches if there are events.
+        regain_s: Time in seconds after an outage of the store in which changes must be known.
         jitter: Returns numbers between 0 and 1.
     """
 
-    def __init__(self, pace_s: float, jitter: Callable[[], float]) -> None:
+    def __init__(self, pace_s: float, regain_s: float, jitter: Callable[[], float]) -> None:
         self._pace_s = pace_s
+        self._watch_s = max(MIN_WATCH_S, regain_s - REGAIN_MARGIN_S)
         self._jitter = jitter
         self._revision: int | None = None
         self._failures = 0
@@ -69,7 +79,7 @@
             delay = bound * (0.5 + 0.5 * self._jitter())
         else:
             delay = max(0.0, self._called_at + self._pace_s - now)
-        return Call(delay, self._revision)
+        return Call(delay, self._revision, self._watch_s)
 
     def listed(self, revision: int, now: float) -> None:
         """Takes the end of a complete list."""
@@ -87,8 +97,8 @@
 
     def failed(self, code: Code, now: float) -> None:
         """Takes a call that failed; an expired watch is followed by a list without a pause."""
+        self._revision = None
         if code is Code.PLATFORM_WATCH_EXPIRED:
-            self._revision = None
             return
         self._failures += 1
         self._good_since = float("inf")
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -8,7 +8,7 @@
 
 from pearwell.affinity.director import Director
 from pearwell.affinity.directory import Change, Directory
-from pearwell.affinity.follower import WATCH_S, Follower
+from pearwell.affinity.follower import Call, Follower
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.target import Target
 from pearwell.errors import Code, PacketError, PlatformError, SettingsError
@@ -72,8 +72,8 @@
         self._directory = Directory()
         draws = _Jitter(settings.instance)
         self._followers = {
-            CONFIG_KIND: Follower(settings.config_s * CONFIG_SHARE, draws.next),
-            TARGET_KIND: Follower(settings.drain_s * DRAIN_SHARE, draws.next),
+            CONFIG_KIND: Follower(settings.config_s * CONFIG_SHARE, settings.contact_s, draws.next),
+            TARGET_KIND: Follower(settings.drain_s * DRAIN_SHARE, settings.contact_s, draws.next),
         }
         self._stores = {
             kind: StoreClient(self._reactor, settings.store) for kind in self._followers
@@ -176,7 +176,7 @@
                 if call.revision is None:
                     await self._list(kind, follower, store)
                 else:
-                    await self._watch(kind, follower, store, call.revision)
+                    await self._watch(kind, follower, store, call)
             except PlatformError as error:
                 follower.failed(error.code, self._reactor.now())
                 self._log.event(
@@ -184,7 +184,7 @@
                     kind=kind,
                     code=int(error.code),
                     detail=error.detail,
-                    revision=follower.revision,
+                    revision=call.revision,
                 )
             self._begin_forwarding()
 
@@ -206,10 +206,8 @@
         follower.listed(revision or 0, now)
         self._log.event("store_listed", kind=kind, objects=len(items), revision=revision)
 
-    async def _watch(
-        self, kind: str, follower: Follower, store: StoreClient, revision: int
-    ) -> None:
-        answer = await store.watch(kind, revision, WATCH_S)
+    async def _watch(self, kind: str, follower: Follower, store: StoreClient, call: Call) -> None:
+        answer = await store.watch(kind, call.revision or 0, call.wait_s)
         now = self._reactor.now()
         for event in answer.items:
             item = event.get("Object") if isinstance(event, dict) else None
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -24,11 +24,13 @@
         store: Address of the store.
         drain_s: Time in seconds in which a leaving target has to stop getting new flows.
         config_s: Time in seconds in which a configuration has to be in force.
+        contact_s: Time in seconds after an outage of the store until bounds hold again.
         grace_s: Time in seconds between the request to stop and the forced end.
     """
 
     __slots__ = (
         "config_s",
+        "contact_s",
         "drain_s",
         "grace_s",
         "instance",
@@ -48,6 +50,7 @@
         self.store = _address(fields, "platform.Address")
         self.drain_s = _number(fields, "Bounds.DrainMs") / 1000
         self.config_s = _number(fields, "Bounds.ConfigApplyMs") / 1000
+        self.contact_s = _number(fields, "Bounds.ContactMs") / 1000
         self.grace_s = _number(fields, "Bounds.GraceS")
 
 
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -10,9 +10,10 @@
 __all__ = ["StoreAnswer", "StoreClient"]
 
 # A connection is set up within a few milliseconds; the store's answers take up to 350 ms when it
-# is slow (platform_slow of the site files) and a list is sent through links of 5 Mbit/s.
+# is slow (platform_slow of the site files). A list of 1 MB takes 1.6 s through 5 Mbit/s.
 CONNECT_S = 0.6
-ANSWER_S = 1.8
+ANSWER_S = 1.0
+LIST_S = 1.8
 # Silence after which the kernel probes a connection, pause and number of its probes: a connection
 # that has gone silent is found broken in 3 s, within the time in which a configuration must apply.
 KEEPALIVE_IDLE_S = 1
@@ -71,7 +72,7 @@
     async def list(self, kind: str, after: str) -> StoreAnswer:
         """Returns the objects of a kind after a name, as many as the store gives at once."""
         query = f"?after={after}" if after else ""
-        answer = await self._call(f"/objects/{kind}{query}", ANSWER_S)
+        answer = await self._call(f"/objects/{kind}{query}", LIST_S)
         return _decode(answer, "items")
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> StoreAnswer:
