Follow the store through relays: the seeds of the settings ask it, the others ask them

Ruled out: pacing alone (each instance still calls once in 2.4 s), stale reads (seconds behind when the history is dropped), a list of instances in the store (writes with each start). The three seeds now watch with 1.5 s waits and serve events on their control address; a relay that the store hasn't confirmed for 2.2 s refuses, and its followers turn to the next one or the store. A configuration is only announced by relays, as 1,400 routes to dozens of instances would fill a link.

--- /dev/null
+++ b/pearwell/affinity/relay.py
@@ -0,0 +1,61 @@
+"""Answers of a relay to other instances, in the shape of the store's own answers."""
+
+import json
+from collections.abc import Callable
+
+from pearwell.affinity.cache import ObjectCache
+from pearwell.http_server import Answer
+from pearwell.reactor import Signal
+
+__all__ = ["PATH", "Relay"]
+
+PATH = "/objects/"
+# Longest time that a watch is held.
+MAX_WAIT_S = 5.0
+
+
+class Relay:
+    """Serves lists and watches from what this instance holds.
+
+    Args:
+        caches: Objects by kind.
+        changed: Fires after each change of them.
+        now: Returns the current time in seconds of the clock.
+    """
+
+    def __init__(
+        self, caches: dict[str, ObjectCache], changed: Signal, now: Callable[[], float]
+    ) -> None:
+        self._caches = caches
+        self._changed = changed
+        self._now = now
+
+    async def answer(self, path: str) -> Answer:
+        """Returns status and body for a path with its query.
+
+        503 if the store hasn't confirmed the objects lately, 410 if the events are no longer held.
+        """
+        kind, revision, wait_s = _parse(path)
+        cache = self._caches.get(kind)
+        if cache is None or revision is None:
+            return 404, b"{}"
+        end = self._now() + min(wait_s, MAX_WAIT_S)
+        while cache.fresh(self._now()):
+            events = cache.events_after(revision)
+            if events is None:
+                return 410, b"{}"
+            left = min(end, cache.stale_at()) - self._now()
+            if events or left <= 0:
+                return 200, json.dumps({"events": events, "AsOf": cache.revision}).encode()
+            await self._changed.wait(left)
+        return 503, b"{}"
+
+
+def _parse(path: str) -> tuple[str, int | None, float]:
+    """Returns kind, revision and wait in seconds; the revision is None if the path is malformed."""
+    kind, _, query = path.removeprefix(PATH).partition("?")
+    fields = dict(part.partition("=")[::2] for part in query.split("&"))
+    revision, wait_ms = fields.get("Watch", ""), fields.get("WaitMs", "0")
+    if not (path.startswith(PATH) and revision.isdecimal() and wait_ms.isdecimal()):
+        return kind, None, 0.0
+    return kind, int(revision), int(wait_ms) / 1000
--- /dev/null
+++ b/pearwell/affinity/serving.py
@@ -0,0 +1,72 @@
+"""When an instance takes packets and tells routers that it is ready."""
+
+from collections.abc import Mapping
+
+__all__ = ["Phase", "Serving"]
+
+# Time between the request to stop and the end. Routers probe each 500 ms and send flows elsewhere
+# after two misses; flows that come late by another router's view are still forwarded.
+STOP_S = 4.5
+# What is left of the time to stop for the end itself.
+STOP_MARGIN_S = 1.0
+
+
+class Phase:
+    """Phases of an instance's life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+
+
+_STEPS: Mapping[tuple[str, str], str] = {
+    (Phase.STARTING, "informed"): Phase.SERVING,
+    (Phase.STARTING, "stop"): Phase.STOPPING,
+    (Phase.SERVING, "stop"): Phase.STOPPING,
+}
+
+
+class Serving:
+    """Follows one instance from start to stop.
+
+    Args:
+        grace_s: Time in seconds that the platform gives a process to stop.
+    """
+
+    def __init__(self, grace_s: float) -> None:
+        self.grace_s = grace_s
+        self._phase = Phase.STARTING
+        self._forwards = False
+
+    @property
+    def phase(self) -> str:
+        """The current phase."""
+        return self._phase
+
+    @property
+    def ready(self) -> bool:
+        """Whether routers may send new flows."""
+        return self._phase == Phase.SERVING
+
+    @property
+    def forwards(self) -> bool:
+        """Whether packets are taken; a stopping instance goes on with them."""
+        return self._forwards
+
+    @property
+    def stop_after_s(self) -> float:
+        """Time in seconds from the request to stop to the end."""
+        return max(0.0, min(STOP_S, self.grace_s - STOP_MARGIN_S))
+
+    def informed(self) -> bool:
+        """Takes that routes and targets are known; returns whether that is new."""
+        fresh = not self._forwards
+        self._forwards = True
+        self._phase = _STEPS.get((self._phase, "informed"), self._phase)
+        return fresh
+
+    def stop(self) -> bool:
+        """Takes the request to stop; returns False if it isn't the first one."""
+        before = self._phase
+        self._phase = _STEPS.get((self._phase, "stop"), self._phase)
+        return self._phase != before
--- /dev/null
+++ b/pearwell/affinity/sync.py
@@ -0,0 +1,166 @@
+"""Keeps the objects of one kind in step with the platform's store, by way of relays if it can."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+from pearwell.affinity.cache import ObjectCache
+from pearwell.affinity.follower import Call, Follower
+from pearwell.errors import Code, PlatformError
+
+# True for type checkers only: typing takes 13 ms of processor time to import.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    class Store(Protocol):
+        """What answers lists and watches; every method raises PlatformError."""
+
+        async def list(self, kind: str, after: str) -> "StoreAnswer":
+            """Returns the objects of a kind after a name, as many as come at once."""
+
+        async def watch(self, kind: str, revision: int, wait_s: float) -> "StoreAnswer":
+            """Returns the events after a revision, once there is one or the wait is over."""
+
+    class Kind(Protocol):
+        """Takes the objects of a kind as JSON gave them."""
+
+        name: str
+
+        def name_of(self, item: object) -> str:
+            """Returns an object's name; "" if it has none."""
+
+        def replace(self, items: dict[str, object], now: float) -> None:
+            """Takes all objects by name."""
+
+        def apply(self, name: str, item: object | None, now: float) -> None:
+            """Takes one object, or None if it was removed."""
+
+
+__all__ = ["ObjectSync", "StoreAnswer"]
+
+
+class StoreAnswer:
+    """A part of the objects, or events.
+
+    Attributes:
+        items: Objects of a list or events of a watch, as JSON gave them.
+        revision: Revision up to which they are complete.
+        more: Whether a list goes on.
+    """
+
+    __slots__ = ("items", "more", "revision")
+
+    def __init__(self, items: list[object], revision: int, more: bool = False) -> None:
+        self.items = items
+        self.revision = revision
+        self.more = more
+
+
+class ObjectSync:
+    """Follows one kind.
+
+    Args:
+        kind: Takes the objects.
+        follower: Decides on calls.
+        cache: What this instance answers from as a relay.
+        store: The store.
+        relays: Relays in the order that the follower knows.
+        now: Returns the current time in seconds of the clock.
+        sleep: Returns an awaitable for a number of seconds.
+        on_change: Called after each answer.
+        log: Takes an event's name and its fields.
+    """
+
+    def __init__(
+        self,
+        kind: "Kind",
+        follower: Follower,
+        cache: ObjectCache,
+        store: "Store",
+        relays: "Sequence[Store]",
+        now: Callable[[], float],
+        sleep: Callable[[float], Awaitable[bool]],
+        on_change: Callable[[], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._kind = kind
+        self._follower = follower
+        self._cache = cache
+        self._store = store
+        self._relays = relays
+        self._now = now
+        self._sleep = sleep
+        self._on_change = on_change
+        self._log = log
+        self._failing = False
+
+    async def run(self) -> None:
+        """Follows for ever."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Makes one call and takes its answer."""
+        call = self._follower.next_call(self._now())
+        if call.delay_s > 0:
+            await self._sleep(call.delay_s)
+        try:
+            if call.revision is None:
+                await self._list()
+            else:
+                await self._watch(call, call.revision)
+        except PlatformError as error:
+            self._follower.failed(call, error.code, self._now())
+            self._note_failure(call, error)
+        else:
+            if self._failing and call.relay is None:
+                self._failing = False
+                self._log("store_regained", kind=self._kind.name, revision=self._follower.revision)
+        self._on_change()
+
+    async def _list(self) -> None:
+        items: list[object] = []
+        revision, more = -1, True
+        while more:
+            after = self._kind.name_of(items[-1]) if items else ""
+            answer = await self._store.list(self._kind.name, after)
+            items.extend(answer.items)
+            revision = answer.revision if revision < 0 else min(revision, answer.revision)
+            more = answer.more and bool(answer.items)
+        now = self._now()
+        by_name = {self._kind.name_of(item): item for item in items}
+        self._kind.replace(by_name, now)
+        self._cache.replace(by_name, revision, now)
+        self._follower.listed(revision, now)
+        self._log("listed", kind=self._kind.name, objects=len(items), revision=revision)
+
+    async def _watch(self, call: Call, revision: int) -> None:
+        source = self._store if call.relay is None else self._relays[call.relay]
+        answer = await source.watch(self._kind.name, revision, call.wait_s)
+        now = self._now()
+        changes = [self._read_event(event) for event in answer.items]
+        if None in changes:
+            # A relay tells of a change without the objects.
+            self._follower.changed()
+            return
+        told = [change for change in changes if change is not None]
+        for name, item in told:
+            self._kind.apply(name, item, now)
+        self._follower.watched(len(told), answer.revision, now)
+        if call.relay is None:
+            self._cache.extend(answer.items, told, answer.revision, now)
+
+    def _read_event(self, event: object) -> tuple[str, object | None] | None:
+        if event is None:
+            return None
+        if not isinstance(event, dict):
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"event {str(event)[:80]}")
+        item = event.get("Object")
+        return self._kind.name_of(item), None if event.get("Deleted") is True else item
+
+    def _note_failure(self, call: Call, error: PlatformError) -> None:
+        fields = {"kind": self._kind.name, "code": int(error.code), "detail": error.detail}
+        if call.relay is not None:
+            self._log("relay_lost", relay=call.relay, revision=call.revision, **fields)
+            return
+        self._failing = True
+        self._log("store_lost", revision=call.revision, **fields)
--- /dev/null
+++ b/pearwell/http_server.py
@@ -0,0 +1,84 @@
+"""An HTTP/1.1 server on the reactor, for probes, metrics and relays."""
+
+import socket
+from collections.abc import Callable, Coroutine
+
+from pearwell.errors import PlatformError
+from pearwell.http_message import Message, MessageReader, encode_message
+from pearwell.reactor import Reactor, Wait
+
+__all__ = ["Answer", "HttpServer"]
+
+BACKLOG = 128
+# A connection without a request for this time is closed; relays' clients ask each second.
+IDLE_S = 10.0
+# An answer that isn't taken for this time is given up.
+SEND_S = 5.0
+RECEIVE_BYTES = 4_096
+
+_REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
+
+# Status and body.
+Answer = tuple[int, bytes]
+Handler = Callable[[str], Coroutine[Wait, bool, Answer]]
+
+
+class HttpServer:
+    """Serves one address.
+
+    Args:
+        reactor: Event loop.
+        address: IP address and TCP port to listen on.
+        handle: Returns the answer to a path with its query.
+        content_type: Type of all bodies.
+    """
+
+    def __init__(
+        self, reactor: Reactor, address: tuple[str, int], handle: Handler, content_type: str
+    ) -> None:
+        self._reactor = reactor
+        self._handle = handle
+        self._content_type = content_type
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        reactor.add_reader(self._sock, self._accept)
+
+    def _accept(self) -> None:
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            # The caller has gone again, or no descriptor is left; it will try again.
+            return
+        sock.setblocking(False)
+        self._reactor.spawn(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        reader = MessageReader()
+        try:
+            while await self._reactor.readable(sock, IDLE_S):
+                data = sock.recv(RECEIVE_BYTES)
+                if not data:
+                    return
+                request = reader.feed(data)
+                if request is not None and not await self._answer(sock, request):
+                    return
+        except (OSError, PlatformError):
+            # A caller that breaks off or sends no HTTP asks again on a new connection.
+            return
+        finally:
+            sock.close()
+
+    async def _answer(self, sock: socket.socket, request: Message) -> bool:
+        status, body = await self._handle(request.first[1])
+        first = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
+        rest = memoryview(encode_message(first, {"Content-Type": self._content_type}, body))
+        while rest:
+            try:
+                rest = rest[sock.send(rest) :]
+            except BlockingIOError:
+                if not await self._reactor.writable(sock, SEND_S):
+                    return False
+        return request.headers.get("connection", "").lower() != "close"
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -1,22 +1,112 @@
 """Objects of the platform's store, decoded once into the product's types."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from socket import inet_aton
 
-from pearwell.affinity.routes import DEFAULT_IDLE_S, Route, Routes
+from pearwell.affinity.directory import Change, Directory
+from pearwell.affinity.routes import DEFAULT_IDLE_S, Route, Routes, RouteTable
 from pearwell.affinity.target import NEVER, Target
 from pearwell.errors import Code, PlatformError
 
-__all__ = ["decode_routes", "decode_target", "object_name"]
+__all__ = ["ConfigObjects", "TargetObjects", "decode_routes", "decode_target", "object_name"]
 
-# The platform lists the targets as "servers" and holds the configuration as config/main.
-TARGET_KIND = "servers"
-CONFIG_KIND = "config"
+# The latest configuration is the object config/main.
 CONFIG_NAME = "main"
 
 _STATES = {"ready": False, "draining": True}
 
 
+class TargetObjects:
+    """Takes entries of targets into a directory.
+
+    Args:
+        directory: What the entries are decoded for.
+        log: Takes an event's name and its fields.
+    """
+
+    name = "servers"
+
+    def __init__(self, directory: Directory, log: Callable[..., None]) -> None:
+        self._directory = directory
+        self._log = log
+
+    def name_of(self, item: object) -> str:
+        """Returns an object's name; "" if it has none."""
+        return object_name(item)
+
+    def replace(self, items: Mapping[str, object], now: float) -> None:
+        """Takes all entries by name; one that names no target doesn't stop the others."""
+        found = [self._decode(item, now) for item in items.values()]
+        targets = [target for target in found if target is not None]
+        self._note(self._directory.replace(targets, now))
+
+    def apply(self, name: str, item: object | None, now: float) -> None:
+        """Takes one entry, or None if it was removed."""
+        target = None if item is None else self._decode(item, now)
+        changes = (
+            self._directory.remove(name, now) if target is None else self._directory.put(target)
+        )
+        self._note(changes)
+
+    def _decode(self, item: object, now: float) -> Target | None:
+        try:
+            return decode_target(item, now)
+        except PlatformError as error:
+            self._log("entry_unusable", code=int(error.code), detail=error.detail)
+            return None
+
+    def _note(self, changes: list[Change]) -> None:
+        for event, target in changes:
+            self._log(
+                event,
+                target=target.name,
+                service=target.service,
+                zone=target.zone,
+                address=f"{target.address[0]}:{target.address[1]}",
+            )
+
+
+class ConfigObjects:
+    """Takes the operator's configuration into a table of routes.
+
+    Args:
+        routes: What the configuration is decoded for.
+        log: Takes an event's name and its fields.
+    """
+
+    name = "config"
+
+    def __init__(self, routes: RouteTable, log: Callable[..., None]) -> None:
+        self._routes = routes
+        self._log = log
+
+    def name_of(self, item: object) -> str:
+        """Returns an object's name; "" if it has none."""
+        return object_name(item)
+
+    def replace(self, items: Mapping[str, object], now: float) -> None:
+        """Takes all objects by name."""
+        for name, item in items.items():
+            self.apply(name, item, now)
+
+    def apply(self, name: str, item: object | None, now: float) -> None:
+        """Takes one object; a removed or unusable one leaves the version in force as it is."""
+        if name != CONFIG_NAME or item is None:
+            return
+        try:
+            routes = decode_routes(item)
+        except PlatformError as error:
+            self._log("configuration_unusable", code=int(error.code), detail=error.detail)
+            return
+        applied = self._routes.apply(routes, now)
+        self._log(
+            "configuration_applied" if applied else "configuration_older",
+            version=routes.version,
+            in_force=self._routes.version,
+            routes=len(self._routes),
+        )
+
+
 def object_name(item: object) -> str:
     """Returns the name of an object; "" if it has none."""
     meta = item.get("meta") if isinstance(item, Mapping) else None
--- a/pearwell/platform/packet.py
+++ b/pearwell/platform/packet.py
@@ -11,7 +11,14 @@
 from pearwell.affinity.director import Packet
 from pearwell.errors import Code, PacketError
 
-__all__ = ["HEADER_BYTES", "decode_packet", "encode_forwarded", "encode_reset"]
+__all__ = [
+    "HEADER_BYTES",
+    "client_ip",
+    "decode_packet",
+    "encode_forwarded",
+    "encode_reset",
+    "flow_packet",
+]
 
 HEADER_BYTES = 32
 _FIELDS = Struct(">IIH12sBB4sI")
@@ -44,6 +51,16 @@
     return _FIELDS.pack(ack, 0, 0, key[6:] + key[:6], _FLAG_RST, 0, b"\0\0\0\0", 0)
 
 
+def flow_packet(key: bytes, ack: int) -> Packet:
+    """Returns a packet of a flow as decode_packet() would, for a reset between two packets.
+
+    Args:
+        key: Ports and addresses of the flow.
+        ack: The client's latest acknowledgement.
+    """
+    return key, key[6:], 0, 0, ack, 0, 0
+
+
 def client_ip(key: bytes) -> str:
     """Returns the client's IP address of a flow key."""
     return ".".join(map(str, key[2:6]))
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -21,6 +21,8 @@
         ip: Its IP address.
         packets: Address that takes packets; clients take them at the same port number.
         ready: Address of the readiness probe.
+        control: Address at which other instances ask this one; None if it serves none.
+        seeds: Addresses at which instances serve others, at most three; they may be down.
         store: Address of the store.
         drain_s: Time in seconds in which a leaving target has to stop getting new flows.
         config_s: Time in seconds in which a configuration has to be in force.
@@ -31,12 +33,14 @@
     __slots__ = (
         "config_s",
         "contact_s",
+        "control",
         "drain_s",
         "grace_s",
         "instance",
         "ip",
         "packets",
         "ready",
+        "seeds",
         "store",
         "zone",
     )
@@ -47,6 +51,12 @@
         self.ip = _text(fields, "Ip")
         self.packets = _address(fields, "ListenAddrs.DatagramAddr")
         self.ready = _address(fields, "ListenAddrs.Ready")
+        self.control = (
+            _address(fields, "ListenAddrs.Control") if "ListenAddrs.Control" in fields else None
+        )
+        self.seeds = tuple(
+            _parse_address("Seeds", seed) for seed in fields.get("Seeds", "").split(",") if seed
+        )
         self.store = _address(fields, "platform.Address")
         self.drain_s = _number(fields, "Bounds.DrainMs") / 1000
         self.config_s = _number(fields, "Bounds.ConfigApplyMs") / 1000
@@ -101,8 +111,11 @@
 
 
 def _address(fields: Mapping[str, str], key: str) -> Address:
-    value = _text(fields, key)
-    ip, _, port = value.rpartition(":")
+    return _parse_address(key, _text(fields, key))
+
+
+def _parse_address(key: str, value: str) -> Address:
+    ip, _, port = value.strip().rpartition(":")
     if not (ip and port.isdecimal() and 0 < int(port) < 1 << 16):
         raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={value}")
     return ip, int(port)
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -3,11 +3,12 @@
 import json
 import socket
 
+from pearwell.affinity.sync import StoreAnswer
 from pearwell.errors import Code, PlatformError
 from pearwell.http_message import Message, MessageReader, encode_message
 from pearwell.reactor import Reactor
 
-__all__ = ["StoreAnswer", "StoreClient"]
+__all__ = ["StoreClient", "connected"]
 
 # A connection is set up within a few milliseconds; the store's answers take up to 350 ms when it
 # is slow (platform_slow of the site files). A list of 1 MB takes 1.6 s through 5 Mbit/s.
@@ -30,25 +31,8 @@
 }
 
 
-class StoreAnswer:
-    """A part of the store's objects.
-
-    Attributes:
-        items: Objects of a list, or events of a watch, as JSON gave them.
-        revision: Revision of the store that they show.
-        more: Whether the list goes on.
-    """
-
-    __slots__ = ("items", "more", "revision")
-
-    def __init__(self, items: list[object], revision: int, more: bool) -> None:
-        self.items = items
-        self.revision = revision
-        self.more = more
-
-
 class StoreClient:
-    """One connection to the store.
+    """One connection to the store, or to a relay that answers as the store does.
 
     Every method raises PlatformError; PLATFORM_WATCH_EXPIRED if a watch can't be resumed.
 
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -9,32 +9,67 @@
 from collections.abc import Callable, Coroutine, Generator
 from heapq import heappop, heappush
 
-__all__ = ["Reactor", "Wait"]
+__all__ = ["Reactor", "Signal", "Wait"]
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
 
 
 class Wait:
-    """What a coroutine waits for: a socket's readiness, a time, or the earlier of both.
+    """What a coroutine waits for: the earlier of a socket's readiness or a signal, and a time.
 
     Attributes:
         sock: The socket, or None.
         events: READ or WRITE.
-        deadline: Time in seconds of the clock, or None.
+        deadline: Time in seconds of the clock.
+        signal: The signal, or None.
     """
 
-    __slots__ = ("deadline", "events", "sock")
+    __slots__ = ("deadline", "events", "signal", "sock")
 
-    def __init__(self, sock: socket.socket | None, events: int, deadline: float | None) -> None:
+    def __init__(
+        self,
+        sock: socket.socket | None,
+        events: int,
+        deadline: float,
+        signal: "Signal | None" = None,
+    ) -> None:
         self.sock = sock
         self.events = events
         self.deadline = deadline
+        self.signal = signal
 
     def __await__(self) -> Generator["Wait", bool, bool]:
         return (yield self)
 
 
+class Signal:
+    """Something that coroutines wait for until it happens next.
+
+    Args:
+        reactor: The loop that runs them.
+    """
+
+    def __init__(self, reactor: "Reactor") -> None:
+        self._reactor = reactor
+        self._tasks: list[tuple[_Task, int]] = []
+
+    def wait(self, timeout_s: float) -> Wait:
+        """Returns an awaitable; it gives False if the timeout passed first."""
+        return Wait(None, 0, self._reactor.now() + timeout_s, self)
+
+    def fire(self) -> None:
+        """Resumes all coroutines that wait now."""
+        tasks, self._tasks = self._tasks, []
+        for task, turn in tasks:
+            self._reactor.resume(task, turn)
+
+    def add(self, task: "_Task") -> None:
+        """Takes a coroutine that waits; those that timed out before are dropped."""
+        self._tasks = [(held, turn) for held, turn in self._tasks if held.turn == turn]
+        self._tasks.append((task, task.turn))
+
+
 class _Task:
     __slots__ = ("coroutine", "fd", "turn")
 
@@ -86,6 +121,11 @@
         """Returns an awaitable for a time."""
         return Wait(None, 0, self.now() + seconds)
 
+    def resume(self, task: _Task, turn: int) -> None:
+        """Goes on with a coroutine unless it has gone on since that turn."""
+        if task.turn == turn:
+            self._step(task, True)
+
     def stop(self) -> None:
         """Ends run()."""
         self._stopped = True
@@ -145,9 +185,10 @@
             task.fd = wait.sock.fileno()
             self._waiting[task.fd] = task
             self._epoll.register(task.fd, wait.events)
-        if wait.deadline is not None:
-            self._started += 1
-            heappush(self._timers, (wait.deadline, self._started, task, task.turn))
+        if wait.signal is not None:
+            wait.signal.add(task)
+        self._started += 1
+        heappush(self._timers, (wait.deadline, self._started, task, task.turn))
 
     def _forget(self, fd: int) -> None:
         try:
