Add the soak of the platform's role, its stand-ins, and the metrics page

pearwell-soak runs the role and hosts as processes on loopback with faults drawn from a seed: signals, a store that is down, silent, slow, refuses one caller or forgets its history, links that delay, reset or fall silent, configurations one after the other. It checks from clients, hosts and logs that a flow stays on one host of its own service, that no live flow is reset, that leaving hosts get no new flows, that versions only rise and that clients are served afterwards. The metrics page is served on the port that deploy/system.toml names.

--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -5,7 +5,7 @@
 says little.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from pearwell.affinity.target import Target
 
@@ -41,7 +41,7 @@
         """Targets that were listed once and may still hold flows."""
         return self._unlisted.values()
 
-    def __iter__(self) -> Iterable[Target]:
+    def __iter__(self) -> Iterator[Target]:
         return iter(self._by_name.values())
 
     def __len__(self) -> int:
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -9,6 +9,7 @@
 from pearwell.affinity.follower import Follower, Pace
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.serving import Serving
+from pearwell.text_metrics import Sample
 
 __all__ = ["Bounds", "Instance", "order_relays"]
 
@@ -87,6 +88,29 @@
         known = self.routes.known and self.directory.known
         return known and self.serving.informed()
 
+    def samples(self, now: float) -> list[Sample]:
+        """Returns the counters and gauges of the metrics page."""
+        found: list[Sample] = [
+            ("decisions_total", "counter", {"decision": name}, count)
+            for name, count in sorted(self.director.counts.items())
+        ]
+        found += [
+            ("configuration_version", "gauge", {}, self.routes.version),
+            ("configuration_age_seconds", "gauge", {}, round(now - self.routes.applied_at, 3)),
+            ("routes", "gauge", {}, len(self.routes)),
+            ("flows", "gauge", {}, len(self.director.flows)),
+            ("ready", "gauge", {}, self.serving.ready),
+            ("store_good_seconds", "gauge", {}, max(0.0, now - self.targets.good_since)),
+        ]
+        for target in self.directory:
+            labels = {"service": target.service, "target": target.name}
+            found += [
+                ("target_open_flows", "gauge", labels, target.open_flows),
+                ("target_requests_in_flight", "gauge", labels, target.in_flight),
+                ("target_suspect", "gauge", labels, now < target.suspect_until),
+            ]
+        return found
+
     def _trusts_listing(self, now: float) -> bool:
         return now - self.targets.good_since >= SETTLE_S
 
--- /dev/null
+++ b/pearwell/cli/soak.py
@@ -0,0 +1,65 @@
+"""pearwell-soak: runs seeds of the soak and reports broken promises."""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from absl import app, flags
+
+from pearwell.soak.schedule import draw_faults
+from pearwell.soak.world import SoakOptions, run_soak
+
+__all__ = ["main"]
+
+_SEED = flags.DEFINE_integer("seed", 1, "First seed.")
+_SEEDS = flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.", lower_bound=1)
+_LENGTH_S = flags.DEFINE_float("length_s", 20.0, "Time with faults in each run, in seconds.")
+_INSTANCES = flags.DEFINE_integer("instances", 4, "Number of instances.", 1, 60)
+_HOSTS = flags.DEFINE_integer("hosts", 3, "Number of hosts of each service.", 2, 60)
+_CLIENTS = flags.DEFINE_integer("clients", 12, "Number of clients.", 1, 200)
+_OCTET = flags.DEFINE_integer("octet", 90, "Second octet of all loopback addresses.", 1, 250)
+_DIRECTORY = flags.DEFINE_string("directory", "", "Where logs go; a temporary one by default.")
+_SHOW = flags.DEFINE_bool("show", False, "Print the faults of each seed.")
+
+
+def _main(_: list[str]) -> None:
+    directory = Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="pearwell-soak-"))
+    broken = 0
+    for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
+        place = directory / f"seed-{seed}"
+        place.mkdir(parents=True, exist_ok=True)
+        if _SHOW.value:
+            for fault in draw_faults(seed, _LENGTH_S.value):
+                print(f"seed={seed} {fault}", flush=True)
+        checks = asyncio.run(
+            run_soak(
+                SoakOptions(
+                    seed,
+                    _LENGTH_S.value,
+                    _INSTANCES.value,
+                    _HOSTS.value,
+                    _CLIENTS.value,
+                    _OCTET.value,
+                    place,
+                )
+            )
+        )
+        broken += bool(checks.violations)
+        outcomes = " ".join(
+            f"{name.replace(' ', '_')}={n}" for name, n in sorted(checks.outcomes.items())
+        )
+        print(f"seed={seed} violations={len(checks.violations)} {outcomes}", flush=True)
+        for promise, seen in checks.violations[:20]:
+            print(f"seed={seed} broken={promise} seen={seen!r}", flush=True)
+    print(f"seeds={_SEEDS.value} broken={broken} logs={directory}")
+    sys.exit(bool(broken))
+
+
+def main() -> None:
+    """Runs the command."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    main()
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -25,6 +25,7 @@
 from pearwell.platform.settings import PATH_VARIABLE, InstanceSettings, read_settings
 from pearwell.platform.store import StoreClient, connected
 from pearwell.reactor import Reactor, Signal
+from pearwell.text_metrics import Histogram, render_samples
 
 __all__ = ["Edge", "main"]
 
@@ -36,6 +37,12 @@
 # A target that accepts connections does so within milliseconds.
 PROBE_TIMEOUT_S = 0.3
 TICK_S = 1.0
+# Port and path of the metrics page, as deploy/system.toml names them.
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+# Upper bounds in seconds: a decision takes some microseconds, a call some milliseconds.
+DECISION_BOUNDS_S = (0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.05)
+CALL_BOUNDS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 
 
 class Edge:
@@ -72,6 +79,9 @@
         self._director = self._instance.director
         self._changed = Signal(self._reactor)
         self._stores: list[StoreClient] = []
+        self._relays: list[StoreClient] = []
+        self._decision_times = Histogram("packet_seconds", DECISION_BOUNDS_S)
+        self._call_times = Histogram("store_list_seconds", CALL_BOUNDS_S)
         self._log.event("start", zone=settings.zone, relay=self._is_relay)
         for kind, follower, cache in (
             (
@@ -85,14 +95,16 @@
                 self._instance.target_cache,
             ),
         ):
-            store = StoreClient(self._reactor, settings.store)
+            store = StoreClient(self._reactor, settings.store, self._call_times)
+            clients = [StoreClient(self._reactor, relay) for relay in relays]
             self._stores.append(store)
+            self._relays.extend(clients)
             sync = ObjectSync(
                 kind,
                 follower,
                 cache,
                 store,
-                [StoreClient(self._reactor, relay) for relay in relays],
+                clients,
                 self._reactor.now,
                 self._reactor.sleep,
                 self._on_change,
@@ -111,6 +123,12 @@
 
     def _serve(self) -> None:
         HttpServer(self._reactor, self._settings.ready, self._answer_probe, "text/plain")
+        try:
+            page = (self._settings.ip, METRICS_PORT)
+            HttpServer(self._reactor, page, self._answer_metrics, "text/plain; version=0.0.4")
+        except OSError as error:
+            # Traffic goes before metrics if the platform uses the port otherwise.
+            self._log.event("metrics_unavailable", port=METRICS_PORT, error=error)
         if self._settings.control is None or not self._is_relay:
             return
         caches = {
@@ -123,6 +141,18 @@
     async def _answer_probe(self, path: str) -> Answer:
         return (200 if self._instance.serving.ready else 503), b""
 
+    async def _answer_metrics(self, path: str) -> Answer:
+        if path != METRICS_PATH:
+            return 404, b""
+        samples = self._instance.samples(self._reactor.now())
+        samples += [
+            ("calls_total", "counter", {"to": to}, sum(client.calls for client in clients))
+            for to, clients in (("store", self._stores), ("relay", self._relays))
+        ]
+        samples.append(("log_lines_left_out", "gauge", {}, self._log.left_out))
+        histograms = self._decision_times.render() + self._call_times.render()
+        return 200, (render_samples(samples) + histograms).encode()
+
     def _on_change(self) -> None:
         if self._instance.informed():
             self._reactor.add_reader(self._packets, self._on_packets)
@@ -136,10 +166,12 @@
     def _on_packets(self) -> None:
         receive, decide = self._packets.recv, self._director.on_packet
         now = self._reactor.now()
-        for _ in range(BATCH_PACKETS):
+        packets = 0
+        for packets in range(1, BATCH_PACKETS + 1):
             try:
                 data = receive(DATAGRAM_BYTES)
             except BlockingIOError:
+                packets -= 1
                 break
             except OSError as error:
                 self._log.event("receive_failed", error=error)
@@ -154,6 +186,8 @@
                 self._forward(data, verdict)
             elif verdict is not Code.FLOW_UNSETTLED and not packet[2] & RST:
                 self._reset(packet[0], encode_reset(packet))
+        if packets:
+            self._decision_times.observe((self._reactor.now() - now) / packets)
         self._spawn_probes()
 
     def _forward(self, data: bytes, target: Target) -> None:
@@ -265,9 +299,33 @@
 def main() -> None:
     """Runs the role with the settings file that the environment names."""
     path = os.environ.get(PATH_VARIABLE, "")
+    if len(sys.argv) > 1:
+        path = _parse_arguments(path)
     try:
         settings = read_settings(path)
     except SettingsError as error:
         print(f"event=start_failed code={int(error.code)} detail={error.detail!r}", flush=True)
         sys.exit(2)
+    if len(sys.argv) > 1:
+        print(f"{path}: instance {settings.instance} in zone {settings.zone}", flush=True)
+        return
     Edge(settings, path).run()
+
+
+def _parse_arguments(path: str) -> str:
+    """Returns the path of the settings file to check; imported only if there are arguments."""
+    import argparse
+
+    parser = argparse.ArgumentParser(
+        prog="edge.py",
+        description=f"Carries traffic with the settings file that {PATH_VARIABLE} names.",
+    )
+    parser.add_argument(
+        "--check_config",
+        nargs="?",
+        const=path,
+        required=True,
+        metavar="FILE",
+        help=f"check a settings file, by default that of {PATH_VARIABLE}, and end",
+    )
+    return parser.parse_args().check_config
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -7,6 +7,7 @@
 from pearwell.errors import Code, PlatformError
 from pearwell.http_message import Message, MessageReader, encode_message
 from pearwell.reactor import Reactor
+from pearwell.text_metrics import Histogram
 
 __all__ = ["StoreClient", "connected"]
 
@@ -38,12 +39,19 @@
 
     Args:
         reactor: Event loop.
-        address: Address of the store.
+        address: Address of the store or relay.
+        list_times: Takes the time in seconds that each list took.
     """
 
-    def __init__(self, reactor: Reactor, address: tuple[str, int]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: tuple[str, int],
+        list_times: Histogram | None = None,
+    ) -> None:
         self._reactor = reactor
         self._address = address
+        self._list_times = list_times
         self._sock: socket.socket | None = None
         self._reader = MessageReader()
         self._calls = 0
@@ -56,7 +64,10 @@
     async def list(self, kind: str, after: str) -> StoreAnswer:
         """Returns the objects of a kind after a name, as many as the store gives at once."""
         query = f"?after={after}" if after else ""
+        started = self._reactor.now()
         answer = await self._call(f"/objects/{kind}{query}", LIST_S)
+        if self._list_times is not None:
+            self._list_times.observe(self._reactor.now() - started)
         return _decode(answer, "items")
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> StoreAnswer:
--- /dev/null
+++ b/pearwell/soak/processes.py
@@ -0,0 +1,103 @@
+"""The processes of a soak: started, signalled and ended by their ids."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+__all__ = ["ROOT", "Program"]
+
+ROOT = Path(__file__).resolve().parents[2]
+RESTART_S = 0.4
+END_S = 8.0
+
+
+class Program:
+    """One program that runs as a process and can be started again.
+
+    Args:
+        name: Name in reports.
+        arguments: Arguments after the interpreter.
+        environment: Variables added to the environment.
+        log: File that gets its output.
+        on_line: Takes each line of its output.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        environment: dict[str, str],
+        log: Path,
+        on_line: Callable[[str, str], None],
+    ) -> None:
+        self.name = name
+        self._arguments = arguments
+        self._environment = environment
+        self._log = log
+        self._on_line = on_line
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+        self._expected = False
+        self.disturbed_at = float("-inf")
+        self.starts = 0
+        self.own_ends = 0
+
+    @property
+    def running(self) -> bool:
+        """Whether the process lives."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self._expected = False
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *self._arguments,
+            cwd=ROOT,
+            env={**os.environ, **self._environment},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self.starts += 1
+        self._reader = asyncio.get_running_loop().create_task(self._read(self._process))
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        if self._process is not None and self._process.returncode is None:
+            self._expected = self._expected or number in (signal.SIGKILL, signal.SIGTERM)
+            self._process.send_signal(number)
+
+    async def end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """Ends the process and waits until it has ended."""
+        self.send(number)
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(END_S):
+                await self._process.wait()
+        except TimeoutError:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+
+    async def restart(self, number: signal.Signals) -> None:
+        """Ends the process and starts it again after a short delay."""
+        await self.end(number)
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        with self._log.open("a") as log:
+            while line := await process.stdout.readline():
+                text = line.decode(errors="replace")
+                log.write(text)
+                self._on_line(self.name, text.rstrip())
+        await process.wait()
+        if not self._expected:
+            self.own_ends += 1
--- /dev/null
+++ b/pearwell/soak/proxy.py
@@ -0,0 +1,107 @@
+"""A loopback TCP proxy that delays, resets, silences or cuts one way what passes through it."""
+
+import asyncio
+import socket
+import struct
+from enum import StrEnum
+
+__all__ = ["Link", "Proxy"]
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.02
+
+
+class Link(StrEnum):
+    """States of the link."""
+
+    OPEN = "open"
+    DELAYED = "delayed"
+    RESET = "reset"
+    SILENT = "silent"
+    NO_ANSWERS = "no-answers"
+
+
+_DELAY_S = 0.3
+# Directions that pass nothing: towards the server, back to the caller.
+_BLOCKED = {Link.SILENT: {"to", "back"}, Link.NO_ANSWERS: {"back"}}
+
+
+class Proxy:
+    """One listening address in front of another one.
+
+    Connections that went silent stay silent for good, as those of a broken network may.
+    """
+
+    def __init__(self) -> None:
+        self._link = Link.OPEN
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, listen: tuple[str, int], to: tuple[str, int]) -> None:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(
+            lambda reader, writer: self._serve(reader, writer, to), *listen
+        )
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        if self._server is not None:
+            self._server.close()
+        self._abort()
+
+    def set(self, link: Link) -> None:
+        """Changes the state of the link."""
+        self._link = link
+        if link is Link.RESET:
+            self._abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to: tuple[str, int]
+    ) -> None:
+        if self._link is Link.RESET:
+            _reset(writer)
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*to)
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, far_writer}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer, "to"))
+                group.create_task(self._pump(far_reader, writer, "back"))
+        except* OSError:
+            _reset(writer)
+        finally:
+            self._writers -= {writer, far_writer}
+            writer.close()
+            far_writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: str
+    ) -> None:
+        lost = False
+        while data := await reader.read(CHUNK_BYTES):
+            if self._link is Link.DELAYED:
+                await asyncio.sleep(_DELAY_S)
+            lost = lost or direction in _BLOCKED.get(self._link, ())
+            if not lost:
+                writer.write(data)
+                await writer.drain()
+        raise ConnectionResetError
+
+    def _abort(self) -> None:
+        for writer in [*self._writers]:
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            # The connection has ended already.
+            return
+    writer.close()
--- /dev/null
+++ b/pearwell/soak/schedule.py
@@ -0,0 +1,86 @@
+"""Faults of a soak, drawn from a seed."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pearwell.soak.proxy import Link
+
+__all__ = ["Fault", "FaultKind", "draw_faults"]
+
+
+class FaultKind(StrEnum):
+    """What is done to the system from outside."""
+
+    INSTANCE_KILL = "instance-kill"
+    INSTANCE_STOP = "instance-stop"
+    INSTANCE_PAUSE = "instance-pause"
+    INSTANCE_HANGUP = "instance-hangup"
+    ALL_INSTANCES_KILL = "all-instances-kill"
+    HOST_KILL = "host-kill"
+    HOST_DRAIN = "host-drain"
+    HOST_PAUSE = "host-pause"
+    STORE_DOWN = "store-down"
+    STORE_SILENT = "store-silent"
+    STORE_SLOW = "store-slow"
+    STORE_REFUSES = "store-refuses"
+    STORE_COMPACT = "store-compact"
+    LINK = "link"
+    CONFIG_CHANGE = "config-change"
+    CONFIG_STORM = "config-storm"
+
+
+# How often each kind is drawn, relative to the others.
+_WEIGHTS = {
+    FaultKind.INSTANCE_KILL: 3,
+    FaultKind.INSTANCE_STOP: 3,
+    FaultKind.INSTANCE_PAUSE: 2,
+    FaultKind.INSTANCE_HANGUP: 1,
+    FaultKind.ALL_INSTANCES_KILL: 1,
+    FaultKind.HOST_KILL: 3,
+    FaultKind.HOST_DRAIN: 3,
+    FaultKind.HOST_PAUSE: 1,
+    FaultKind.STORE_DOWN: 1,
+    FaultKind.STORE_SILENT: 1,
+    FaultKind.STORE_SLOW: 1,
+    FaultKind.STORE_REFUSES: 1,
+    FaultKind.STORE_COMPACT: 1,
+    FaultKind.LINK: 2,
+    FaultKind.CONFIG_CHANGE: 3,
+    FaultKind.CONFIG_STORM: 1,
+}
+MIN_LENGTH_S, MAX_LENGTH_S = 0.5, 4.0
+MIN_GAP_S, MAX_GAP_S = 0.1, 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at_s: Time from the start of traffic in seconds.
+        kind: What is done.
+        subject: Draws the instance or host; taken modulo their number.
+        for_s: How long it lasts in seconds.
+        link: State of the link between an instance and the store, for LINK.
+    """
+
+    at_s: float
+    kind: FaultKind
+    subject: int
+    for_s: float
+    link: Link
+
+
+def draw_faults(seed: int, length_s: float) -> list[Fault]:
+    """Returns faults in order of time; they overlap where their lengths exceed the gaps."""
+    rng = random.Random(seed)
+    kinds, weights = [*_WEIGHTS], [*_WEIGHTS.values()]
+    links = [link for link in Link if link is not Link.OPEN]
+    faults, at_s = [], rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    while at_s < length_s:
+        [kind] = rng.choices(kinds, weights)
+        for_s = rng.uniform(MIN_LENGTH_S, MAX_LENGTH_S)
+        faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s, rng.choice(links)))
+        at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+    return faults
--- /dev/null
+++ b/pearwell/standins/object_server.py
@@ -0,0 +1,161 @@
+"""Stand-in for the platform's store as the role on the platform speaks to it, with faults."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["Faults", "ObjectServer"]
+
+PAGE_SIZE = 50
+POLL_S = 0.01
+
+
+@dataclass(slots=True)
+class Faults:
+    """Switches.
+
+    Attributes:
+        status: Status that every call gets; 0 for none.
+        silent: Whether calls get no answer while it is set, nor later.
+        delay_s: Time in seconds before each answer.
+        refused: IP addresses of callers that get 503.
+        stale: Whether watches hear nothing.
+    """
+
+    status: int = 0
+    silent: bool = False
+    delay_s: float = 0.0
+    refused: frozenset[str] = frozenset()
+    stale: bool = False
+
+
+class ObjectServer:
+    """Holds objects by kind and name, and serves lists and watches of them."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls = 0
+        self._revision = 1
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: deque[tuple[int, str, dict[str, Any], bool]] = deque()
+        self._forgotten = 0
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Starts to serve."""
+        app = web.Application()
+        app.router.add_get("/objects/{kind}", self._serve)
+        app.router.add_put("/objects/{kind}/{name}", self._put)
+        app.router.add_delete("/objects/{kind}/{name}", self._delete)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, ip, port).start()
+
+    async def stop(self) -> None:
+        """Stops to serve."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def write(self, kind: str, name: str, spec: Any) -> None:
+        """Creates or replaces an object."""
+        held = self._objects.setdefault(kind, {})
+        if name in held and held[name]["spec"] == spec:
+            return
+        await self._record(kind, {"meta": {"Name": name}, "spec": spec}, False)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._objects.get(kind, {}).get(name)
+        if item is not None:
+            await self._record(kind, item, True)
+
+    def compact(self) -> None:
+        """Forgets the history, so that watches from before have expired."""
+        self._events.clear()
+        self._forgotten = self._revision
+
+    async def _record(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
+        self._revision += 1
+        item["meta"]["Revision"] = self._revision
+        held = self._objects.setdefault(kind, {})
+        name = item["meta"]["Name"]
+        if deleted:
+            held.pop(name, None)
+        else:
+            held[name] = item
+        self._events.append((self._revision, kind, item, deleted))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.calls += 1
+        refusal = await self._misbehave(request)
+        if refusal is not None:
+            return refusal
+        kind, query = request.match_info["kind"], request.query
+        if "Watch" not in query:
+            return self._list(kind, query.get("after", ""))
+        return await self._watch(kind, int(query["Watch"]), int(query.get("WaitMs", 0)) / 1000)
+
+    async def _misbehave(self, request: web.Request) -> web.Response | None:
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if request.remote in self.faults.refused:
+            return web.Response(status=503)
+        return web.Response(status=self.faults.status) if self.faults.status else None
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        held = self._objects.get(kind, {})
+        names = sorted(name for name in held if name > after)
+        return _json(
+            {
+                "items": [held[name] for name in names[:PAGE_SIZE]],
+                "HasMore": len(names) > PAGE_SIZE,
+                "AsOf": self._revision,
+            }
+        )
+
+    async def _watch(self, kind: str, revision: int, wait_s: float) -> web.Response:
+        end = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if revision < self._forgotten:
+                return web.Response(status=410)
+            events = [
+                {"Object": item, "Deleted": deleted}
+                for at, of, item, deleted in self._events
+                if at > revision and of == kind and not self.faults.stale
+            ]
+            left = end - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return _json({"events": events, "AsOf": self._revision})
+            try:
+                async with asyncio.timeout(left), self._changed:
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _put(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._misbehave(request)
+        if refusal is not None:
+            return refusal
+        spec = msgspec.json.decode(await request.read())["spec"]
+        await self.write(request.match_info["kind"], request.match_info["name"], spec)
+        return _json({})
+
+    async def _delete(self, request: web.Request) -> web.StreamResponse:
+        refusal = await self._misbehave(request)
+        if refusal is not None:
+            return refusal
+        await self.remove(request.match_info["kind"], request.match_info["name"])
+        return _json({})
+
+
+def _json(value: Any) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
--- /dev/null
+++ b/pearwell/standins/token_packet.py
@@ -0,0 +1,87 @@
+"""Packets of the platform as hosts and clients build them, for the stand-ins."""
+
+from dataclasses import dataclass, replace
+from struct import Struct
+
+__all__ = ["ACK", "FIN", "RST", "SYN", "TokenPacket", "flow_address"]
+
+SYN, ACK, RST, FIN = 1, 8, 16, 32
+_HEAD = Struct(">IIHH4sH4sBBII")
+_MASK = (1 << 32) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class TokenPacket:
+    """One packet.
+
+    Attributes:
+        src: Address and port of the sender's end, 6 bytes.
+        dst: Address and port of the other end, 6 bytes.
+        flags: Sum of SYN, ACK, RST, FIN.
+        seq: Sequence number of the first byte of data.
+        ack: Next byte that the sender expects; on a client's SYN the number of earlier copies.
+        echo: The token.
+        data: The bytes carried.
+    """
+
+    src: bytes
+    dst: bytes
+    flags: int
+    seq: int
+    ack: int
+    echo: int
+    data: bytes = b""
+
+    @property
+    def end(self) -> int:
+        """Sequence number after the packet; SYN and FIN count as a byte."""
+        return (self.seq + len(self.data) + bool(self.flags & (SYN | FIN))) & _MASK
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the packet; the platform's keyed sum is left 0."""
+        head = _HEAD.pack(
+            self.seq,
+            self.ack,
+            len(self.data),
+            int.from_bytes(self.src[4:], "big"),
+            self.src[:4],
+            int.from_bytes(self.dst[4:], "big"),
+            self.dst[:4],
+            self.flags,
+            0,
+            0,
+            self.echo,
+        )
+        return head + self.data
+
+    @classmethod
+    def decode(cls, data: bytes) -> "TokenPacket":
+        """Returns the packet in some bytes."""
+        seq, ack, length, sport, src, dport, dst, flags, _, _, echo = _HEAD.unpack_from(data)
+        return cls(
+            src + sport.to_bytes(2, "big"),
+            dst + dport.to_bytes(2, "big"),
+            flags,
+            seq,
+            ack,
+            echo,
+            data[_HEAD.size : _HEAD.size + length],
+        )
+
+    def answer(self, flags: int, seq: int, echo: int, data: bytes = b"") -> "TokenPacket":
+        """Returns a packet back to the sender that acknowledges this one."""
+        return replace(
+            self,
+            src=self.dst,
+            dst=self.src,
+            flags=flags,
+            seq=seq,
+            ack=self.end,
+            echo=echo,
+            data=data,
+        )
+
+
+def flow_address(ip: str, port: int) -> bytes:
+    """Returns the 6 bytes of an end of a flow."""
+    return bytes(map(int, ip.split("."))) + port.to_bytes(2, "big")
