Keep using targets whose entries lapsed while the store was away

Ruled out by the logs: targets that had ended (they answered flows that were open) and instances without a path. Instances that ask relays call a failing store less often.

Also: a port in use ends the role with a code, and a soak that is interrupted ends what it started.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -204,7 +204,9 @@
         service = flow.service if flow is not None else route.service_of(key)
         target = self._choose(service, flow.tried if flow is not None else (), key, now)
         if target is None:
-            return self._refuse(Code.FLOW_NO_TARGET, packet)
+            # A target may be listed before the client's next copy, 200 or 400 ms from now.
+            settled = self._trusts_listing(now)
+            return self._refuse(Code.FLOW_NO_TARGET if settled else Code.FLOW_UNSETTLED, packet)
         if flow is None:
             flow = self._flows.add(key, target)
             self._resend_tokens = min(RESEND_RESERVE, self._resend_tokens + RESEND_SHARE)
--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -52,17 +52,23 @@
         return self._by_token.get(token)
 
     def of_service(self, service: str) -> list[Target]:
-        """Returns the listed targets of a service, draining ones included."""
+        """Returns the listed and lapsed targets of a service, draining ones included."""
         return self._by_service.get(service, [])
 
-    def replace(self, listing: Iterable[Target], now: float) -> list[Change]:
-        """Takes a complete listing and returns what changed."""
+    def replace(self, listing: Iterable[Target], now: float, trusted: bool = True) -> list[Change]:
+        """Takes a complete listing and returns what changed.
+
+        Args:
+            listing: All listed targets.
+            now: Current time in seconds of the clock.
+            trusted: Whether the store has been there long enough for lapsed entries to be back.
+        """
         fresh = {target.name: target for target in listing}
         changes = [
             change
             for name in [*self._by_name]
             if name not in fresh
-            for change in self.remove(name, now)
+            for change in self.remove(name, now, trusted)
         ]
         for target in fresh.values():
             changes.extend(self.put(target))
@@ -77,7 +83,9 @@
         changes: list[Change] = []
         if held is not None:
             held.gone = True
-            self._unlist(held)
+            held.lapsed = False
+            self._by_name.pop(held.name, None)
+            self._drop_from_service(held)
             self._unlisted.pop(held.name, None)
             changes.append(("target_restarted", target))
         else:
@@ -88,21 +96,30 @@
         for other in self._unlisted.values():
             if other.address == target.address and not other.gone:
                 other.gone = True
+                other.lapsed = False
+                self._drop_from_service(other)
                 changes.append(("target_address_reused", other))
         return changes
 
-    def remove(self, name: str, now: float) -> list[Change]:
-        """Takes that a target is no longer listed and returns what changed."""
-        target = self._by_name.get(name)
+    def remove(self, name: str, now: float, trusted: bool = True) -> list[Change]:
+        """Takes that a target is no longer listed and returns what changed.
+
+        If the store was away the entry may have lapsed although the target serves on. It then goes
+        on taking new flows until settle() finds it still missing.
+        """
+        target = self._by_name.pop(name, None)
         if target is None:
             return []
-        self._unlist(target)
         target.listed = False
         target.removed_at = now
         # A draining target is removed when it has left.
         target.gone = target.draining
+        target.lapsed = not trusted and not target.draining
+        if not target.lapsed:
+            self._drop_from_service(target)
         self._unlisted[name] = target
-        return [("target_left" if target.gone else "target_unlisted", target)]
+        event = "target_left" if target.gone else "target_unlisted"
+        return [("target_lapsed" if target.lapsed else event, target)]
 
     def settle(self, now: float, store_good_since: float) -> list[Change]:
         """Decides which unlisted targets are gone, and forgets old ones.
@@ -113,6 +130,10 @@
         """
         changes: list[Change] = []
         for target in [*self._unlisted.values()]:
+            if target.lapsed and now - store_good_since >= SETTLE_S:
+                target.lapsed = False
+                self._drop_from_service(target)
+                changes.append(("target_unlisted", target))
             since = max(target.removed_at, store_good_since, target.life_at)
             if not target.gone and now - since >= SETTLE_S:
                 target.gone = True
@@ -126,10 +147,12 @@
         changes: list[Change] = []
         if not held.listed:
             del self._unlisted[held.name]
+            if not held.lapsed:
+                self._by_service.setdefault(held.service, []).append(held)
             held.listed = True
+            held.lapsed = False
             held.gone = False
             self._by_name[held.name] = held
-            self._by_service.setdefault(held.service, []).append(held)
             self._claim_token(held)
             changes.append(("target_listed", held))
         if held.draining != told.draining:
@@ -139,9 +162,7 @@
         held.zone = told.zone
         return changes
 
-    def _unlist(self, target: Target) -> None:
-        if self._by_name.get(target.name) is target:
-            del self._by_name[target.name]
+    def _drop_from_service(self, target: Target) -> None:
         members = self._by_service.get(target.service, [])
         if target in members:
             members.remove(target)
--- a/pearwell/affinity/follower.py
+++ b/pearwell/affinity/follower.py
@@ -15,6 +15,8 @@
 
 # First pause after a failure in seconds, doubled with each further one, with jitter.
 FIRST_BACKOFF_S = 0.1
+# The same for instances that may ask relays: they are told of the store's return by these.
+FIRST_BACKOFF_OF_MANY_S = 0.4
 # Longest pause. Changes made during an outage have to be in force 3 s after it, calls may take
 # over a second, so the next attempt has to start soon.
 MAX_BACKOFF_S = 1.2
@@ -120,7 +122,8 @@
     def next_call(self, now: float) -> Call:
         """Returns the next call and the pause before it."""
         if self._failures:
-            bound = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self._failures - 1, 10))
+            first = FIRST_BACKOFF_OF_MANY_S if self._barred_until else FIRST_BACKOFF_S
+            bound = min(MAX_BACKOFF_S, first * 2 ** min(self._failures - 1, 10))
             return Call(bound * (0.5 + 0.5 * self._jitter()), None, None, 0.0)
         if self._revision is None:
             return Call(0.0, None, None, 0.0)
@@ -145,6 +148,10 @@
         if events:
             self._events_at = now
 
+    def relay_good_since(self, since: float) -> None:
+        """Takes since when the asked relay has had the store, which may be later than here."""
+        self._good_since = max(self._good_since, since)
+
     def changed(self) -> None:
         """Takes that there are changes which only a list of the store tells."""
         self._revision = None
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -75,7 +75,7 @@
         )
         self.config_cache = ObjectCache(whole=False)
         self.target_cache = ObjectCache(whole=True)
-        self.director = Director(zone, self.routes, self.directory, self._trusts_listing, log_flow)
+        self.director = Director(zone, self.routes, self.directory, self.trusts_listing, log_flow)
 
     def tick(self, now: float) -> None:
         """Does what is due each second."""
@@ -111,7 +111,8 @@
             ]
         return found
 
-    def _trusts_listing(self, now: float) -> bool:
+    def trusts_listing(self, now: float) -> bool:
+        """Whether the store has been there long enough for lapsed entries to be back."""
         return now - self.targets.good_since >= SETTLE_S
 
 
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -19,14 +19,21 @@
 
     Args:
         caches: Objects by kind.
+        good_since: Returns since when the store has answered without a failure, in seconds of the
+            clock.
         changed: Fires after each change of them.
         now: Returns the current time in seconds of the clock.
     """
 
     def __init__(
-        self, caches: dict[str, ObjectCache], changed: Signal, now: Callable[[], float]
+        self,
+        caches: dict[str, ObjectCache],
+        good_since: Callable[[], float],
+        changed: Signal,
+        now: Callable[[], float],
     ) -> None:
         self._caches = caches
+        self._good_since = good_since
         self._changed = changed
         self._now = now
 
@@ -46,7 +53,9 @@
                 return 410, b"{}"
             left = min(end, cache.stale_at()) - self._now()
             if events or left <= 0:
-                return 200, json.dumps({"events": events, "AsOf": cache.revision}).encode()
+                good_s = max(0.0, self._now() - self._good_since())
+                told = {"events": events, "AsOf": cache.revision, "GoodS": round(good_s, 3)}
+                return 200, json.dumps(told).encode()
             await self._changed.wait(left)
         return 503, b"{}"
 
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -45,14 +45,23 @@
         items: Objects of a list or events of a watch, as JSON gave them.
         revision: Revision up to which they are complete.
         more: Whether a list goes on.
+        good_s: Time in seconds for which a relay has had the store without a failure; None from
+            the store itself.
     """
 
-    __slots__ = ("items", "more", "revision")
+    __slots__ = ("good_s", "items", "more", "revision")
 
-    def __init__(self, items: list[object], revision: int, more: bool = False) -> None:
+    def __init__(
+        self,
+        items: list[object],
+        revision: int,
+        more: bool = False,
+        good_s: float | None = None,
+    ) -> None:
         self.items = items
         self.revision = revision
         self.more = more
+        self.good_s = good_s
 
 
 class ObjectSync:
@@ -142,6 +151,8 @@
             # A relay tells of a change without the objects.
             self._follower.changed()
             return
+        if answer.good_s is not None:
+            self._follower.relay_good_since(now - answer.good_s)
         told = [change for change in changes if change is not None]
         for name, item in told:
             self._kind.apply(name, item, now)
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -21,6 +21,8 @@
         warm_at: Time in seconds of the clock at which it is no longer slow from its start.
         token: What the packets of its flows carry.
         listed: Whether the platform lists it.
+        lapsed: Whether its entry may be back soon, as the store was away; until then it takes new
+            flows like a listed one.
         removed_at: When the platform stopped listing it, in seconds of the clock.
         gone: Whether it is certain that no flow lives on it.
         shadowed: Whether another target owns the same token, so that it can't take new flows.
@@ -40,6 +42,7 @@
         "draining",
         "gone",
         "in_flight",
+        "lapsed",
         "life_at",
         "listed",
         "name",
@@ -79,6 +82,7 @@
         self.warm_at = warm_at
         self.token = token_of(name)
         self.listed = True
+        self.lapsed = False
         self.removed_at = NEVER
         self.gone = False
         self.shadowed = False
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -3,7 +3,7 @@
 import socket
 from collections.abc import Callable, Coroutine
 
-from pearwell.errors import PlatformError
+from pearwell.errors import Code, PlatformError, SettingsError
 from pearwell.http_message import Message, MessageReader, encode_message
 from pearwell.reactor import Reactor, Wait
 
@@ -31,6 +31,9 @@
         address: IP address and TCP port to listen on.
         handle: Returns the answer to a path with its query.
         content_type: Type of all bodies.
+
+    Raises:
+        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
     """
 
     def __init__(
@@ -42,7 +45,12 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
-        self._sock.bind(address)
+        try:
+            self._sock.bind(address)
+        except OSError as error:
+            self._sock.close()
+            detail = f"{address[0]}:{address[1]}: {error}"
+            raise SettingsError(Code.SETTINGS_PORT_IN_USE, detail) from error
         self._sock.listen(BACKLOG)
         reactor.add_reader(self._sock, self._accept)
 
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -63,7 +63,7 @@
         self._packets = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._packets.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._packets.setblocking(False)
-        self._packets.bind(settings.packets)
+        _bind(self._packets, settings.packets)
         relays = order_relays(settings.instance, settings.control, settings.seeds)
         self._is_relay = settings.control in settings.seeds
         bounds = Bounds(settings.drain_s, settings.config_s, settings.contact_s, settings.grace_s)
@@ -90,7 +90,9 @@
                 self._instance.config_cache,
             ),
             (
-                TargetObjects(self._instance.directory, self._log.event),
+                TargetObjects(
+                    self._instance.directory, self._instance.trusts_listing, self._log.event
+                ),
                 self._instance.targets,
                 self._instance.target_cache,
             ),
@@ -126,16 +128,17 @@
         try:
             page = (self._settings.ip, METRICS_PORT)
             HttpServer(self._reactor, page, self._answer_metrics, "text/plain; version=0.0.4")
-        except OSError as error:
+        except SettingsError as error:
             # Traffic goes before metrics if the platform uses the port otherwise.
-            self._log.event("metrics_unavailable", port=METRICS_PORT, error=error)
+            self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
         if self._settings.control is None or not self._is_relay:
             return
         caches = {
             ConfigObjects.name: self._instance.config_cache,
             TargetObjects.name: self._instance.target_cache,
         }
-        relay = Relay(caches, self._changed, self._reactor.now)
+        targets = self._instance.targets
+        relay = Relay(caches, lambda: targets.good_since, self._changed, self._reactor.now)
         HttpServer(self._reactor, self._settings.control, relay.answer, "application/json")
 
     async def _answer_probe(self, path: str) -> Answer:
@@ -288,6 +291,14 @@
         return self._state / (1 << 32)
 
 
+def _bind(sock: socket.socket, address: tuple[str, int]) -> None:
+    try:
+        sock.bind(address)
+    except OSError as error:
+        detail = f"{address[0]}:{address[1]}: {error}"
+        raise SettingsError(Code.SETTINGS_PORT_IN_USE, detail) from error
+
+
 def _modified_at(path: str) -> float:
     try:
         return os.stat(path).st_mtime
@@ -303,13 +314,14 @@
         path = _parse_arguments(path)
     try:
         settings = read_settings(path)
+        if len(sys.argv) > 1:
+            print(f"{path}: instance {settings.instance} in zone {settings.zone}", flush=True)
+            return
+        edge = Edge(settings, path)
     except SettingsError as error:
         print(f"event=start_failed code={int(error.code)} detail={error.detail!r}", flush=True)
         sys.exit(2)
-    if len(sys.argv) > 1:
-        print(f"{path}: instance {settings.instance} in zone {settings.zone}", flush=True)
-        return
-    Edge(settings, path).run()
+    edge.run()
 
 
 def _parse_arguments(path: str) -> str:
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -21,13 +21,21 @@
 
     Args:
         directory: What the entries are decoded for.
+        trusts_removals: Whether an entry that is missing at a time has been removed, rather than
+            lapsed while the store was away.
         log: Takes an event's name and its fields.
     """
 
     name = "servers"
 
-    def __init__(self, directory: Directory, log: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        trusts_removals: Callable[[float], bool],
+        log: Callable[..., None],
+    ) -> None:
         self._directory = directory
+        self._trusts_removals = trusts_removals
         self._log = log
 
     def name_of(self, item: object) -> str:
@@ -38,15 +46,15 @@
         """Takes all entries by name; one that names no target doesn't stop the others."""
         found = [self._decode(item, now) for item in items.values()]
         targets = [target for target in found if target is not None]
-        self._note(self._directory.replace(targets, now))
+        self._note(self._directory.replace(targets, now, self._trusts_removals(now)))
 
     def apply(self, name: str, item: object | None, now: float) -> None:
         """Takes one entry, or None if it was removed."""
         target = None if item is None else self._decode(item, now)
-        changes = (
-            self._directory.remove(name, now) if target is None else self._directory.put(target)
-        )
-        self._note(changes)
+        if target is None:
+            self._note(self._directory.remove(name, now, self._trusts_removals(now)))
+        else:
+            self._note(self._directory.put(target))
 
     def _decode(self, item: object, now: float) -> Target | None:
         try:
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -162,4 +162,10 @@
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"answer: {error!r}") from error
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "answer of another shape")
-    return StoreAnswer(items, revision, told.get("HasMore") is True)
+    good_s = told.get("GoodS")
+    return StoreAnswer(
+        items,
+        revision,
+        told.get("HasMore") is True,
+        good_s if isinstance(good_s, int | float) else None,
+    )
--- a/pearwell/soak/processes.py
+++ b/pearwell/soak/processes.py
@@ -41,6 +41,7 @@
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
         self._expected = False
+        self._restarting = asyncio.Lock()
         self.disturbed_at = float("-inf")
         self.starts = 0
         self.own_ends = 0
@@ -86,10 +87,14 @@
             await self._reader
 
     async def restart(self, number: signal.Signals) -> None:
-        """Ends the process and starts it again after a short delay."""
-        await self.end(number)
-        await asyncio.sleep(RESTART_S)
-        await self.start()
+        """Ends the process and starts it again after a short delay.
+
+        Restarts that overlap come one after the other: the platform runs a role once on a machine.
+        """
+        async with self._restarting:
+            await self.end(number)
+            await asyncio.sleep(RESTART_S)
+            await self.start()
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
--- a/pearwell/soak/world.py
+++ b/pearwell/soak/world.py
@@ -80,15 +80,16 @@
     next_host: int = 1
     next_address: int = 1
     disturbed_at: float = 0.0
-    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    tasks: set["asyncio.Future[Any]"] = field(default_factory=set)
 
     def ip(self, third: int, fourth: int) -> str:
         return f"127.{self.options.octet}.{third}.{fourth}"
 
-    def spawn(self, coroutine: Awaitable[Any]) -> None:
+    def spawn(self, coroutine: Awaitable[Any]) -> "asyncio.Future[Any]":
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     def disturb(self, until_s: float = 0.0) -> None:
         """Notes that instances, their links or the store are disturbed for some time."""
@@ -322,7 +323,7 @@
     running = []
     for fault in faults:
         await asyncio.sleep(max(0.0, started + fault.at_s - time.monotonic()))
-        running.append(asyncio.ensure_future(_FAULTS[fault.kind](world, fault)))
+        running.append(world.spawn(_FAULTS[fault.kind](world, fault)))
     await asyncio.gather(*running)
 
 
@@ -472,8 +473,11 @@
 
 
 async def _stop(world: _World) -> None:
-    for task in [*world.tasks]:
+    # Faults that still run would start programs again.
+    tasks = [*world.tasks]
+    for task in tasks:
         task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
     programs = [*world.instances, *[host.program for host in world.hosts]]
     await asyncio.gather(*[program.end() for program in programs])
     for proxy in world.proxies:
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -106,6 +106,14 @@
     assert World(*targets).send(syn(1)) is Code.FLOW_NO_TARGET
 
 
+def test_a_flow_without_a_target_waits_for_its_next_copy_while_entries_may_come_back():
+    """A refusal at once would use up the client's tries within milliseconds."""
+    world = World(trusted=False)
+    assert world.send(syn(1)) is Code.FLOW_UNSETTLED
+    world.directory.put(target(1))
+    assert world.send(syn(1, copy=1)).name == "i-00000001"
+
+
 def test_every_packet_of_a_flow_goes_to_one_target_at_any_instance():
     """Instances with other records, or none, agree by the token."""
     targets = [target(number) for number in range(1, 6)]
--- a/tests/affinity/test_directory.py
+++ b/tests/affinity/test_directory.py
@@ -58,6 +58,40 @@
         assert lapsed.gone == (now >= gone_at)
 
 
+@pytest.mark.parametrize(
+    ("draining", "trusted", "takes_new"),
+    [(False, False, True), (False, True, False), (True, False, False), (True, True, False)],
+)
+def test_entries_that_lapse_with_the_store_go_on_taking_new_flows(draining, trusted, takes_new):
+    """Replay of a recorded day: the store is back after 4 s without a single entry."""
+    held = Directory()
+    held.replace([target(1, draining=draining)], 0.0)
+    held.replace([], 14.0, trusted)
+    assert [found.name for found in held.of_service("intake")] == ["i-00000001"] * takes_new
+    held.settle(14.0 + SETTLE_S - 0.1, 14.0)
+    assert len(held.of_service("intake")) == takes_new
+    held.settle(14.0 + SETTLE_S, 14.0)
+    assert held.of_service("intake") == []
+
+
+def test_a_lapsed_entry_that_is_back_is_listed_once():
+    held = Directory()
+    held.replace([target(1)], 0.0)
+    held.remove("i-00000001", 14.0, trusted=False)
+    assert names(held.put(target(1))) == [("target_listed", "i-00000001")]
+    assert len(held.of_service("intake")) == len(held) == 1
+    held.settle(20.0, 14.0)
+    assert len(held.of_service("intake")) == 1
+
+
+def test_a_lapsed_target_whose_address_is_used_again_takes_no_new_flows():
+    held = Directory()
+    held.replace([target(1)], 0.0)
+    held.remove("i-00000001", 14.0, trusted=False)
+    held.put(target(2, ip="10.0.0.1"))
+    assert [found.name for found in held.of_service("intake")] == ["i-00000002"]
+
+
 def test_a_lapsed_target_that_is_listed_again_keeps_its_counts():
     held = Directory()
     held.put(target(1))
--- a/tests/affinity/test_follower.py
+++ b/tests/affinity/test_follower.py
@@ -98,3 +98,13 @@
     held.changed()
     call = held.next_call(1.0)
     assert (call.relay, call.revision, call.delay_s) == (None, None, 0.0)
+
+
+def test_a_relay_tells_since_when_the_store_is_there():
+    """Entries that lapsed with the store are told apart also by those that didn't ask it."""
+    held = make(relays=1)
+    held.listed(7, 0.0)
+    held.relay_good_since(5.0)
+    assert held.good_since == 5.0
+    held.relay_good_since(2.0)
+    assert held.good_since == 5.0
--- /dev/null
+++ b/tests/affinity/test_relay.py
@@ -0,0 +1,83 @@
+"""Tests of pearwell.affinity.relay."""
+
+import json
+
+import pytest
+
+from pearwell.affinity.cache import MAX_AGE_S, ObjectCache
+from pearwell.affinity.relay import Relay
+from tests.affinity.drive import Pause, run
+
+
+class Changes:
+    """A signal that moves the clock, and the cache, whenever someone waits."""
+
+    def __init__(self, rig):
+        self._rig = rig
+
+    def wait(self, timeout_s):
+        self._rig.now += min(timeout_s, 0.1)
+        self._rig.on_wait()
+        return Pause(True)
+
+
+class Rig:
+    def __init__(self):
+        self.now = 100.0
+        self.on_wait = lambda: None
+        self.cache = ObjectCache(whole=True)
+        self.cache.replace({"a": {"meta": {"Name": "a"}}}, 5, self.now)
+        self.relay = Relay({"servers": self.cache}, lambda: 98.5, Changes(self), lambda: self.now)
+
+    def change(self):
+        item = {"meta": {"Name": "b"}}
+        self.cache.extend([{"Object": item}], [("b", item)], 6, self.now)
+
+    def ask(self, path):
+        status, body = run(self.relay.answer(path))
+        return status, json.loads(body)
+
+
+def test_a_watch_is_answered_with_the_next_event():
+    rig = Rig()
+    rig.on_wait = rig.change
+    status, told = rig.ask("/objects/servers?Watch=5&WaitMs=1000")
+    assert (status, told["AsOf"], len(told["events"])) == (200, 6, 1)
+    assert told["GoodS"] == pytest.approx(1.6)
+
+
+def test_a_watch_ends_without_events():
+    rig = Rig()
+    assert rig.ask("/objects/servers?Watch=5&WaitMs=300") == (
+        200,
+        {"events": [], "AsOf": 5, "GoodS": 1.8},
+    )
+
+
+def test_a_relay_that_the_store_has_left_refuses():
+    rig = Rig()
+    rig.now += MAX_AGE_S + 0.1
+    assert rig.ask("/objects/servers?Watch=5&WaitMs=300")[0] == 503
+
+
+def test_a_watch_ends_when_the_objects_get_old():
+    rig = Rig()
+    status, _ = rig.ask("/objects/servers?Watch=5&WaitMs=5000")
+    assert status == 503
+    assert rig.now <= 100.0 + MAX_AGE_S + 0.1
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [
+        ("/objects/servers?Watch=3&WaitMs=0", 410),
+        ("/objects/servers", 404),
+        ("/objects/servers?Watch=x", 404),
+        ("/objects/servers?Watch=5&WaitMs=x", 404),
+        ("/objects/other?Watch=5", 404),
+        ("/ready", 404),
+        ("", 404),
+    ],
+)
+def test_what_a_relay_cannot_answer(path, status):
+    assert Rig().ask(path)[0] == status
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -123,7 +123,7 @@
 
 def test_one_broken_entry_does_not_stop_the_others():
     directory, logged = Directory(), []
-    kind = TargetObjects(directory, lambda event, **fields: logged.append(event))
+    kind = TargetObjects(directory, lambda now: True, lambda event, **fields: logged.append(event))
     items = {"i-1": entry("i-1"), "i-2": entry("i-2", State=7), "i-3": entry("i-3")}
     kind.replace(items, 0.0)
     assert {found.name for found in directory} == {"i-1", "i-3"}
