Tell a flow's story from logs; reset idle flows of targets that are gone

pearwellctl explain puts the lines of many instances in one order and shows a flow's own lines with what its instances came to believe of its targets, the store and the relays.

Flows without a waiting request are now reset as soon as their target is certainly gone.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -153,15 +153,12 @@
         probes, self._probes = self._probes, []
         return probes
 
-    def probed(self, target: Target, answered: bool, refused: bool, now: float) -> list[Flow]:
+    def probed(self, target: Target, answered: bool, refused: bool, now: float) -> None:
         """Takes the result of a connection attempt to a target's address.
 
         A refused attempt means that the target's program has ended. Silence on the attempt as well
         as on the target's flows means that it or the path to it is down; nothing of its flows
         comes through either way.
-
-        Returns:
-            Flows to reset, as no answer will come on them.
         """
         target.probing = False
         target.probed_at = now
@@ -170,17 +167,31 @@
             "target_probed", target=target.name, answered=answered, refused=refused, silent=silent
         )
         if answered or not silent:
-            return []
-        target.gone = True
+            return
+        self._directory.end(target)
         self._suspect(target, now)
         self._count("target_found_gone")
-        flows = [flow for flow in self._flows.on_target(target) if flow.opened and not flow.ended]
-        for flow in flows:
-            self._flows.remove(flow.key)
-            self._count(Code.FLOW_TARGET_GONE.name)
-            self._log(
-                "flow_reset", flow=flow.key, target=target.name, code=int(Code.FLOW_TARGET_GONE)
-            )
+
+    def take_resets(self) -> list[Flow]:
+        """Returns the flows on targets that are gone, to be reset.
+
+        A flow that is reset between two requests costs its client nothing but a new flow. Reset
+        with its next request, one that can't be repeated would be lost.
+        """
+        flows: list[Flow] = []
+        for target in self._directory.take_ended():
+            held = [flow for flow in self._flows.on_target(target) if not flow.ended]
+            for flow in held:
+                self._flows.remove(flow.key)
+                self._count(Code.FLOW_TARGET_GONE.name)
+                self._log(
+                    "flow_reset",
+                    flow=flow.key,
+                    target=target.name,
+                    code=int(Code.FLOW_TARGET_GONE),
+                    waiting=flow.waiting,
+                )
+            flows += [flow for flow in held if flow.opened]
         return flows
 
     def tick(self, now: float) -> None:
--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -25,6 +25,7 @@
     """All targets that an instance knows, by token and by service."""
 
     def __init__(self) -> None:
+        self._ended: list[Target] = []
         self._by_name: dict[str, Target] = {}
         self._by_token: dict[int, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
@@ -47,6 +48,19 @@
     def __len__(self) -> int:
         return len(self._by_name)
 
+    def take_ended(self) -> list[Target]:
+        """Returns the targets that were found to be gone since the last call."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def end(self, target: Target) -> None:
+        """Notes that a target is certainly gone."""
+        target.gone = True
+        target.lapsed = False
+        if not target.listed:
+            self._drop_from_service(target)
+        self._ended.append(target)
+
     def of_token(self, token: int) -> Target | None:
         """Returns the target whose flows carry a token."""
         return self._by_token.get(token)
@@ -82,11 +96,10 @@
             return self._update(held, target)
         changes: list[Change] = []
         if held is not None:
-            held.gone = True
-            held.lapsed = False
             self._by_name.pop(held.name, None)
-            self._drop_from_service(held)
             self._unlisted.pop(held.name, None)
+            held.listed = False
+            self.end(held)
             changes.append(("target_restarted", target))
         else:
             changes.append(("target_listed", target))
@@ -95,9 +108,7 @@
         self._claim_token(target)
         for other in self._unlisted.values():
             if other.address == target.address and not other.gone:
-                other.gone = True
-                other.lapsed = False
-                self._drop_from_service(other)
+                self.end(other)
                 changes.append(("target_address_reused", other))
         return changes
 
@@ -112,14 +123,16 @@
             return []
         target.listed = False
         target.removed_at = now
-        # A draining target is removed when it has left.
-        target.gone = target.draining
-        target.lapsed = not trusted and not target.draining
-        if not target.lapsed:
-            self._drop_from_service(target)
         self._unlisted[name] = target
-        event = "target_left" if target.gone else "target_unlisted"
-        return [("target_lapsed" if target.lapsed else event, target)]
+        if target.draining:
+            # A draining target is removed when it has left.
+            self.end(target)
+            return [("target_left", target)]
+        target.lapsed = not trusted
+        if target.lapsed:
+            return [("target_lapsed", target)]
+        self._drop_from_service(target)
+        return [("target_unlisted", target)]
 
     def settle(self, now: float, store_good_since: float) -> list[Change]:
         """Decides which unlisted targets are gone, and forgets old ones.
@@ -136,7 +149,7 @@
                 changes.append(("target_unlisted", target))
             since = max(target.removed_at, store_good_since, target.life_at)
             if not target.gone and now - since >= SETTLE_S:
-                target.gone = True
+                self.end(target)
                 changes.append(("target_gone", target))
             if now - target.removed_at >= FORGET_S:
                 del self._unlisted[target.name]
--- a/pearwell/cli/commands.py
+++ b/pearwell/cli/commands.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from pearwell import porcelain
@@ -11,7 +12,8 @@
 from pearwell.cli.options import Options
 from pearwell.cli.output import Output
 from pearwell.configuration import Kind
-from pearwell.errors import Code, ConfigurationError
+from pearwell.errors import Code, ConfigurationError, SettingsError
+from pearwell.explanation import explain_flow, parse_log
 from pearwell.group import GroupSpec, TargetSpec
 from pearwell.porcelain import Write
 from pearwell.schema import TargetModel, from_document, to_document, validated
@@ -319,6 +321,24 @@
         raise ConfigurationError(Code.CONFIG_NOT_IN_FORCE, f"version {outcome.version}")
 
 
+async def _explain(
+    client: AdminClient, arguments: Sequence[str], options: Options, output: Output
+) -> None:
+    if not arguments or not options.flow:
+        raise UsageError("explain needs files and --flow=ADDR:PORT")
+    lines = []
+    for name in arguments:
+        try:
+            text = Path(name).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise SettingsError(Code.SETTINGS_UNREADABLE, f"{name}: {error}") from error
+        lines += parse_log(text.splitlines())
+    story = explain_flow(lines, options.flow)
+    if not story:
+        raise ConfigurationError(Code.CONFIG_NOT_FOUND, f"no line of the flow {options.flow}")
+    print("\n".join(story))
+
+
 _TABLE = (
     Command(
         "service create NAME",
@@ -421,6 +441,12 @@
         "watch --changes_only",
         _watch,
     ),
+    Command(
+        "explain FILE...",
+        "Tells the story of a flow from the logs of the platform's role",
+        "explain edge-1.log edge-2.log --flow=100.64.0.7:40001",
+        _explain,
+    ),
 )
 
 
--- a/pearwell/cli/options.py
+++ b/pearwell/cli/options.py
@@ -118,6 +118,7 @@
     flags.DEFINE_float(
         "deadline_s", 0.0, "Seconds that a draining target keeps flows.", flag_values=values
     )
+    flags.DEFINE_string("flow", None, "Client of a flow, as ADDR:PORT.", flag_values=values)
     flags.DEFINE_boolean("refused", False, "Lists refused attempts.", flag_values=values)
     flags.DEFINE_boolean("changes_only", False, "Leaves out the present.", flag_values=values)
 
--- /dev/null
+++ b/pearwell/explanation.py
@@ -0,0 +1,101 @@
+"""The story of one flow, from the logs of many instances of the platform's role."""
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pearwell.errors import Code
+
+__all__ = ["LogLine", "explain_flow", "parse_log"]
+
+_LINE = re.compile(r"\bt=(?P<t>[\d.]+) event=(?P<event>\w+)(?P<rest>.*)$")
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S+)')
+# Time before and after a flow's own lines from which changes of belief are shown, in seconds.
+MARGIN_S = 5.0
+# Changes of what an instance believes of everything, rather than of one target.
+_GENERAL = frozenset(
+    {
+        "configuration_applied",
+        "ready",
+        "relay_lost",
+        "start",
+        "stop",
+        "stopping",
+        "store_lost",
+        "store_regained",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line.
+
+    Attributes:
+        at: Time in seconds; Unix time if the log holds the start of its process, else that
+            instance's steady clock.
+        instance: Name of the instance.
+        event: Name of the event.
+        fields: Its other fields.
+    """
+
+    at: float
+    instance: str
+    event: str
+    fields: dict[str, str]
+
+    def render(self, start: float) -> str:
+        """Returns the line for a person, with its time since a start."""
+        fields = dict(self.fields)
+        code = fields.get("code", "")
+        if code.isdecimal() and int(code) in {int(known) for known in Code}:
+            fields["code"] = f"{code} {Code(int(code)).name}"
+        pairs = " ".join(f"{name}={value}" for name, value in fields.items())
+        return f"{self.at - start:+9.3f}s  {self.instance}  {self.event}  {pairs}".rstrip()
+
+
+def parse_log(lines: Iterable[str]) -> list[LogLine]:
+    """Returns the events in a log; anything before an event's time on a line is ignored."""
+    found: list[LogLine] = []
+    # Each process has a steady clock of its own; its first line tells the Unix time.
+    offsets: dict[str, float] = {}
+    for line in lines:
+        match = _LINE.search(line.rstrip("\n"))
+        if match is None:
+            continue
+        fields = {name: value.strip('"') for name, value in _FIELD.findall(match["rest"])}
+        instance = fields.pop("instance", "-")
+        steady = float(match["t"])
+        if match["event"] == "start" and "unix" in fields:
+            offsets[instance] = float(fields["unix"]) - steady
+        at = steady + offsets.get(instance, 0.0)
+        found.append(LogLine(at, instance, match["event"], fields))
+    return found
+
+
+def explain_flow(lines: Iterable[LogLine], client: str) -> list[str]:
+    """Returns the lines that tell a flow's story, in order of time.
+
+    Args:
+        lines: Events of any number of instances.
+        client: Address and port of the client, ADDR:PORT.
+    """
+    events = sorted(lines, key=lambda line: line.at)
+    own = [line for line in events if line.fields.get("flow", "").startswith(client + ">")]
+    if not own:
+        return []
+    first, last = own[0].at - MARGIN_S, own[-1].at + MARGIN_S
+    instances = {line.instance for line in own}
+    targets = {line.fields["target"] for line in own if line.fields.get("target", "-") != "-"}
+    story = [
+        line
+        for line in events
+        if line in own
+        or (
+            first <= line.at <= last
+            and line.instance in instances
+            and "flow" not in line.fields
+            and (line.event in _GENERAL or line.fields.get("target") in targets)
+        )
+    ]
+    return [line.render(own[0].at) for line in story]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -82,7 +82,10 @@
         self._relays: list[StoreClient] = []
         self._decision_times = Histogram("packet_seconds", DECISION_BOUNDS_S)
         self._call_times = Histogram("store_list_seconds", CALL_BOUNDS_S)
-        self._log.event("start", zone=settings.zone, relay=self._is_relay)
+        # The Unix time lets the logs of several instances be put in one order.
+        self._log.event(
+            "start", zone=settings.zone, relay=self._is_relay, unix=round(time.time(), 3)
+        )
         for kind, follower, cache in (
             (
                 ConfigObjects(self._instance.routes, self._log.event),
@@ -164,6 +167,7 @@
                 version=self._instance.routes.version,
                 targets=len(self._instance.directory),
             )
+        self._send_resets()
         self._changed.fire()
 
     def _on_packets(self) -> None:
@@ -211,6 +215,10 @@
             self._forward(data, target)
         self._spawn_probes()
 
+    def _send_resets(self) -> None:
+        for flow in self._director.take_resets():
+            self._reset(flow.key, encode_reset(flow_packet(flow.key, flow.acked)))
+
     def _spawn_probes(self) -> None:
         for target in self._director.take_probes():
             self._reactor.spawn(self._probe(target))
@@ -224,13 +232,14 @@
         except OSError:
             refused = True
         sock.close()
-        for flow in self._director.probed(target, answered, refused, self._reactor.now()):
-            self._reset(flow.key, encode_reset(flow_packet(flow.key, flow.acked)))
+        self._director.probed(target, answered, refused, self._reactor.now())
+        self._send_resets()
 
     async def _tick(self) -> None:
         while True:
             await self._reactor.sleep(TICK_S)
             self._instance.tick(self._reactor.now())
+            self._send_resets()
             modified_at = _modified_at(self._path)
             if modified_at != self._modified_at:
                 self._modified_at = modified_at
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -253,8 +253,10 @@
     held = stall(world, flows=2)
     world.director.take_probes()
     world.now += 0.3
-    flows = world.director.probed(held, answered, refused, world.now)
+    world.director.probed(held, answered, refused, world.now)
+    flows = world.director.take_resets()
     assert len(flows) == resets
+    assert world.director.take_resets() == []
     assert [flow.acked for flow in flows] == [500] * resets
     verdict = world.send(data(1, held.token))
     assert (verdict is Code.FLOW_TARGET_GONE) == bool(resets)
@@ -266,10 +268,51 @@
     held = stall(world)
     world.now += 0.3
     held.alive(world.now - STALL_S / 2)
-    assert world.director.probed(held, False, False, world.now) == []
+    world.director.probed(held, False, False, world.now)
+    assert world.director.take_resets() == []
     assert world.send(data(1, held.token)) is held
 
 
+@pytest.mark.parametrize(
+    ("fault", "resets"),
+    [
+        (lambda world, held: world.directory.remove(held.name, world.now), 0),
+        (lambda world, held: world.directory.put(target(1, born=9)), 2),
+        (
+            lambda world, held: (
+                world.directory.put(target(1, draining=True)),
+                world.directory.remove(held.name, world.now),
+            ),
+            2,
+        ),
+        (
+            lambda world, held: (
+                world.directory.remove(held.name, world.now),
+                world.directory.put(target(7, ip="10.0.0.1")),
+            ),
+            2,
+        ),
+        (
+            lambda world, held: (
+                world.directory.remove(held.name, world.now),
+                world.directory.settle(world.now + 3, 0.0),
+            ),
+            2,
+        ),
+    ],
+    ids=["unlisted", "restarted", "left", "address used again", "settled"],
+)
+def test_idle_flows_of_a_target_that_is_gone_are_reset_before_the_next_request(fault, resets):
+    """A request that can't be repeated is lost if its flow is reset with it."""
+    world = World(target(1))
+    held = world.open(1)
+    world.open(2)
+    world.open(3)
+    world.send(fin(3, held.token))
+    fault(world, held)
+    assert len(world.director.take_resets()) == resets
+
+
 def test_probes_of_one_target_are_spaced():
     world = World(target(1))
     held = stall(world)
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,60 @@
+"""Tests of pearwell.explanation and of pearwellctl explain."""
+
+import pytest
+
+from pearwell.cli import ctl
+from pearwell.explanation import explain_flow, parse_log
+
+FLOW = "100.64.0.7:40001>198.18.0.1:443"
+ONE = f"""\
+t=10.000 event=start instance=e-1 zone=a relay=False unix=1000.000
+t=11.000 event=target_listed instance=e-1 target=i-1 service=s
+t=11.500 event=target_listed instance=e-1 target=i-2 service=s
+ 41.0 e-1 t=20.000 event=flow_started instance=e-1 flow={FLOW} target=i-1 copy=0 version=3
+t=20.100 event=flow_started instance=e-1 flow=100.64.0.9:1>198.18.0.1:443 target=i-2
+t=20.200 event=target_probed instance=e-1 target=i-1 answered=False
+t=20.300 event=target_probed instance=e-1 target=i-2 answered=True
+"""
+TWO = f"""\
+t=500.000 event=start instance=e-2 zone=a relay=True unix=1009.000
+not a line of ours
+t=501.400 event=store_lost instance=e-2 kind=servers code=402 detail="no answer in 2.5 s"
+t=501.500 event=packet_refused instance=e-2 flow={FLOW} code=803 target=i-1
+"""
+
+
+def test_the_story_of_a_flow_spans_instances_in_order_of_time():
+    story = explain_flow(parse_log((ONE + TWO).splitlines()), "100.64.0.7:40001")
+    assert [line.split()[2] for line in story] == [
+        "start",
+        "flow_started",
+        "target_probed",
+        "store_lost",
+        "packet_refused",
+    ]
+    assert story[1].startswith("   +0.000s  e-1  flow_started")
+    assert "code=803 FLOW_TARGET_GONE" in story[-1]
+    assert story[-1].startswith("   +0.500s  e-2")
+
+
+def test_a_flow_without_lines_has_no_story():
+    assert explain_flow(parse_log(ONE.splitlines()), "100.64.0.7:4000") == []
+
+
+@pytest.mark.parametrize(
+    ("words", "status", "text"),
+    [
+        (["one.log", "two.log", "--flow=100.64.0.7:40001"], 0, "803 FLOW_TARGET_GONE"),
+        (["one.log", "--flow=100.64.0.8:1"], 5, "no line of the flow"),
+        (["one.log"], 2, "--flow"),
+        (["--flow=100.64.0.7:40001"], 2, "needs files"),
+        (["missing.log", "--flow=100.64.0.7:40001"], 1, "101 SETTINGS_UNREADABLE"),
+    ],
+)
+def test_pearwellctl_explain(words, status, text, tmp_path, monkeypatch, capsys):
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "one.log").write_text(ONE)
+    (tmp_path / "two.log").write_text(TWO)
+    assert ctl.run(["pearwellctl", "explain", *words]) == status
+    printed = capsys.readouterr()
+    assert text in printed.out + printed.err
