--- a/pearwell/soak/checks.py
+++ b/pearwell/soak/checks.py
@@ -6,7 +6,7 @@
 
 from pearwell.standins.token_client import Outcome
 
-__all__ = ["Checks", "Promise"]
+__all__ = ["TIMELESS", "Checks", "Promise"]
 
 _APPLIED = re.compile(r"event=configuration_applied .*version=(\d+) in_force=(\d+)")
 _STARTED = re.compile(r"event=start ")
@@ -26,6 +26,18 @@
     RECOVERY = "all_clients_served_after_the_faults"
 
 
+# Promises without a bound in time, which hold on a machine of any load.
+TIMELESS = frozenset(
+    {
+        Promise.ONE_HOST,
+        Promise.OWN_SERVICE,
+        Promise.OWN_ANSWER,
+        Promise.VERSIONS,
+        Promise.NO_OWN_END,
+    }
+)
+
+
 @dataclass(slots=True)
 class Checks:
     """Counts what was seen and keeps violations.
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,57 @@
+"""Tests of pearwell.soak.proxy."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from pearwell.soak.proxy import Link, Proxy
+from tests.addresses import own_address
+
+ECHO = (own_address(), 20801)
+FRONT = (own_address(), 20802)
+
+
+async def echo(reader, writer):
+    with contextlib.suppress(OSError):
+        while data := await reader.read(100):
+            writer.write(data)
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("link", "outcome"),
+    [
+        (Link.OPEN, b"hello"),
+        (Link.DELAYED, b"hello"),
+        (Link.SILENT, "silence"),
+        (Link.NO_ANSWERS, "silence"),
+        (Link.RESET, "reset"),
+    ],
+)
+async def test_states_of_the_link(link, outcome):
+    server = await asyncio.start_server(echo, *ECHO)
+    proxy = Proxy()
+    await proxy.start(FRONT, ECHO)
+    try:
+        reader, writer = await asyncio.open_connection(*FRONT)
+        writer.write(b"ready")
+        assert await reader.read(100) == b"ready"
+        proxy.set(link)
+        assert await _try(reader, writer) == outcome
+        writer.close()
+    finally:
+        await proxy.stop()
+        server.close()
+
+
+async def _try(reader, writer):
+    try:
+        writer.write(b"hello")
+        async with asyncio.timeout(1.0):
+            data = await reader.read(100)
+    except TimeoutError:
+        return "silence"
+    except OSError:
+        return "reset"
+    return data or "reset"
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,22 @@
+"""A short seeded soak with real processes; pearwell-soak runs longer ones."""
+
+import os
+
+import pytest
+
+from pearwell.soak.checks import TIMELESS
+from pearwell.soak.world import SoakOptions, run_soak
+
+# Each test process has addresses of its own, so that test runs don't clash.
+OCTET = 40 + os.getpid() % 200
+
+
+@pytest.mark.parametrize("seed", [1, 8])
+async def test_promises_without_a_bound_in_time_hold(seed, tmp_path):
+    options = SoakOptions(
+        seed, length_s=4.0, instances=3, hosts=2, clients=4, octet=OCTET, directory=tmp_path
+    )
+    checks = await run_soak(options)
+    broken = [violation for violation in checks.violations if violation[0] in TIMELESS]
+    assert broken == []
+    assert checks.outcomes["ok"] > 0
