--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 PYTHON ?= python3
 PY = $(VENV)/bin/python
 ARGS ?=
-BENCHES = packet steering control balance capacity configuration
+BENCHES = packet steering control balance capacity configuration start platform
 
-.PHONY: demo test check format generate capacity-page $(addprefix bench-,$(BENCHES))
+.PHONY: demo soak test check format generate capacity-page $(addprefix bench-,$(BENCHES))
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -31,6 +31,10 @@
 demo: $(VENV)/.ready
 	$(PY) -m pearwell.standins.demo $(ARGS)
 
+# Faults on the platform's role, for example ARGS="--seed 7 --seeds 50".
+soak: $(VENV)/.ready
+	$(PY) -m pearwell.cli.soak $(ARGS)
+
 # A bench prints one JSON line per scheme or measurement.
 bench-packet: $(VENV)/.ready
 	$(PY) -m bench.packet $(ARGS)
@@ -44,6 +48,10 @@
 	$(PY) -m bench.capacity $(ARGS)
 bench-configuration: $(VENV)/.ready
 	$(PY) -m bench.configuration $(ARGS)
+bench-start: $(VENV)/.ready
+	$(PY) -m bench.start $(ARGS)
+bench-platform: $(VENV)/.ready
+	$(PY) -m bench.platform $(ARGS)
 
 # Measures the slopes anew and works out docs/CAPACITY.md from them.
 capacity-page: $(VENV)/.ready
--- /dev/null
+++ b/bench/platform.py
@@ -0,0 +1,130 @@
+"""Cost of a packet in the platform's role, beside a bare relay in the same process.
+
+Packets are put into the socket's buffer, then read and sent on in batches; only the latter is
+timed. Prints one JSON line for each kind of packet: microseconds of processor time and the ratio to
+the bare relay.
+"""
+
+import json
+import socket
+import statistics
+import time
+from collections.abc import Callable
+
+from absl import app, flags
+
+from pearwell.affinity.director import Director
+from pearwell.affinity.directory import Directory
+from pearwell.affinity.routes import Route, Routes, RouteTable
+from pearwell.affinity.target import Target
+from pearwell.platform.packet import decode_packet, encode_forwarded
+from pearwell.standins.token_packet import ACK, SYN, TokenPacket, flow_address
+
+__all__ = ["main"]
+
+_BATCHES = flags.DEFINE_integer("batches", 300, "Batches of each kind.", lower_bound=1)
+_TARGETS = flags.DEFINE_integer("targets", 30, "Targets of the service.", lower_bound=1)
+_OCTET = flags.DEFINE_integer("octet", 96, "Second octet of the loopback addresses.")
+
+BATCH = 64
+ROUTE = flow_address("198.18.0.1", 443)
+DATA = bytes(900)
+
+Relay = Callable[[socket.socket], None]
+
+
+def _packets(flags_: int, ack: int, data: bytes) -> list[bytes]:
+    clients = [flow_address("100.64.0.7", 1024 + number) for number in range(BATCH)]
+    return [TokenPacket(client, ROUTE, flags_, 1, ack, 0, data).encode() for client in clients]
+
+
+def _with_tokens(packets: list[bytes], tokens: list[int]) -> list[bytes]:
+    pairs = zip(packets, tokens, strict=True)
+    return [packet[:28] + token.to_bytes(4, "big") + packet[32:] for packet, token in pairs]
+
+
+def _world(address: tuple[str, int]) -> Director:
+    directory, routes = Directory(), RouteTable()
+    directory.replace(
+        [
+            Target(f"i-{number:08x}", number.to_bytes(8, "big"), "s", address, "z")
+            for number in range(1, _TARGETS.value + 1)
+        ],
+        0.0,
+    )
+    routes.apply(Routes(1, {ROUTE[4:] + ROUTE[:4]: Route("r", (("s", 1),))}), 0.0)
+    return Director("z", routes, directory, lambda now: True, lambda *_, **__: None)
+
+
+def _role(director: Director) -> Relay:
+    decide = director.on_packet
+
+    def relay(sock: socket.socket) -> None:
+        now = time.monotonic()
+        for _ in range(BATCH):
+            data = sock.recv(2048)
+            packet = decode_packet(data)
+            verdict = decide(packet, data, now)
+            if isinstance(verdict, Target):
+                sock.sendto(
+                    encode_forwarded(data, verdict.tag, verdict.token, packet[6]), verdict.address
+                )
+
+    return relay
+
+
+def _bare(address: tuple[str, int]) -> Relay:
+    def relay(sock: socket.socket) -> None:
+        for _ in range(BATCH):
+            sock.sendto(sock.recv(2048), address)
+
+    return relay
+
+
+def _packet_us(relay: Relay, packets: list[bytes], sock: socket.socket) -> float:
+    """Returns the median processor time of a packet in microseconds."""
+    times = []
+    for batch in range(_BATCHES.value):
+        for packet in packets:
+            # Each batch is the next request of all flows: further data that acknowledges more.
+            rest = packet[8:] if packet[22] & ACK else packet[4:]
+            moved = (1 + batch * len(DATA)).to_bytes(4, "big")
+            head = moved + moved if packet[22] & ACK else moved
+            sock.sendto(head + rest, sock.getsockname())
+        started = time.process_time()
+        relay(sock)
+        times.append((time.process_time() - started) / BATCH * 1e6)
+    return statistics.median(times)
+
+
+def _main(_: list[str]) -> None:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind((f"127.{_OCTET.value}.0.1", 0))
+    # Targets share one address that drops what it gets.
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sink.bind((f"127.{_OCTET.value}.0.2", 0))
+    address = sink.getsockname()
+    director = _world(address)
+    starts = _packets(SYN, 0, b"")
+    chosen = [director.on_packet(decode_packet(data), data, 0.0) for data in starts]
+    tokens = [target.token for target in chosen if isinstance(target, Target)]
+    data = _with_tokens(_packets(ACK, 1, DATA), tokens)
+    for name, packets in (("data", data), ("syn", starts)):
+        bare_us = _packet_us(_bare(address), packets, sock)
+        role_us = _packet_us(_role(director if name == "data" else _world(address)), packets, sock)
+        figures = {
+            "packet": name,
+            "role_us": round(role_us, 2),
+            "bare_us": round(bare_us, 2),
+            "ratio": round(bare_us / role_us, 3),
+        }
+        print(json.dumps(figures))
+
+
+def main() -> None:
+    """Runs the bench."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/start.py
@@ -0,0 +1,118 @@
+"""Processor time from the start of the platform's role to the first packet that it forwards.
+
+Beside it, in the same run, a bare interpreter. Prints one JSON line with the best of several
+starts.
+"""
+
+import asyncio
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from absl import app, flags
+
+from pearwell.soak.processes import ROOT
+from pearwell.standins.object_server import ObjectServer
+from pearwell.standins.token_packet import SYN, TokenPacket, flow_address
+
+__all__ = ["main"]
+
+_STARTS = flags.DEFINE_integer("starts", 10, "Starts of each program.", lower_bound=1)
+_OCTET = flags.DEFINE_integer("octet", 95, "Second octet of the loopback addresses.")
+
+PACKET_PORT, READY_PORT, STORE_PORT, HOST_PORT = 21000, 21001, 21003, 21004
+RESEND_S = 0.005
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def _bare_s(arguments: list[str]) -> float:
+    before = resource.getrusage(resource.RUSAGE_CHILDREN)
+    subprocess.run([sys.executable, *arguments], check=True)
+    after = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
+
+
+def _spent_s(pid: int) -> float:
+    """Returns the processor time of a process in seconds, from the scheduler's account."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+async def _role_s(directory: Path) -> float:
+    """Starts the role and returns its processor time when a host gets the first SYN."""
+    ip, store_ip = f"127.{_OCTET.value}.1.1", f"127.{_OCTET.value}.0.1"
+    store = ObjectServer()
+    await store.start(store_ip, STORE_PORT)
+    route = {"Name": "r", "Host": "198.18.0.1", "PathPrefix": "/443/", "Service": "s"}
+    spec = {"Version": 1, "Routes": [route], "Services": [], "Limits": {}}
+    await store.write("config", "main", spec)
+    address = f"{store_ip}:{HOST_PORT}"
+    entry = {"Service": "s", "Address": address, "Zone": "z", "State": "ready", "WarmupLeftMs": 0}
+    await store.write("servers", "i-00000001", entry)
+    host = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    host.bind((store_ip, HOST_PORT))
+    host.setblocking(False)
+    settings = {
+        "NodeName": "e",
+        "Zone": "z",
+        "Ip": ip,
+        "ListenAddrs.DatagramAddr": f"{ip}:{PACKET_PORT}",
+        "ListenAddrs.Ready": f"{ip}:{READY_PORT}",
+        "Bounds.ContactMs": 4000,
+        "Bounds.DrainMs": 3000,
+        "Bounds.GraceS": 6,
+        "Bounds.ConfigApplyMs": 3000,
+        "platform.Address": f"{store_ip}:{STORE_PORT}",
+    }
+    path = directory / "edge.conf"
+    path.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-S",
+        "deploy/edge.py",
+        cwd=ROOT,
+        env={**os.environ, "PEARWELL_BOOT": str(path)},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    syn = TokenPacket(
+        flow_address(f"127.{_OCTET.value}.3.1", 1024), flow_address("198.18.0.1", 443), SYN, 1, 0, 0
+    )
+    loop = asyncio.get_running_loop()
+    first = asyncio.ensure_future(loop.sock_recv(host, 2048))
+    try:
+        while not first.done():
+            host.sendto(syn.encode(), (ip, PACKET_PORT))
+            await asyncio.wait([first], timeout=RESEND_S)
+        return _spent_s(process.pid)
+    finally:
+        process.kill()
+        await process.wait()
+        host.close()
+        await store.stop()
+
+
+def _main(_: list[str]) -> None:
+    with tempfile.TemporaryDirectory() as directory:
+        starts = range(_STARTS.value)
+        role = min(asyncio.run(_role_s(Path(directory))) for _ in starts)
+        bare = min(_bare_s(["-c", "pass"]) for _ in starts)
+        without_site = min(_bare_s(["-S", "-c", "pass"]) for _ in starts)
+    figures = {
+        "role_to_first_packet_s": round(role, 4),
+        "bare_s": round(bare, 4),
+        "bare_without_site_s": round(without_site, 4),
+    }
+    print(json.dumps(figures))
+
+
+def main() -> None:
+    """Runs the bench."""
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    main()
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -114,7 +114,10 @@
         if self._routes.find(address) is None:
             return self._refuse(Code.FLOW_NO_ROUTE, packet)
         flow = self._flows.get(key)
-        target = self._target_of(flow, token)
+        if flow is not None and flow.opened and flow.target.token == token:
+            target: Target | None = flow.target
+        else:
+            target = self._target_of(flow, token)
         if target is None:
             known = self._trusts_listing(now)
             return self._refuse(Code.FLOW_UNKNOWN_TOKEN if known else Code.FLOW_UNSETTLED, packet)
@@ -284,7 +287,7 @@
             flow.syn = b""
             flow.acked = ack
             target.alive(now)
-        elif _newer(ack, flow.acked):
+        elif ack != flow.acked and _newer(ack, flow.acked):
             flow.acked = ack
             flow.settle()
             target.alive(now)
--- a/pearwell/affinity/routes.py
+++ b/pearwell/affinity/routes.py
@@ -1,5 +1,6 @@
 """Routes: which service takes the new flows of an address, by versions that only rise."""
 
+from collections.abc import Callable
 from zlib import crc32
 
 __all__ = ["Route", "RouteTable", "Routes"]
@@ -57,11 +58,17 @@
 
 
 class RouteTable:
-    """The routes in force; an older version never replaces a newer one."""
+    """The routes in force; an older version never replaces a newer one.
+
+    Attributes:
+        find: Returns the route of the 6 bytes of destination port and address, or None. Called for
+            each packet, so it is the mapping's own method.
+    """
 
     def __init__(self) -> None:
         self._routes = Routes(-1, {})
         self._applied_at = 0.0
+        self.find: Callable[[bytes], Route | None] = self._routes.by_address.get
 
     @property
     def version(self) -> int:
@@ -86,14 +93,11 @@
     def __len__(self) -> int:
         return len(self._routes.by_address)
 
-    def find(self, address: bytes) -> Route | None:
-        """Returns the route of the 6 bytes of destination port and address."""
-        return self._routes.by_address.get(address)
-
     def apply(self, routes: Routes, now: float) -> bool:
         """Takes a version; returns False if it isn't newer than the one in force."""
         if routes.version <= self._routes.version:
             return False
         self._routes = routes
         self._applied_at = now
+        self.find = routes.by_address.get
         return True
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -11,6 +11,7 @@
 from pearwell.affinity.relay import Relay
 from pearwell.affinity.sync import ObjectSync
 from pearwell.affinity.target import Target
+from pearwell.affinity.token import NO_TOKEN
 from pearwell.errors import Code, PacketError, SettingsError
 from pearwell.event_log import EventLog, stdout_writer
 from pearwell.http_server import Answer, HttpServer
@@ -190,15 +191,15 @@
                 continue
             verdict = decide(packet, data, now)
             if isinstance(verdict, Target):
-                self._forward(data, verdict)
+                self._forward(data, verdict, packet[6])
             elif verdict is not Code.FLOW_UNSETTLED and not packet[2] & RST:
                 self._reset(packet[0], encode_reset(packet))
         if packets:
             self._decision_times.observe((self._reactor.now() - now) / packets)
         self._spawn_probes()
 
-    def _forward(self, data: bytes, target: Target) -> None:
-        self._send(encode_forwarded(data, target.tag, target.token), target.address)
+    def _forward(self, data: bytes, target: Target, carried: int = NO_TOKEN) -> None:
+        self._send(encode_forwarded(data, target.tag, target.token, carried), target.address)
 
     def _reset(self, key: bytes, reset: bytes) -> None:
         self._send(reset, (client_ip(key), self._settings.packets[1]))
--- a/pearwell/platform/packet.py
+++ b/pearwell/platform/packet.py
@@ -40,8 +40,17 @@
     return key, key[6:], flags, seq, ack, length, echo
 
 
-def encode_forwarded(data: bytes, tag: bytes, token: int) -> bytes:
-    """Returns the datagram for a target: its tag, then the packet with its token."""
+def encode_forwarded(data: bytes, tag: bytes, token: int, carried: int) -> bytes:
+    """Returns the datagram for a target: its tag, then the packet with its token.
+
+    Args:
+        data: The packet.
+        tag: The 8 bytes that name the target.
+        token: Token of the target.
+        carried: Token that the packet carries, which is the target's on most packets.
+    """
+    if carried == token:
+        return tag + data
     return b"".join((tag, data[:28], _ECHO.pack(token), data[32:]))
 
 
--- a/tests/platform/test_packet.py
+++ b/tests/platform/test_packet.py
@@ -47,13 +47,19 @@
 
 @given(st.binary(min_size=HEADER_BYTES, max_size=1300), st.integers(0, 2**32 - 1))
 def test_forwarding_changes_nothing_but_the_token(data, token):
-    sent = encode_forwarded(data, b"12345678", token)
+    carried = int.from_bytes(data[28:32], "big")
+    sent = encode_forwarded(data, b"12345678", token, carried)
     assert sent[:8] == b"12345678"
     assert sent[8:36] == data[:28]
     assert sent[36:40] == token.to_bytes(4, "big")
     assert sent[40:] == data[32:]
 
 
+def test_a_packet_that_carries_its_token_is_sent_as_it_is():
+    token = int.from_bytes(SYN_BYTES[28:32], "big")
+    assert encode_forwarded(SYN_BYTES, b"12345678", token, token) == b"12345678" + SYN_BYTES
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_refused_with_a_code(data):
     try:
