Follow the token where a record doesn't know it; drop packets that waited for long

The flow had opened through another instance meanwhile. Its later packets were forwarded by their token, but the record stayed with the target of the old SYN, and when that one was gone the flow was reset. Ruled out: resets by hosts, a wrong verdict on the flow's own target. A record now moves to the token's target; packets that waited over 1 s, at the start or while the process stood still, are dropped unread, as their clients have sent copies or given up.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -115,6 +115,7 @@
             return self._refuse(Code.FLOW_NO_ROUTE, packet)
         flow = self._flows.get(key)
         if flow is not None and flow.opened and flow.target.token == token:
+            # Most packets; saves the look-up by token.
             target: Target | None = flow.target
         else:
             target = self._target_of(flow, token)
@@ -265,19 +266,25 @@
     def _target_of(self, flow: Flow | None, token: int) -> Target | None:
         """Returns the target that a packet of an open flow belongs to.
 
-        A client carries the token that it got last, but is on the target that answered first. If
-        two targets may have answered, the first packet after the SYN tells which one, and the
-        record keeps it against a late answer of the other.
+        A client carries the token that it got last, but is on the target that answered first. The
+        first packet after the SYN tells which one that is; the record keeps it against late
+        answers of the others that got a copy. A token of yet another target means that the record
+        is of no use, for example as the flow opened through another instance.
         """
-        if flow is None or not flow.tried:
-            return self._directory.of_token(token)
-        if not flow.opened:
-            for target in flow.tried:
-                if target.token == token and target is not flow.target:
-                    flow.move(target)
-        if any(target.token == token for target in flow.tried):
+        told = self._directory.of_token(token)
+        if flow is None:
+            return told
+        if flow.opened and any(target.token == token for target in flow.tried):
             return flow.target
-        return self._directory.of_token(token) or flow.target
+        if told is None:
+            return flow.target if flow.opened else None
+        if told is not flow.target:
+            flow.move(told)
+        if flow.opened:
+            flow.tried = []
+        elif told not in flow.tried:
+            flow.tried.append(told)
+        return told
 
     def _observe(self, flow: Flow, flags: int, seq: int, ack: int, length: int, now: float) -> None:
         """Reads a packet for signs of load, life and silence of the flow's target."""
--- a/pearwell/affinity/serving.py
+++ b/pearwell/affinity/serving.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Mapping
 
-__all__ = ["Phase", "Serving"]
+__all__ = ["MAX_BACKLOG_S", "Phase", "Serving", "is_stale_backlog"]
+
+# Packets that waited longer are dropped unread. Clients send copies of a SYN for 0.6 s and give up
+# the attempt after 1.4 s; by then the flow may be open through another instance.
+MAX_BACKLOG_S = 1.0
 
 # Time between the request to stop and the end. Routers probe each 500 ms and send flows elsewhere
 # after two misses; flows that come late by another router's view are still forwarded.
@@ -70,3 +74,8 @@
         before = self._phase
         self._phase = _STEPS.get((self._phase, "stop"), self._phase)
         return self._phase != before
+
+
+def is_stale_backlog(waited_s: float) -> bool:
+    """Whether packets that may have waited for a time in seconds do more harm than good."""
+    return waited_s > MAX_BACKLOG_S
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -9,6 +9,7 @@
 from pearwell.affinity.director import RST
 from pearwell.affinity.instance import Bounds, Instance, order_relays
 from pearwell.affinity.relay import Relay
+from pearwell.affinity.serving import is_stale_backlog
 from pearwell.affinity.sync import ObjectSync
 from pearwell.affinity.target import Target
 from pearwell.affinity.token import NO_TOKEN
@@ -59,12 +60,13 @@
         self._path = path
         self._modified_at = _modified_at(path)
         self._log = EventLog(stdout_writer(), time.monotonic, instance=settings.instance)
-        self._reactor = Reactor(time.monotonic, self._on_error)
+        self._reactor = Reactor(time.monotonic, self._on_error, self._on_pause)
         # Bound first, so that packets wait here while the store is asked.
         self._packets = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._packets.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._packets.setblocking(False)
         _bind(self._packets, settings.packets)
+        self._bound_at = self._reactor.now()
         relays = order_relays(settings.instance, settings.control, settings.seeds)
         self._is_relay = settings.control in settings.seeds
         bounds = Bounds(settings.drain_s, settings.config_s, settings.contact_s, settings.grace_s)
@@ -162,6 +164,7 @@
 
     def _on_change(self) -> None:
         if self._instance.informed():
+            self._drop_stale(self._reactor.now() - self._bound_at)
             self._reactor.add_reader(self._packets, self._on_packets)
             self._log.event(
                 "ready",
@@ -198,6 +201,22 @@
             self._decision_times.observe((self._reactor.now() - now) / packets)
         self._spawn_probes()
 
+    def _on_pause(self, late_s: float) -> None:
+        self._log.event("paused", late_s=round(late_s, 3))
+        self._drop_stale(late_s)
+
+    def _drop_stale(self, waited_s: float) -> None:
+        """Drops the packets in the buffer if they may have waited for too long."""
+        if not is_stale_backlog(waited_s):
+            return
+        dropped = 0
+        try:
+            while True:
+                self._packets.recv(DATAGRAM_BYTES)
+                dropped += 1
+        except BlockingIOError:
+            self._log.event("backlog_dropped", packets=dropped, waited_s=round(waited_s, 3))
+
     def _forward(self, data: bytes, target: Target, carried: int = NO_TOKEN) -> None:
         self._send(encode_forwarded(data, target.tag, target.token, carried), target.address)
 
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -13,6 +13,8 @@
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
+# A wait that ends later than this was held up: the process was stopped, or the machine stood still.
+PAUSE_S = 1.0
 
 
 class Wait:
@@ -88,11 +90,19 @@
     Args:
         now: Returns the current time in seconds of a steady clock.
         on_error: Takes an exception that ended a coroutine.
+        on_pause: Takes the time in seconds by which the process was held up, before anything that
+            arrived meanwhile is read.
     """
 
-    def __init__(self, now: Callable[[], float], on_error: Callable[[BaseException], None]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        on_error: Callable[[BaseException], None],
+        on_pause: Callable[[float], None] = lambda late_s: None,
+    ) -> None:
         self.now = now
         self._on_error = on_error
+        self._on_pause = on_pause
         self._epoll = select.epoll()
         self._readers: dict[int, Callable[[], None]] = {}
         self._waiting: dict[int, _Task] = {}
@@ -158,8 +168,13 @@
             heappop(self._timers)
         if self._timers:
             wakeups.append(self._timers[0][0])
-        timeout = max(0.0, min(wakeups) - self.now()) if wakeups else None
-        for fd, _ in self._epoll.poll(timeout):
+        started = self.now()
+        timeout = max(0.0, min(wakeups) - started) if wakeups else None
+        ready = self._epoll.poll(timeout)
+        late_s = self.now() - started - (timeout or 0.0)
+        if timeout is not None and late_s > PAUSE_S:
+            self._on_pause(late_s)
+        for fd, _ in ready:
             callback = self._readers.get(fd)
             if callback is not None:
                 callback()
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -175,6 +175,33 @@
     assert (on.open_flows, late.open_flows) == (1, 0)
 
 
+def test_a_flow_that_opened_through_another_instance_follows_its_token():
+    """A SYN that waited while this instance started left a record of targets it isn't on.
+
+    cwsb-pearwell-grown scale-2 and trouble-3: the flow was reset when one of these was gone.
+    """
+    world = World(target(1), target(2), target(3))
+    first = world.send(syn(1))
+    [(_, second)] = world.wait(SYN_ANSWER_S)
+    on = next(held for held in world.directory if held not in (first, second))
+    assert world.send(data(1, on.token)) is on
+    assert world.send(data(1, on.token, seq=1101, ack=600)) is on
+    assert (first.open_flows, second.open_flows, on.open_flows) == (0, 0, 1)
+    for held in (first, second):
+        assert held.life_at < world.now
+        world.directory.end(held)
+    assert world.director.take_resets() == []
+    assert world.send(data(1, on.token, seq=1201, ack=700)) is on
+
+
+def test_a_flow_whose_target_started_again_follows_the_token_without_a_record():
+    world = World(target(1), target(2))
+    chosen = world.open(1)
+    other = next(held for held in world.directory if held is not chosen)
+    assert world.send(data(1, other.token)) is other
+    assert (chosen.open_flows, other.open_flows) == (0, 1)
+
+
 def test_a_silent_target_gets_no_new_flows_and_is_tried_again_later():
     world = World(target(1), target(2))
     silent = world.send(syn(1))
--- a/tests/affinity/test_serving.py
+++ b/tests/affinity/test_serving.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pearwell.affinity.serving import STOP_S, Serving
+from pearwell.affinity.serving import MAX_BACKLOG_S, STOP_S, Serving, is_stale_backlog
 
 
 @pytest.mark.parametrize(
@@ -32,3 +32,11 @@
 @pytest.mark.parametrize(("grace_s", "wait_s"), [(6.0, STOP_S), (3.0, 2.0), (0.5, 0.0)])
 def test_the_stop_ends_before_it_is_forced(grace_s, wait_s):
     assert Serving(grace_s).stop_after_s == wait_s
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "stale"), [(0.0, False), (MAX_BACKLOG_S, False), (7.1, True), (1.5, True)]
+)
+def test_packets_that_waited_for_long_are_stale(waited_s, stale):
+    """Clients have given up the attempt, or opened the flow through another instance."""
+    assert is_stale_backlog(waited_s) == stale
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -125,3 +125,24 @@
     reactor.spawn(closer())
     reactor.run()
     assert seen == [False]
+
+
+def test_a_pause_of_the_process_is_noticed_before_anything_is_read():
+    order = []
+    # Readings: the sleeper's deadline, before the first wait and after it, 5 s later.
+    readings = [0.0, 0.0, 5.0]
+    reactor = Reactor(
+        lambda: readings.pop(0) if len(readings) > 1 else readings[0],
+        order.append,
+        on_pause=lambda late_s: order.append(round(late_s)),
+    )
+    one, other = pair()
+    reactor.add_reader(one, lambda: (order.append(one.recv(9)), reactor.stop()))
+
+    async def sleeper():
+        await reactor.sleep(0.01)
+
+    other.send(b"packet")
+    reactor.spawn(sleeper())
+    reactor.run()
+    assert order == [5, b"packet"]
