Pass small configurations on through relays

Relays now pass on events of up to 16 kB; larger ones are announced as before. Relays held all objects for lists that nobody asks for; removed.

--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -4,29 +4,29 @@
 call. The instances that the settings name as seeds ask the store; the others ask them.
 """
 
+import json
 from collections import deque
 
-__all__ = ["MAX_AGE_S", "ObjectCache"]
+__all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache"]
 
 # Age of the latest answer of the store up to which a relay answers others. Relays ask at least
 # each 1.5 s; with a slow answer (0.35 s) and a pause it stays below.
 MAX_AGE_S = 2.2
+# Largest event that a relay passes on. A relay serves a third of the fleet, some forty instances,
+# and the smallest links carry 5 Mbit/s: 16 kB to each take a second.
+MAX_EVENT_BYTES = 16_000
 # Batches of events kept for instances that are behind, about one each half second.
 MAX_BATCHES = 64
 
 
 class ObjectCache:
-    """The objects and the latest events of one kind, as JSON gave them.
+    """The latest events of one kind, as JSON gave them.
 
-    Args:
-        whole: Whether answers hold whole objects. Otherwise they only tell that there was a change,
-            and whoever asks gets the objects from the store: a large configuration sent to dozens
-            of instances would fill a relay's link for seconds.
+    A large event is replaced by None, which tells of a change without the object; whoever asks gets
+    it from the store.
     """
 
-    def __init__(self, whole: bool) -> None:
-        self._whole = whole
-        self._items: dict[str, object] = {}
+    def __init__(self) -> None:
         self._batches: deque[tuple[int, int, list[object]]] = deque(maxlen=MAX_BATCHES)
         self._revision = -1
         self._verified_at = float("-inf")
@@ -44,28 +44,20 @@
         """Returns when the objects stop to be fresh, in seconds of the clock."""
         return self._verified_at + MAX_AGE_S
 
-    def replace(self, items: dict[str, object], revision: int, now: float) -> bool:
-        """Takes a list of the store; returns whether it is newer than what was held."""
+    def restart(self, revision: int, now: float) -> bool:
+        """Takes that the store was listed; returns whether that is newer than what was held."""
         self._verified_at = now
         if revision <= self._revision:
             return False
-        self._items = items if self._whole else {}
         self._batches.clear()
         self._revision = revision
         return True
 
-    def extend(
-        self,
-        events: list[object],
-        names: list[tuple[str, object | None]],
-        revision: int,
-        now: float,
-    ) -> bool:
+    def extend(self, events: list[object], revision: int, now: float) -> bool:
         """Takes the answer of a watch from the held revision; returns whether anything is new.
 
         Args:
             events: The events as JSON gave them.
-            names: For each event the object's name, and the object or None if it was removed.
             revision: Revision up to which the answer is complete.
             now: Current time in seconds of the clock.
         """
@@ -73,13 +65,7 @@
         if revision <= self._revision:
             return False
         if events:
-            if self._whole:
-                for name, item in names:
-                    if item is None:
-                        self._items.pop(name, None)
-                    else:
-                        self._items[name] = item
-            kept: list[object] = list(events) if self._whole else [None]
+            kept = [event if _is_small(event) else None for event in events]
             self._batches.append((self._revision, revision, kept))
         elif self._batches and not self._batches[-1][2]:
             first, _, _ = self._batches.pop()
@@ -89,10 +75,6 @@
         self._revision = revision
         return bool(events)
 
-    def items(self) -> list[object]:
-        """Returns all objects in order of name."""
-        return [self._items[name] for name in sorted(self._items)]
-
     def events_after(self, revision: int) -> list[object] | None:
         """Returns the events after a revision, or None if they aren't held any more.
 
@@ -104,3 +86,7 @@
         if not self._batches or revision < self._batches[0][0]:
             return None
         return [event for _, last, batch in self._batches if last > revision for event in batch]
+
+
+def _is_small(event: object) -> bool:
+    return len(json.dumps(event)) <= MAX_EVENT_BYTES
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -73,8 +73,8 @@
         self.targets = Follower(
             _pace(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, jitter
         )
-        self.config_cache = ObjectCache(whole=False)
-        self.target_cache = ObjectCache(whole=True)
+        self.config_cache = ObjectCache()
+        self.target_cache = ObjectCache()
         self.director = Director(zone, self.routes, self.directory, self.trusts_listing, log_flow)
 
     def tick(self, now: float) -> None:
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -25,13 +25,12 @@
     def __init__(self):
         self.now = 100.0
         self.on_wait = lambda: None
-        self.cache = ObjectCache(whole=True)
-        self.cache.replace({"a": {"meta": {"Name": "a"}}}, 5, self.now)
+        self.cache = ObjectCache()
+        self.cache.restart(5, self.now)
         self.relay = Relay({"servers": self.cache}, lambda: 98.5, Changes(self), lambda: self.now)
 
     def change(self):
-        item = {"meta": {"Name": "b"}}
-        self.cache.extend([{"Object": item}], [("b", item)], 6, self.now)
+        self.cache.extend([{"Object": {"meta": {"Name": "b"}}}], 6, self.now)
 
     def ask(self, path):
         status, body = run(self.relay.answer(path))
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -34,7 +34,7 @@
         self.routes = RouteTable()
         self.logged = []
         self.slept = 0.0
-        self.cache = ObjectCache(whole=False)
+        self.cache = ObjectCache()
         self.store = store
         self.sync = ObjectSync(
             ConfigObjects(self.routes, self._log),
@@ -105,7 +105,7 @@
     assert relay.calls == [("watch", 5), ("watch", 5), ("watch", 6)]
 
 
-def test_a_configuration_that_a_relay_announces_comes_from_the_store():
+def test_a_large_configuration_that_a_relay_announces_comes_from_the_store():
     relay = FakeStore(StoreAnswer([None], 8))
     rig = Rig(FakeStore(listed(5, 1), listed(8, 2)), relay)
     assert rig.steps(3) == [1, 1, 2]
