--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -100,7 +100,8 @@
         self._sleep = sleep
         self._on_change = on_change
         self._log = log
-        self._failing = False
+        # Failed calls in a row by source, the store being None.
+        self._lost: dict[int | None, int] = {}
 
     async def run(self) -> None:
         """Follows for ever."""
@@ -121,9 +122,7 @@
             self._follower.failed(call, error.code, self._now())
             self._note_failure(call, error)
         else:
-            if self._failing and call.relay is None:
-                self._failing = False
-                self._log("store_regained", kind=self._kind.name, revision=self._follower.revision)
+            self._note_success(call)
         self._on_change()
 
     async def _list(self) -> None:
@@ -169,9 +168,27 @@
         return self._kind.name_of(item), None if event.get("Deleted") is True else item
 
     def _note_failure(self, call: Call, error: PlatformError) -> None:
-        fields = {"kind": self._kind.name, "code": int(error.code), "detail": error.detail}
-        if call.relay is not None:
-            self._log("relay_lost", relay=call.relay, revision=call.revision, **fields)
+        failures = self._lost.get(call.relay, 0)
+        self._lost[call.relay] = failures + 1
+        if failures:
             return
-        self._failing = True
-        self._log("store_lost", revision=call.revision, **fields)
+        self._log(
+            "store_lost" if call.relay is None else "relay_lost",
+            kind=self._kind.name,
+            relay="-" if call.relay is None else call.relay,
+            revision=call.revision,
+            code=int(error.code),
+            detail=error.detail,
+        )
+
+    def _note_success(self, call: Call) -> None:
+        failures = self._lost.pop(call.relay, 0)
+        if not failures:
+            return
+        self._log(
+            "store_regained" if call.relay is None else "relay_regained",
+            kind=self._kind.name,
+            relay="-" if call.relay is None else call.relay,
+            revision=self._follower.revision,
+            failures=failures,
+        )
--- a/pearwell/explanation.py
+++ b/pearwell/explanation.py
@@ -17,7 +17,10 @@
     {
         "configuration_applied",
         "ready",
+        "backlog_dropped",
+        "paused",
         "relay_lost",
+        "relay_regained",
         "start",
         "stop",
         "stopping",
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -91,10 +91,20 @@
 
 
 def test_an_outage_is_logged_with_its_end():
-    rig = Rig(FakeStore(listed(5, 1), DOWN, DOWN, listed(6, 2)))
-    rig.steps(4)
-    assert rig.logged.count("store_lost") == 2
-    assert rig.logged[-1] == "store_regained"
+    rig = Rig(FakeStore(listed(5, 1), DOWN, DOWN, listed(6, 2), DOWN))
+    rig.steps(5)
+    contact = [event for event in rig.logged if event.startswith("store_")]
+    assert contact == ["store_lost", "store_regained", "store_lost"]
+
+
+def test_a_relay_that_is_lost_and_regained_is_logged_once_each():
+    relay = FakeStore(DOWN, DOWN, events(8), events(9))
+    rig = Rig(FakeStore(listed(5, 1), listed(6, 2), listed(7, 2)), relay)
+    for _ in range(7):
+        rig.now += 3.0
+        rig.steps(1)
+    contact = [event for event in rig.logged if event.startswith("relay_")]
+    assert contact == ["relay_lost", "relay_regained"]
 
 
 def test_a_relay_saves_calls_to_the_store():
