Tell other instances of a target that was found gone

With a flow or two of a target on each of dozens of instances, suspicion from own packets can't come sooner. The first instance to find out now sends a datagram to the relays, which pass it on; each instance tries the target itself before it resets its idle flows.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -83,6 +83,7 @@
         self._unanswered: deque[tuple[float, Flow]] = deque()
         self._resend_tokens = RESEND_RESERVE
         self._probes: list[Target] = []
+        self._hints: list[str] = []
         self._counts: dict[str, int] = {}
 
     @property
@@ -157,6 +158,19 @@
         probes, self._probes = self._probes, []
         return probes
 
+    def take_hints(self) -> list[str]:
+        """Returns the names of targets that were found gone here, to tell other instances."""
+        hints, self._hints = self._hints, []
+        return hints
+
+    def hinted(self, name: str, now: float) -> None:
+        """Takes another instance's word that a target is gone, and tries it if it has flows."""
+        target = self._directory.of_name(name)
+        if target is None or target.gone or not target.open_flows:
+            return
+        if now - target.life_at >= STALL_S:
+            self._probe(target, now)
+
     def probed(self, target: Target, answered: bool, refused: bool, now: float) -> None:
         """Takes the result of a connection attempt to a target's address.
 
@@ -175,6 +189,7 @@
         self._directory.end(target)
         self._suspect(target, now)
         self._count("target_found_gone")
+        self._hints.append(target.name)
 
     def take_resets(self) -> list[Flow]:
         """Returns the flows on targets that are gone, to be reset.
--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -65,6 +65,10 @@
         """Returns the target whose flows carry a token."""
         return self._by_token.get(token)
 
+    def of_name(self, name: str) -> Target | None:
+        """Returns the target of a name, listed or not."""
+        return self._by_name.get(name) or self._unlisted.get(name)
+
     def of_service(self, service: str) -> list[Target]:
         """Returns the listed and lapsed targets of a service, draining ones included."""
         return self._by_service.get(service, [])
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -31,15 +31,22 @@
         address: IP address and TCP port to listen on.
         handle: Returns the answer to a path with its query.
         content_type: Type of all bodies.
+        on_caller: Takes the caller's IP address with each request.
 
     Raises:
         SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
     """
 
     def __init__(
-        self, reactor: Reactor, address: tuple[str, int], handle: Handler, content_type: str
+        self,
+        reactor: Reactor,
+        address: tuple[str, int],
+        handle: Handler,
+        content_type: str,
+        on_caller: Callable[[str], None] = lambda ip: None,
     ) -> None:
         self._reactor = reactor
+        self._on_caller = on_caller
         self._handle = handle
         self._content_type = content_type
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -56,14 +63,14 @@
 
     def _accept(self) -> None:
         try:
-            sock, _ = self._sock.accept()
+            sock, (ip, _) = self._sock.accept()
         except OSError:
             # The caller has gone again, or no descriptor is left; it will try again.
             return
         sock.setblocking(False)
-        self._reactor.spawn(self._serve(sock))
+        self._reactor.spawn(self._serve(sock, ip))
 
-    async def _serve(self, sock: socket.socket) -> None:
+    async def _serve(self, sock: socket.socket, ip: str) -> None:
         reader = MessageReader()
         try:
             while await self._reactor.readable(sock, IDLE_S):
@@ -71,6 +78,7 @@
                 if not data:
                     return
                 request = reader.feed(data)
+                self._on_caller(ip)
                 if request is not None and not await self._answer(sock, request):
                     return
         except (OSError, PlatformError):
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -7,6 +7,7 @@
 import time
 
 from pearwell.affinity.director import RST
+from pearwell.affinity.hints import Followers, decode_hint, encode_hint
 from pearwell.affinity.instance import Bounds, Instance, order_relays
 from pearwell.affinity.relay import Relay
 from pearwell.affinity.serving import is_stale_backlog
@@ -81,6 +82,8 @@
         )
         self._director = self._instance.director
         self._changed = Signal(self._reactor)
+        self._followers = Followers()
+        self._peers: socket.socket | None = None
         self._stores: list[StoreClient] = []
         self._relays: list[StoreClient] = []
         self._decision_times = Histogram("packet_seconds", DECISION_BOUNDS_S)
@@ -137,6 +140,7 @@
         except SettingsError as error:
             # Traffic goes before metrics if the platform uses the port otherwise.
             self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
+        self._listen_to_peers()
         if self._settings.control is None or not self._is_relay:
             return
         caches = {
@@ -145,7 +149,63 @@
         }
         targets = self._instance.targets
         relay = Relay(caches, lambda: targets.good_since, self._changed, self._reactor.now)
-        HttpServer(self._reactor, self._settings.control, relay.answer, "application/json")
+        HttpServer(
+            self._reactor,
+            self._settings.control,
+            relay.answer,
+            "application/json",
+            lambda ip: self._followers.asked(ip, self._reactor.now()),
+        )
+
+    def _listen_to_peers(self) -> None:
+        port = self._settings.peer_port
+        if port is None:
+            return
+        peers = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        peers.setblocking(False)
+        try:
+            _bind(peers, (self._settings.ip, port))
+        except SettingsError as error:
+            # Hints save some requests; traffic goes on without them.
+            self._log.event("hints_unavailable", code=int(error.code), detail=error.detail)
+            peers.close()
+            return
+        self._peers = peers
+        self._reactor.add_reader(peers, self._on_hint)
+
+    def _on_hint(self) -> None:
+        assert self._peers is not None
+        try:
+            data = self._peers.recv(DATAGRAM_BYTES)
+        except OSError as error:
+            self._log.flow("hint_lost", error=error)
+            return
+        hint = decode_hint(data)
+        if hint is None:
+            return
+        name, pass_on = hint
+        self._log.flow("target_hinted", target=name)
+        if pass_on and self._is_relay:
+            self._tell(name, False, self._followers.current(self._reactor.now()))
+        self._director.hinted(name, self._reactor.now())
+        self._spawn_probes()
+
+    def _send_hints(self) -> None:
+        for name in self._director.take_hints():
+            relays = [ip for ip, _ in self._settings.seeds if ip != self._settings.ip]
+            self._tell(name, True, relays)
+            if self._is_relay:
+                self._tell(name, False, self._followers.current(self._reactor.now()))
+
+    def _tell(self, name: str, pass_on: bool, ips: list[str]) -> None:
+        """Sends a hint; a lost one costs a later discovery and no more."""
+        if self._peers is None or self._settings.peer_port is None:
+            return
+        for ip in ips:
+            try:
+                self._peers.sendto(encode_hint(name, pass_on), (ip, self._settings.peer_port))
+            except OSError as error:
+                self._log.flow("hint_lost", to=ip, error=error)
 
     async def _answer_probe(self, path: str) -> Answer:
         return (200 if self._instance.serving.ready else 503), b""
@@ -254,6 +314,7 @@
         sock.close()
         self._director.probed(target, answered, refused, self._reactor.now())
         self._send_resets()
+        self._send_hints()
 
     async def _tick(self) -> None:
         while True:
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -22,6 +22,7 @@
         packets: Address that takes packets; clients take them at the same port number.
         ready: Address of the readiness probe.
         control: Address at which other instances ask this one; None if it serves none.
+        peer_port: UDP port between instances, the first of those that are free; None if none is.
         seeds: Addresses at which instances serve others, at most three; they may be down.
         store: Address of the store.
         drain_s: Time in seconds in which a leaving target has to stop getting new flows.
@@ -39,6 +40,7 @@
         "instance",
         "ip",
         "packets",
+        "peer_port",
         "ready",
         "seeds",
         "store",
@@ -54,6 +56,8 @@
         self.control = (
             _address(fields, "ListenAddrs.Control") if "ListenAddrs.Control" in fields else None
         )
+        first_port = fields.get("InternalPorts", "").partition(",")[0]
+        self.peer_port = int(first_port) if first_port.isdecimal() else None
         self.seeds = tuple(
             _parse_address("Seeds", seed) for seed in fields.get("Seeds", "").split(",") if seed
         )
--- a/pearwell/soak/world.py
+++ b/pearwell/soak/world.py
@@ -27,6 +27,7 @@
 ROUTE_IP = "198.18.0.1"
 ROUTE_PORTS = {"intake": 8080, "tables": 8443}
 PACKET_PORT, READY_PORT, CONTROL_PORT, STORE_PORT, HOST_PORT = 21000, 21001, 21002, 21003, 21004
+PEER_PORT = 21010
 PROBE_S, PROBE_MISSES = 0.5, 2
 START_S, QUIET_S, SERVED_WITHIN_S = 3.0, 5.0, 6.0
 # Bounds of the settings, and the time after a disturbance in which resets are allowed.
@@ -156,6 +157,7 @@
         "ListenAddrs.DatagramAddr": f"{ip}:{PACKET_PORT}",
         "ListenAddrs.Ready": f"{ip}:{READY_PORT}",
         "ListenAddrs.Control": f"{ip}:{CONTROL_PORT}",
+        "InternalPorts": f"{PEER_PORT},{PEER_PORT + 15}",
         "Seeds": ",".join(seeds),
         "Bounds.ContactMs": CONTACT_MS,
         "Bounds.DrainMs": DRAIN_MS,
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -300,6 +300,62 @@
     assert world.send(data(1, held.token)) is held
 
 
+def test_what_is_found_gone_is_told_to_others_once():
+    world = World(target(1))
+    held = stall(world)
+    world.director.take_probes()
+    world.now += 0.3
+    world.director.probed(held, False, False, world.now)
+    assert world.director.take_hints() == [held.name]
+    assert world.director.take_hints() == []
+
+
+@pytest.mark.parametrize(
+    ("open_flows", "life_age_s", "gone", "known", "probes"),
+    [
+        (1, 5.0, False, True, 1),
+        (0, 5.0, False, True, 0),
+        (1, 0.1, False, True, 0),
+        (1, 5.0, True, True, 0),
+        (1, 5.0, False, False, 0),
+    ],
+    ids=["silent with flows", "no flows", "just answered", "known to be gone", "unknown"],
+)
+def test_a_hint_calls_for_a_probe_and_resets_nothing(open_flows, life_age_s, gone, known, probes):
+    world = World(target(1))
+    held = world.open(1)
+    if not open_flows:
+        world.flows.remove(syn(1)[0])
+    world.now += life_age_s
+    held.gone = gone
+    world.director.hinted(held.name if known else "i-99", world.now)
+    assert len(world.director.take_probes()) == probes
+    assert world.director.take_resets() == []
+
+
+def test_replay_of_a_target_that_falls_silent_with_a_flow_on_each_of_many_instances():
+    """One request is lost at the first instance; the idle flows of the others are reset in time."""
+    worlds = [World(target(1)) for _ in range(30)]
+    for world in worlds:
+        world.open(1)
+        world.now += 1.0
+    first = worlds[0]
+    held = first.directory.of_name(target(1).name)
+    first.send(data(1, held.token))
+    first.now += 0.25
+    first.send(data(1, held.token))
+    [probed] = first.director.take_probes()
+    first.now += 0.3
+    first.director.probed(probed, False, False, first.now)
+    [name] = first.director.take_hints()
+    for world in worlds[1:]:
+        world.director.hinted(name, world.now)
+        for hinted in world.director.take_probes():
+            world.director.probed(hinted, False, False, world.now + 0.3)
+        [flow] = world.director.take_resets()
+        assert not flow.waiting
+
+
 @pytest.mark.parametrize(
     ("fault", "resets"),
     [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,8 @@
     ("changes", "field", "value"),
     [
         ({"ListenAddrs__Control": None}, "control", None),
+        ({"InternalPorts": "7720,7735"}, "peer_port", 7720),
+        ({"InternalPorts": ""}, "peer_port", None),
         ({"Seeds": ""}, "seeds", ()),
         ({"Seeds": None}, "seeds", ()),
         ({"New__Field": "x=y"}, "zone", "pnw-a"),
