--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -166,7 +166,10 @@
     def hinted(self, name: str, now: float) -> None:
         """Takes another instance's word that a target is gone, and tries it if it has flows."""
         target = self._directory.of_name(name)
-        if target is None or target.gone or not target.open_flows:
+        if target is None:
+            return
+        target.hinted = True
+        if target.gone or not target.open_flows:
             return
         if now - target.life_at >= STALL_S:
             self._probe(target, now)
@@ -189,7 +192,8 @@
         self._directory.end(target)
         self._suspect(target, now)
         self._count("target_found_gone")
-        self._hints.append(target.name)
+        if not target.hinted:
+            self._hints.append(target.name)
 
     def take_resets(self) -> list[Flow]:
         """Returns the flows on targets that are gone, to be reset.
--- a/pearwell/affinity/hints.py
+++ b/pearwell/affinity/hints.py
@@ -13,6 +13,8 @@
 MAX_NAME_BYTES = 100
 # Followers ask their relay each second; one that hasn't for this time is told nothing.
 FOLLOWER_S = 10.0
+# Time in which a relay passes on one hint on a target: several instances find out at once.
+REPEAT_S = 2.0
 
 # Name of the target, and whether relays are to pass the hint on.
 Hint = tuple[str, bool]
@@ -35,15 +37,24 @@
 
 
 class Followers:
-    """The IP addresses of those who ask a relay."""
+    """The IP addresses of those who ask a relay, and what they were told."""
 
     def __init__(self) -> None:
         self._asked_at: dict[str, float] = {}
+        self._told_at: dict[str, float] = {}
 
     def asked(self, ip: str, now: float) -> None:
         """Takes that someone has asked."""
         self._asked_at[ip] = now
 
+    def is_news(self, name: str, now: float) -> bool:
+        """Whether a target is to be told of, as it hasn't been lately."""
+        self._told_at = {held: at for held, at in self._told_at.items() if now - at <= REPEAT_S}
+        if name in self._told_at:
+            return False
+        self._told_at[name] = now
+        return True
+
     def current(self, now: float) -> list[str]:
         """Returns those who have asked lately, and forgets the others."""
         self._asked_at = {ip: at for ip, at in self._asked_at.items() if now - at <= FOLLOWER_S}
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -31,6 +31,7 @@
         suspect_until: End of the time in which it gets no new flows, in seconds of the clock.
         open_flows: Flows of this instance that it holds.
         in_flight: Requests of these flows without an answer so far.
+        hinted: Whether another instance has found it gone.
         stalled: Flows whose data was sent again since its latest sign of life.
         probing: Whether a connection attempt is to settle if it is gone.
         probed_at: When the latest attempt ended, in seconds of the clock.
@@ -41,6 +42,7 @@
         "born",
         "draining",
         "gone",
+        "hinted",
         "in_flight",
         "lapsed",
         "life_at",
@@ -91,6 +93,7 @@
         self.suspect_until = NEVER
         self.open_flows = 0
         self.in_flight = 0
+        self.hinted = False
         self.stalled = 0
         self.probing = False
         self.probed_at = NEVER
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -186,7 +186,7 @@
         name, pass_on = hint
         self._log.flow("target_hinted", target=name)
         if pass_on and self._is_relay:
-            self._tell(name, False, self._followers.current(self._reactor.now()))
+            self._tell_followers(name)
         self._director.hinted(name, self._reactor.now())
         self._spawn_probes()
 
@@ -195,7 +195,12 @@
             relays = [ip for ip, _ in self._settings.seeds if ip != self._settings.ip]
             self._tell(name, True, relays)
             if self._is_relay:
-                self._tell(name, False, self._followers.current(self._reactor.now()))
+                self._tell_followers(name)
+
+    def _tell_followers(self, name: str) -> None:
+        now = self._reactor.now()
+        if self._followers.is_news(name, now):
+            self._tell(name, False, self._followers.current(now))
 
     def _tell(self, name: str, pass_on: bool, ips: list[str]) -> None:
         """Sends a hint; a lost one costs a later discovery and no more."""
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -354,6 +354,7 @@
             world.director.probed(hinted, False, False, world.now + 0.3)
         [flow] = world.director.take_resets()
         assert not flow.waiting
+        assert world.director.take_hints() == []
 
 
 @pytest.mark.parametrize(
--- a/tests/affinity/test_hints.py
+++ b/tests/affinity/test_hints.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearwell.affinity.hints import FOLLOWER_S, Followers, decode_hint, encode_hint
+from pearwell.affinity.hints import FOLLOWER_S, REPEAT_S, Followers, decode_hint, encode_hint
 
 
 @pytest.mark.parametrize("pass_on", [True, False])
@@ -40,3 +40,10 @@
     followers.asked("10.0.0.2", 5.0)
     assert followers.current(FOLLOWER_S) == ["10.0.0.1", "10.0.0.2"]
     assert followers.current(FOLLOWER_S + 1) == ["10.0.0.2"]
+
+
+def test_a_target_that_many_instances_report_is_told_of_once():
+    followers = Followers()
+    assert [followers.is_news("i-1", at / 10) for at in range(10)] == [True] + [False] * 9
+    assert followers.is_news("i-2", 0.5)
+    assert followers.is_news("i-1", REPEAT_S + 0.1)
