--- /dev/null
+++ b/pearwell/platform/hint_socket.py
@@ -0,0 +1,96 @@
+"""The socket on which instances tell each other of targets that are gone."""
+
+from collections.abc import Callable
+
+from pearwell.affinity.hints import Followers, decode_hint, encode_hint
+from pearwell.errors import SettingsError
+from pearwell.event_log import EventLog
+from pearwell.platform.packet_socket import bind_udp
+from pearwell.reactor import Reactor
+
+__all__ = ["HintSocket"]
+
+DATAGRAM_BYTES = 2_048
+
+
+class HintSocket:
+    """Sends hints to relays, and as a relay to followers.
+
+    Args:
+        reactor: Event loop.
+        ip: Own IP address.
+        port: UDP port of all instances; None if there is none for them.
+        relays: IP addresses of the relays.
+        log: Log.
+        on_hint: Takes the name of a target that another instance has found gone.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        ip: str,
+        port: int | None,
+        relays: list[str],
+        log: EventLog,
+        on_hint: Callable[[str], None],
+    ) -> None:
+        self._reactor = reactor
+        self._port = port or 0
+        self._relays = [relay for relay in relays if relay != ip]
+        self._is_relay = ip in relays
+        self._log = log
+        self._on_hint = on_hint
+        self._followers = Followers()
+        self._sock = None
+        if port is None:
+            return
+        try:
+            self._sock = bind_udp((ip, port))
+        except SettingsError as error:
+            # Hints save some requests; traffic goes on without them.
+            log.event("hints_unavailable", code=int(error.code), detail=error.detail)
+            return
+        reactor.add_reader(self._sock, self._read)
+
+    def asked(self, ip: str) -> None:
+        """Takes that a follower has asked this relay."""
+        self._followers.asked(ip, self._reactor.now())
+
+    def tell(self, names: list[str]) -> None:
+        """Tells of targets that were found gone here."""
+        for name in names:
+            self._send(name, True, self._relays)
+            if self._is_relay:
+                self._tell_followers(name)
+
+    def _read(self) -> None:
+        assert self._sock is not None
+        try:
+            data = self._sock.recv(DATAGRAM_BYTES)
+        except OSError as error:
+            self._log.flow("hint_lost", error=error)
+            return
+        hint = decode_hint(data)
+        if hint is None:
+            self._log.flow("hint_malformed", bytes=len(data))
+            return
+        name, pass_on = hint
+        self._log.flow("target_hinted", target=name)
+        if pass_on and self._is_relay:
+            self._tell_followers(name)
+        self._on_hint(name)
+
+    def _tell_followers(self, name: str) -> None:
+        now = self._reactor.now()
+        if self._followers.is_news(name, now):
+            self._send(name, False, self._followers.current(now))
+
+    def _send(self, name: str, pass_on: bool, ips: list[str]) -> None:
+        if self._sock is None:
+            return
+        for ip in ips:
+            try:
+                self._sock.sendto(encode_hint(name, pass_on), (ip, self._port))
+            except OSError as error:
+                # A lost hint costs a later discovery and no more.
+                self._log.flow("hint_lost", to=ip, error=error)
--- /dev/null
+++ b/pearwell/platform/packet_socket.py
@@ -0,0 +1,156 @@
+"""The socket that takes clients' packets, and what goes out on it: forwarded packets and resets."""
+
+import socket
+from collections.abc import Callable
+
+from pearwell.affinity.director import RST, Director
+from pearwell.affinity.serving import is_stale_backlog
+from pearwell.affinity.target import Target
+from pearwell.affinity.token import NO_TOKEN
+from pearwell.errors import Code, PacketError, SettingsError
+from pearwell.event_log import EventLog
+from pearwell.platform.packet import (
+    client_ip,
+    decode_packet,
+    encode_forwarded,
+    encode_reset,
+    flow_packet,
+)
+from pearwell.reactor import Reactor
+from pearwell.text_metrics import Histogram
+
+__all__ = ["PacketSocket", "bind_udp"]
+
+# Most packets read before timers and other sockets get their turn.
+BATCH_PACKETS = 64
+DATAGRAM_BYTES = 2_048
+# Room for the packets that arrive while an instance starts or is held up.
+RECEIVE_BUFFER_BYTES = 4_194_304
+
+
+class PacketSocket:
+    """Reads packets, asks the director, and sends what it decides.
+
+    The socket is bound at once, so that packets wait in it until start().
+
+    Args:
+        reactor: Event loop.
+        address: Address that routers send to; clients take packets at the same port number.
+        director: Decides.
+        log: Log.
+        times: Takes the time in seconds that each packet took.
+        on_batch: Called after some packets were read.
+
+    Raises:
+        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
+    """
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        address: tuple[str, int],
+        director: Director,
+        log: EventLog,
+        times: Histogram,
+        on_batch: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._client_port = address[1]
+        self._director = director
+        self._log = log
+        self._times = times
+        self._on_batch = on_batch
+        self._sock = bind_udp(address)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._bound_at = reactor.now()
+
+    def start(self) -> None:
+        """Starts to read."""
+        self.drop_stale(self._reactor.now() - self._bound_at)
+        self._reactor.add_reader(self._sock, self._read)
+
+    def drop_stale(self, waited_s: float) -> None:
+        """Drops the packets that wait if they may have done so for too long.
+
+        Args:
+            waited_s: Longest time in seconds that one may have waited.
+        """
+        if not is_stale_backlog(waited_s):
+            return
+        dropped = 0
+        try:
+            while True:
+                self._sock.recv(DATAGRAM_BYTES)
+                dropped += 1
+        except BlockingIOError:
+            self._log.event("backlog_dropped", packets=dropped, waited_s=round(waited_s, 3))
+
+    def send_due(self, now: float) -> None:
+        """Sends the SYNs that are due for another target."""
+        for data, target in self._director.due(now):
+            self._forward(data, target, NO_TOKEN)
+
+    def send_resets(self) -> None:
+        """Resets the flows whose target is gone."""
+        for flow in self._director.take_resets():
+            self._reset(flow.key, encode_reset(flow_packet(flow.key, flow.acked)))
+
+    def _read(self) -> None:
+        started = self._reactor.now()
+        packets = 0
+        while packets < BATCH_PACKETS:
+            try:
+                data = self._sock.recv(DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self._log.event("receive_failed", error=error)
+                break
+            packets += 1
+            self._handle(data, started)
+        if packets:
+            self._times.observe((self._reactor.now() - started) / packets)
+        self._on_batch()
+
+    def _handle(self, data: bytes, now: float) -> None:
+        try:
+            packet = decode_packet(data)
+        except PacketError as error:
+            self._log.flow("packet_malformed", code=int(error.code), detail=error.detail)
+            return
+        verdict = self._director.on_packet(packet, data, now)
+        key, _, flags, _, _, _, token = packet
+        if isinstance(verdict, Target):
+            self._forward(data, verdict, token)
+        elif verdict is not Code.FLOW_UNSETTLED and not flags & RST:
+            self._reset(key, encode_reset(packet))
+
+    def _forward(self, data: bytes, target: Target, carried: int) -> None:
+        self._send(encode_forwarded(data, target.tag, target.token, carried), target.address)
+
+    def _reset(self, key: bytes, reset: bytes) -> None:
+        self._send(reset, (client_ip(key), self._client_port))
+
+    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        try:
+            self._sock.sendto(datagram, address)
+        except OSError as error:
+            # A full link loses the packet as any network does; the client sends it again.
+            self._log.flow("send_failed", to=address[0], error=error)
+
+
+def bind_udp(address: tuple[str, int]) -> socket.socket:
+    """Returns a non-blocking UDP socket.
+
+    Raises:
+        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        detail = f"UDP {address[0]}:{address[1]}: {error}"
+        raise SettingsError(Code.SETTINGS_PORT_IN_USE, detail) from error
+    return sock
--- a/pearwell/text_metrics.py
+++ b/pearwell/text_metrics.py
@@ -4,7 +4,6 @@
 the daemon's page.
 """
 
-from bisect import bisect_left
 from collections.abc import Iterable, Sequence
 
 __all__ = ["Histogram", "Sample", "render_samples"]
@@ -31,7 +30,7 @@
 
     def observe(self, value: float) -> None:
         """Counts one observation."""
-        self._counts[bisect_left(self._bounds, value)] += 1
+        self._counts[sum(bound < value for bound in self._bounds)] += 1
         self._sum += value
 
     def render(self) -> str:
