--- a/pearwell/affinity/follower.py
+++ b/pearwell/affinity/follower.py
@@ -97,11 +97,15 @@
     Args:
         pace: How often to ask the store.
         relays: Number of relays that may be asked instead, in order of preference.
+        zone: Own availability zone, whose relays come first: bytes between zones are dear.
         jitter: Returns numbers between 0 and 1.
     """
 
-    def __init__(self, pace: Pace, relays: int, jitter: Callable[[], float]) -> None:
+    def __init__(self, pace: Pace, relays: int, zone: str, jitter: Callable[[], float]) -> None:
         self._pace = pace
+        self._zone = zone
+        # Zones of the relays; they tell with their answers.
+        self._zones: list[str | None] = [None] * relays
         self._barred_until = [float("-inf")] * relays
         self._jitter = jitter
         self._revision: int | None = None
@@ -148,9 +152,17 @@
         if events:
             self._events_at = now
 
-    def relay_good_since(self, since: float) -> None:
-        """Takes since when the asked relay has had the store, which may be later than here."""
-        self._good_since = max(self._good_since, since)
+    def relay_told(self, relay: int, zone: str, good_since: float) -> None:
+        """Takes what a relay tells of itself.
+
+        Args:
+            relay: Index of the relay.
+            zone: Its availability zone.
+            good_since: Since when it has had the store, in seconds of the clock; this may be later
+                than here.
+        """
+        self._zones[relay] = zone
+        self._good_since = max(self._good_since, good_since)
 
     def changed(self) -> None:
         """Takes that there are changes which only a list of the store tells."""
@@ -171,7 +183,7 @@
             self._good_since = float("inf")
 
     def _relay(self, now: float) -> int | None:
-        for index, until in enumerate(self._barred_until):
-            if now >= until:
-                return index
-        return None
+        """Returns the relay to ask: of the own zone, else one of unknown zone, else any."""
+        open_ones = [index for index, until in enumerate(self._barred_until) if now >= until]
+        ranks = {self._zone: 0, None: 1}
+        return min(open_ones, key=lambda index: ranks.get(self._zones[index], 2), default=None)
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -68,10 +68,10 @@
         self.directory = Directory()
         self.serving = Serving(bounds.grace_s)
         self.config = Follower(
-            _pace(is_relay, bounds.config_s * CONFIG_SHARE, bounds), relays, jitter
+            _pace(is_relay, bounds.config_s * CONFIG_SHARE, bounds), relays, zone, jitter
         )
         self.targets = Follower(
-            _pace(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, jitter
+            _pace(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, zone, jitter
         )
         self.config_cache = ObjectCache()
         self.target_cache = ObjectCache()
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -18,6 +18,7 @@
     """Serves lists and watches from what this instance holds.
 
     Args:
+        zone: Own availability zone.
         caches: Objects by kind.
         good_since: Returns since when the store has answered without a failure, in seconds of the
             clock.
@@ -27,11 +28,13 @@
 
     def __init__(
         self,
+        zone: str,
         caches: dict[str, ObjectCache],
         good_since: Callable[[], float],
         changed: Signal,
         now: Callable[[], float],
     ) -> None:
+        self._zone = zone
         self._caches = caches
         self._good_since = good_since
         self._changed = changed
@@ -54,7 +57,12 @@
             left = min(end, cache.stale_at()) - self._now()
             if events or left <= 0:
                 good_s = max(0.0, self._now() - self._good_since())
-                told = {"events": events, "AsOf": cache.revision, "GoodS": round(good_s, 3)}
+                told = {
+                    "events": events,
+                    "AsOf": cache.revision,
+                    "GoodS": round(good_s, 3),
+                    "Zone": self._zone,
+                }
                 return 200, json.dumps(told).encode()
             await self._changed.wait(left)
         return 503, b"{}"
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -47,9 +47,10 @@
         more: Whether a list goes on.
         good_s: Time in seconds for which a relay has had the store without a failure; None from
             the store itself.
+        zone: Availability zone of the relay; "" from the store itself.
     """
 
-    __slots__ = ("good_s", "items", "more", "revision")
+    __slots__ = ("good_s", "items", "more", "revision", "zone")
 
     def __init__(
         self,
@@ -57,11 +58,13 @@
         revision: int,
         more: bool = False,
         good_s: float | None = None,
+        zone: str = "",
     ) -> None:
         self.items = items
         self.revision = revision
         self.more = more
         self.good_s = good_s
+        self.zone = zone
 
 
 class ObjectSync:
@@ -150,8 +153,8 @@
             # A relay tells of a change without the objects.
             self._follower.changed()
             return
-        if answer.good_s is not None:
-            self._follower.relay_good_since(now - answer.good_s)
+        if call.relay is not None and answer.good_s is not None:
+            self._follower.relay_told(call.relay, answer.zone, now - answer.good_s)
         told = [change for change in changes if change is not None]
         for name, item in told:
             self._kind.apply(name, item, now)
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -150,7 +150,13 @@
             ConfigObjects.name: instance.config_cache,
             TargetObjects.name: instance.target_cache,
         }
-        relay = Relay(caches, lambda: instance.targets.good_since, self._changed, self._reactor.now)
+        relay = Relay(
+            settings.zone,
+            caches,
+            lambda: instance.targets.good_since,
+            self._changed,
+            self._reactor.now,
+        )
         HttpServer(
             self._reactor, settings.control, relay.answer, "application/json", self._hints.asked
         )
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -162,10 +162,11 @@
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"answer: {error!r}") from error
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "answer of another shape")
-    good_s = told.get("GoodS")
+    good_s, zone = told.get("GoodS"), told.get("Zone")
     return StoreAnswer(
         items,
         revision,
         told.get("HasMore") is True,
         good_s if isinstance(good_s, int | float) else None,
+        zone if isinstance(zone, str) else "",
     )
--- a/tests/affinity/test_follower.py
+++ b/tests/affinity/test_follower.py
@@ -10,7 +10,7 @@
 
 
 def make(relays=0, pace=PACE):
-    return Follower(pace, relays, lambda: 1.0)
+    return Follower(pace, relays, "a", lambda: 1.0)
 
 
 def test_a_list_comes_first_and_a_watch_after_it():
@@ -104,7 +104,37 @@
     """Entries that lapsed with the store are told apart also by those that didn't ask it."""
     held = make(relays=1)
     held.listed(7, 0.0)
-    held.relay_good_since(5.0)
+    held.relay_told(0, "a", 5.0)
     assert held.good_since == 5.0
-    held.relay_good_since(2.0)
+    held.relay_told(0, "a", 2.0)
     assert held.good_since == 5.0
+
+
+@pytest.mark.parametrize(
+    ("zones", "asked"),
+    [
+        (("b", "c", "a"), [0, 1, 2, 2, 2]),
+        (("a", "b", "c"), [0, 0, 0, 0, 0]),
+        (("b", "c", "d"), [0, 1, 2, 0, 0]),
+    ],
+)
+def test_a_relay_of_the_own_zone_is_found_and_kept(zones, asked):
+    held = make(relays=3)
+    held.listed(7, 0.0)
+    found = []
+    for step in range(5):
+        call = held.next_call(1.0 + step)
+        found.append(call.relay)
+        held.relay_told(call.relay, zones[call.relay], 0.0)
+        held.watched(0, 7, 1.0 + step)
+    assert found == asked
+
+
+def test_another_zone_is_asked_while_the_own_relay_is_down():
+    held = make(relays=2)
+    held.listed(7, 0.0)
+    held.relay_told(0, "b", 0.0)
+    held.relay_told(1, "a", 0.0)
+    held.failed(held.next_call(1.0), Code.PLATFORM_TIMEOUT, 1.0)
+    assert held.next_call(1.0).relay == 0
+    assert held.next_call(1.0 + 1.25 * module.RELAY_SILENT_S).relay == 1
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -27,7 +27,9 @@
         self.on_wait = lambda: None
         self.cache = ObjectCache()
         self.cache.restart(5, self.now)
-        self.relay = Relay({"servers": self.cache}, lambda: 98.5, Changes(self), lambda: self.now)
+        self.relay = Relay(
+            "a", {"servers": self.cache}, lambda: 98.5, Changes(self), lambda: self.now
+        )
 
     def change(self):
         self.cache.extend([{"Object": {"meta": {"Name": "b"}}}], 6, self.now)
@@ -49,7 +51,7 @@
     rig = Rig()
     assert rig.ask("/objects/servers?Watch=5&WaitMs=300") == (
         200,
-        {"events": [], "AsOf": 5, "GoodS": 1.8},
+        {"events": [], "AsOf": 5, "GoodS": 1.8, "Zone": "a"},
     )
 
 
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -38,7 +38,7 @@
         self.store = store
         self.sync = ObjectSync(
             ConfigObjects(self.routes, self._log),
-            Follower(Pace.of_bounds(0.5, 4.0), len(relays), lambda: 1.0),
+            Follower(Pace.of_bounds(0.5, 4.0), len(relays), "a", lambda: 1.0),
             self.cache,
             store,
             relays,
