Let copies of a SYN follow the version in force; read lists with spoilt entries

Found by reading: a copy went to the service of the version that its first SYN met, a step back for its client if a newer one applied meanwhile; one entry of bytes that are no UTF-8 made the whole list unreadable, and with it every target; a flow_reset line told waiting=False always. Resets look through the records once for all targets that are gone.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -15,7 +15,7 @@
 from pearwell.affinity.chooser import choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_table import Flow, FlowTable
-from pearwell.affinity.routes import RouteTable
+from pearwell.affinity.routes import Route, RouteTable
 from pearwell.affinity.target import Target
 from pearwell.errors import Code
 
@@ -143,7 +143,8 @@
             if flow.opened or flow.ended or not flow.syn:
                 continue
             self._strike(flow.target, flow, now)
-            target = self._resend_target(flow, now)
+            route = self._routes.find(flow.address)
+            target = self._resend_target(flow, route, now) if route is not None else None
             if target is None:
                 continue
             self._resend_tokens -= 1
@@ -201,21 +202,22 @@
         A flow that is reset between two requests costs its client nothing but a new flow. Reset
         with its next request, one that can't be repeated would be lost.
         """
-        flows: list[Flow] = []
-        for target in self._directory.take_ended():
-            held = [flow for flow in self._flows.on_target(target) if not flow.ended]
-            for flow in held:
-                self._flows.remove(flow.key)
-                self._count(Code.FLOW_TARGET_GONE.name)
-                self._log(
-                    "flow_reset",
-                    flow=flow.key,
-                    target=target.name,
-                    code=int(Code.FLOW_TARGET_GONE),
-                    waiting=flow.waiting,
-                )
-            flows += [flow for flow in held if flow.opened]
-        return flows
+        ended = self._directory.take_ended()
+        if not ended:
+            return []
+        held = [flow for flow in self._flows.on_targets(ended) if not flow.ended]
+        for flow in held:
+            waiting = flow.waiting
+            self._flows.remove(flow.key)
+            self._count(Code.FLOW_TARGET_GONE.name)
+            self._log(
+                "flow_reset",
+                flow=flow.key,
+                target=flow.target.name,
+                code=int(Code.FLOW_TARGET_GONE),
+                waiting=waiting,
+            )
+        return [flow for flow in held if flow.opened]
 
     def tick(self, now: float) -> None:
         """Forgets idle flows and restores the reserve of resends."""
@@ -235,8 +237,8 @@
         if flow is not None and copy and now - flow.syn_at < SYN_ANSWER_S:
             # The copy crossed with one that was just sent on.
             return flow.target
-        service = flow.service if flow is not None else route.service_of(key)
-        target = self._choose(service, flow.tried if flow is not None else (), key, now)
+        tried = flow.tried if flow is not None else ()
+        target = self._choose(route, tried, key, now)
         if target is None:
             # A target may be listed before the client's next copy, 200 or 400 ms from now.
             settled = self._trusts_listing(now)
@@ -246,7 +248,7 @@
             self._resend_tokens = min(RESEND_RESERVE, self._resend_tokens + RESEND_SHARE)
         if flow is None:
             return target
-        flow.syn, flow.syn_seq, flow.service = data, seq, service
+        flow.syn, flow.syn_seq = data, seq
         self._start(flow, target, now)
         self._count("flows_started" if not copy else "flow_copies")
         self._log(
@@ -270,16 +272,16 @@
         self._unanswered.append((now + SYN_ANSWER_S, flow))
 
     def _choose(
-        self, service: str, tried: Iterable[Target], key: bytes, now: float
+        self, route: Route, tried: Iterable[Target], key: bytes, now: float
     ) -> Target | None:
-        targets = self._directory.of_service(service)
+        targets = self._directory.of_service(route.service_of(key))
         return choose_target(targets, self._zone, tried, key, now)
 
-    def _resend_target(self, flow: Flow, now: float) -> Target | None:
+    def _resend_target(self, flow: Flow, route: Route, now: float) -> Target | None:
         """Returns another target for an unanswered SYN if one may be tried now."""
         if self._resend_tokens < 1 or len(flow.tried) > 1:
             return None
-        target = self._choose(flow.service, flow.tried, flow.key, now)
+        target = self._choose(route, flow.tried, flow.key, now)
         return None if target in flow.tried else target
 
     def _target_of(self, flow: Flow | None, token: int) -> Target | None:
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -22,7 +22,6 @@
         syn: The SYN until the flow opens.
         syn_seq: Sequence number of the SYN.
         syn_at: When the latest copy of the SYN was sent on, in seconds of the clock.
-        service: Service that the SYN was assigned to.
         opened: Whether the client has answered a target's SYN+ACK.
         sent_end: Sequence number after the client's latest data.
         sent_at: When that data was first seen, in seconds of the clock.
@@ -39,7 +38,6 @@
         "opened",
         "sent_at",
         "sent_end",
-        "service",
         "stalled",
         "syn",
         "syn_at",
@@ -56,7 +54,6 @@
         self.syn = b""
         self.syn_seq = -1
         self.syn_at = 0.0
-        self.service = target.service
         self.opened = False
         self.sent_end = -1
         self.sent_at = 0.0
@@ -66,6 +63,11 @@
         self.ended = False
         target.open_flows += 1
 
+    @property
+    def address(self) -> bytes:
+        """Port and address of the flow's route, as packets hold them."""
+        return self.key[6:]
+
     def move(self, target: Target) -> None:
         """Sends the flow's further packets to another target."""
         self.settle()
@@ -132,10 +134,10 @@
         if flow is not None:
             flow.close()
 
-    def on_target(self, target: Target) -> list[Flow]:
-        """Returns the flows of a target."""
+    def on_targets(self, targets: list[Target]) -> list[Flow]:
+        """Returns the flows of some targets."""
         held = [*self._recent.values(), *self._older.values()]
-        return [flow for flow in held if flow.target is target]
+        return [flow for flow in held if flow.target in targets]
 
     def sweep(self, now: float, idle_s: float) -> int:
         """Forgets flows that were idle for a generation of idle_s seconds; returns how many."""
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -156,9 +156,10 @@
 
 def _decode(answer: Message, key: str) -> StoreAnswer:
     try:
-        told = json.loads(answer.body)
+        # Bytes of another writer that can't be read spoil no more than their own entry.
+        told = json.loads(answer.body.decode("utf-8", "replace"))
         items, revision = told[key], told["AsOf"]
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, RecursionError, TypeError, ValueError) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"answer: {error!r}") from error
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "answer of another shape")
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -146,6 +146,25 @@
     assert world.counted()["syn_unanswered"] == 0
 
 
+def test_copies_of_a_syn_follow_the_version_in_force():
+    """A copy handled as only an older version allows would be a step back for its client."""
+    moved = Routes(2, {ROUTE: Route("r", (("tables", 1),))})
+    world = World(target(1), target(2), target(3, service="tables"))
+    world.send(syn(1))
+    world.routes.apply(moved, world.now)
+    assert world.send(syn(1, copy=1)).service in ("intake", "tables")
+    world.now += 0.2
+    assert world.send(syn(1, copy=1)).service == "tables"
+    world = World(target(1), target(2), target(3, service="tables"))
+    world.send(syn(1))
+    world.routes.apply(moved, world.now)
+    assert [found.service for _, found in world.wait(SYN_ANSWER_S)] == ["tables"]
+    world = World(target(1), target(2))
+    world.send(syn(1))
+    world.routes.apply(Routes(2, {}), world.now)
+    assert world.wait(SYN_ANSWER_S) == []
+
+
 def test_a_syn_is_not_sent_again_to_the_only_target():
     world = World(target(1))
     world.send(syn(1))
--- a/tests/affinity/test_flow_table.py
+++ b/tests/affinity/test_flow_table.py
@@ -33,7 +33,7 @@
     assert (first.open_flows, first.in_flight) == (0, 0)
     flow.wait(2.0)
     assert (second.open_flows, second.in_flight) == (1, 1)
-    assert table.on_target(second) == [flow]
+    assert table.on_targets([second]) == [flow]
     table.remove(flow.key)
     table.remove(flow.key)
     assert (second.open_flows, second.in_flight) == (0, 0)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,145 @@
+"""Tests of pearwell.platform.store against the stand-in of the store."""
+
+import asyncio
+import threading
+import time
+
+import pytest
+
+from pearwell.errors import Code, PlatformError
+from pearwell.http_message import encode_message
+from pearwell.platform import store as module
+from pearwell.platform.store import StoreClient
+from pearwell.reactor import Reactor
+from pearwell.standins.object_server import ObjectServer
+from tests.addresses import own_address
+
+PORT = 20811
+# Time-outs that no busy machine reaches; a short one only where the test waits for it.
+LONG_S, SHORT_S = 60.0, 0.1
+
+
+@pytest.fixture(autouse=True)
+def patient(monkeypatch):
+    for name in ("CONNECT_S", "LIST_S", "ANSWER_S"):
+        monkeypatch.setattr(module, name, LONG_S)
+
+
+def answered(body):
+    """Decodes an answer as the client would."""
+    message = module.MessageReader().feed(encode_message("HTTP/1.1 200 OK", {}, body))
+    return module._decode(message, "items")
+
+
+def test_an_entry_of_bytes_that_cannot_be_read_does_not_hide_the_others():
+    body = b'{"items":[{"meta":{"Name":"i-\xff\xfe"}},{"meta":{"Name":"i-2"}}],"AsOf":3}'
+    answer = answered(body)
+    assert [item["meta"]["Name"] for item in answer.items][1] == "i-2"
+    assert (answer.revision, answer.more) == (3, False)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        b'{"items":1,"AsOf":3}',
+        b'{"items":[],"AsOf":"3"}',
+        b'{"items":[]}',
+        b"[" * 100_000,
+    ],
+)
+def test_an_answer_of_another_shape_has_a_code(body):
+    with pytest.raises(PlatformError) as caught:
+        answered(body)
+    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
+
+
+class Serving:
+    """Runs the stand-in in a thread with an event loop of its own."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.server = None
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        self.call(self._start())
+        return self
+
+    def __exit__(self, *_):
+        self.call(self.server.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+
+    async def _start(self):
+        self.server = ObjectServer()
+        await self.server.start(own_address(), PORT)
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+
+def ask(question):
+    """Runs a coroutine function of a client on a reactor; returns its result or its error."""
+    found = []
+    reactor = Reactor(time.monotonic, found.append)
+
+    async def run():
+        client = StoreClient(reactor, (own_address(), PORT))
+        try:
+            found.append(await question(client))
+        except PlatformError as error:
+            found.append(error.code)
+        client.close()
+        reactor.stop()
+
+    reactor.spawn(run())
+    reactor.run()
+    [result] = found
+    return result
+
+
+def test_lists_come_in_pages_and_watches_with_events():
+    async def question(client):
+        first = await client.list("servers", "")
+        rest = await client.list("servers", first.items[-1]["meta"]["Name"])
+        watched = await client.watch("servers", first.revision - 1, 0.0)
+        return len(first.items), first.more, len(rest.items), rest.more, len(watched.items)
+
+    with Serving() as serving:
+        for number in range(60):
+            serving.call(serving.server.write("servers", f"i-{number:02}", {"n": number}))
+        assert ask(question) == (50, True, 10, False, 1)
+
+
+@pytest.mark.parametrize(
+    ("fault", "value", "code"),
+    [
+        ("status", 503, Code.PLATFORM_UNAVAILABLE),
+        ("status", 429, Code.PLATFORM_UNAVAILABLE),
+        ("status", 410, Code.PLATFORM_WATCH_EXPIRED),
+        ("status", 500, Code.PLATFORM_BAD_ANSWER),
+        ("silent", True, Code.PLATFORM_TIMEOUT),
+        ("refused", frozenset({"127.0.0.1", own_address()}), Code.PLATFORM_UNAVAILABLE),
+    ],
+)
+def test_faults_of_the_store_have_codes(fault, value, code, monkeypatch):
+    if code is Code.PLATFORM_TIMEOUT:
+        monkeypatch.setattr(module, "LIST_S", SHORT_S)
+    with Serving() as serving:
+        setattr(serving.server.faults, fault, value)
+        assert ask(lambda client: client.list("servers", "")) == code
+
+
+def test_a_history_that_was_dropped_expires_the_watch():
+    with Serving() as serving:
+        serving.call(serving.server.write("servers", "i-1", {}))
+        serving.server.compact()
+        assert ask(lambda client: client.watch("servers", 1, 0.1)) == Code.PLATFORM_WATCH_EXPIRED
+
+
+def test_nobody_listens():
+    assert ask(lambda client: client.list("servers", "")) == Code.PLATFORM_UNAVAILABLE
