Break ties evenly; compress what relays send; test the role as a process

Ties between equally loaded targets were broken by CRC-32, which is linear: of three targets one won 50% of the flows, of seven one 25% (counted over 600 keys a target; a test of the spread of followers over relays failed and led to it). The number is now mixed by multiplication.

--- a/pearwell/affinity/chooser.py
+++ b/pearwell/affinity/chooser.py
@@ -7,9 +7,9 @@
 """
 
 from collections.abc import Iterable
-from zlib import crc32
 
 from pearwell.affinity.target import Target
+from pearwell.affinity.token import draw
 
 __all__ = ["choose_target"]
 
@@ -55,11 +55,11 @@
         score = (tier, load)
         if score > best_score:
             continue
-        if score == best_score and best is not None and _draw(flow, best) > _draw(flow, target):
+        if (
+            score == best_score
+            and best is not None
+            and draw(flow, best.tag) > draw(flow, target.tag)
+        ):
             continue
         best, best_score = target, score
     return best
-
-
-def _draw(flow: bytes, target: Target) -> int:
-    return crc32(target.tag, crc32(flow))
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -1,7 +1,6 @@
 """What one instance knows and decides, free of sockets."""
 
 from collections.abc import Callable
-from zlib import crc32
 
 from pearwell.affinity.cache import ObjectCache
 from pearwell.affinity.director import Director
@@ -9,6 +8,7 @@
 from pearwell.affinity.follower import Follower, Pace
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.serving import Serving
+from pearwell.affinity.token import draw
 from pearwell.text_metrics import Sample
 
 __all__ = ["Bounds", "Instance", "order_relays"]
@@ -131,7 +131,7 @@
     """
     if own in seeds:
         return ()
-    return tuple(sorted(seeds, key=lambda seed: crc32(f"{instance} {seed}".encode())))
+    return tuple(sorted(seeds, key=lambda seed: draw(instance.encode(), str(seed).encode())))
 
 
 def _pace(is_relay: bool, apply_s: float, bounds: Bounds) -> Pace:
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -30,7 +30,7 @@
         reactor: Event loop.
         address: IP address and TCP port to listen on.
         handle: Returns the answer to a path with its query.
-        content_type: Type of all bodies.
+        headers: Fields of all answers.
         on_caller: Takes the caller's IP address with each request.
 
     Raises:
@@ -42,13 +42,13 @@
         reactor: Reactor,
         address: tuple[str, int],
         handle: Handler,
-        content_type: str,
+        headers: dict[str, str],
         on_caller: Callable[[str], None] = lambda ip: None,
     ) -> None:
         self._reactor = reactor
         self._on_caller = on_caller
         self._handle = handle
-        self._content_type = content_type
+        self._headers = headers
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -90,7 +90,7 @@
     async def _answer(self, sock: socket.socket, request: Message) -> bool:
         status, body = await self._handle(request.first[1])
         first = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
-        rest = memoryview(encode_message(first, {"Content-Type": self._content_type}, body))
+        rest = memoryview(encode_message(first, self._headers, body))
         while rest:
             try:
                 rest = rest[sock.send(rest) :]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -36,6 +36,8 @@
 # Port and path of the metrics page, as deploy/system.toml names them.
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
+METRICS_HEADERS = {"Content-Type": "text/plain; version=0.0.4"}
+RELAY_HEADERS = {"Content-Type": "application/json", "Content-Encoding": "deflate"}
 # Upper bounds in seconds: a decision takes some microseconds, a call some milliseconds.
 DECISION_BOUNDS_S = (0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.05)
 CALL_BOUNDS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
@@ -136,10 +138,10 @@
 
     def _listen(self) -> None:
         settings = self._settings
-        HttpServer(self._reactor, settings.ready, self._answer_probe, "text/plain")
+        HttpServer(self._reactor, settings.ready, self._answer_probe, {})
         try:
             page = (settings.ip, METRICS_PORT)
-            HttpServer(self._reactor, page, self._answer_metrics, "text/plain; version=0.0.4")
+            HttpServer(self._reactor, page, self._answer_metrics, METRICS_HEADERS)
         except SettingsError as error:
             # Traffic goes before metrics if the platform uses the port otherwise.
             self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
@@ -157,9 +159,7 @@
             self._changed,
             self._reactor.now,
         )
-        HttpServer(
-            self._reactor, settings.control, relay.answer, "application/json", self._hints.asked
-        )
+        HttpServer(self._reactor, settings.control, relay.answer, RELAY_HEADERS, self._hints.asked)
 
     async def _answer_probe(self, path: str) -> Answer:
         return (200 if self._instance.serving.ready else 503), b""
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -2,10 +2,11 @@
 
 import json
 import socket
+import zlib
 
 from pearwell.affinity.sync import StoreAnswer
 from pearwell.errors import Code, PlatformError
-from pearwell.http_message import Message, MessageReader, encode_message
+from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
 from pearwell.reactor import Reactor
 from pearwell.text_metrics import Histogram
 
@@ -157,9 +158,9 @@
 def _decode(answer: Message, key: str) -> StoreAnswer:
     try:
         # Bytes of another writer that can't be read spoil no more than their own entry.
-        told = json.loads(answer.body.decode("utf-8", "replace"))
+        told = json.loads(_body(answer).decode("utf-8", "replace"))
         items, revision = told[key], told["AsOf"]
-    except (KeyError, RecursionError, TypeError, ValueError) as error:
+    except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"answer: {error!r}") from error
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "answer of another shape")
@@ -171,3 +172,14 @@
         good_s if isinstance(good_s, int | float) else None,
         zone if isinstance(zone, str) else "",
     )
+
+
+def _body(answer: Message) -> bytes:
+    """Returns the body of an answer; relays compress theirs."""
+    if answer.headers.get("content-encoding") != "deflate":
+        return answer.body
+    inflater = zlib.decompressobj()
+    body = inflater.decompress(answer.body, MAX_BODY_BYTES)
+    if inflater.unconsumed_tail:
+        raise ValueError("the body is too long")
+    return body
--- /dev/null
+++ b/tests/affinity/test_instance.py
@@ -0,0 +1,72 @@
+"""Tests of pearwell.affinity.instance."""
+
+import pytest
+
+from pearwell.affinity.instance import Bounds, Instance, order_relays
+from pearwell.affinity.routes import Route, Routes
+from pearwell.text_metrics import render_samples
+from tests.affinity.builders import ROUTE, syn, target
+
+SEEDS = (("10.1.0.1", 80), ("10.2.0.1", 80), ("10.3.0.1", 80))
+
+
+def make():
+    events = []
+    instance = Instance(
+        "a",
+        Bounds(3.0, 3.0, 4.0, 6.0),
+        relays=3,
+        is_relay=False,
+        jitter=lambda: 0.5,
+        log_flow=lambda event, **_: events.append(event),
+        log_event=lambda event, **_: events.append(event),
+    )
+    return instance, events
+
+
+def test_packets_are_taken_once_routes_and_targets_are_known():
+    instance, _ = make()
+    assert not instance.informed()
+    instance.routes.apply(Routes(1, {ROUTE: Route("r", (("intake", 1),))}), 0.0)
+    assert not instance.informed()
+    instance.directory.replace([target(1)], 0.0)
+    assert instance.informed() and not instance.informed()
+    assert instance.serving.ready
+
+
+def test_a_tick_settles_targets():
+    instance, events = make()
+    instance.directory.replace([target(1)], 0.0)
+    instance.targets.listed(5, 0.0)
+    instance.directory.remove("i-00000001", 10.0)
+    instance.tick(11.0)
+    assert events == []
+    instance.tick(13.0)
+    assert events == ["target_gone"]
+
+
+def test_samples_show_what_is_known():
+    instance, _ = make()
+    instance.routes.apply(Routes(7, {ROUTE: Route("r", (("intake", 1),))}), 1.0)
+    instance.directory.replace([target(1)], 1.0)
+    instance.director.on_packet(syn(1), b"", 2.0)
+    page = render_samples(instance.samples(3.0))
+    for line in (
+        'pearwell_decisions_total{decision="flows_started"} 1',
+        "pearwell_configuration_version 7",
+        "pearwell_configuration_age_seconds 2",
+        'pearwell_target_open_flows{service="intake",target="i-00000001"} 1',
+    ):
+        assert line in page
+
+
+@pytest.mark.parametrize(
+    ("own", "expected"), [(("10.9.0.1", 80), set(SEEDS)), (None, set(SEEDS)), (SEEDS[1], set())]
+)
+def test_a_relay_asks_no_relay(own, expected):
+    assert set(order_relays("e-1", own, SEEDS)) == expected
+
+
+def test_instances_are_spread_over_the_relays():
+    first = [order_relays(f"e-{number}", None, SEEDS)[0] for number in range(300)]
+    assert all(60 <= first.count(seed) <= 140 for seed in SEEDS)
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of pearwell.affinity.relay."""
 
 import json
+from zlib import decompress
 
 import pytest
 
@@ -36,7 +37,7 @@
 
     def ask(self, path):
         status, body = run(self.relay.answer(path))
-        return status, json.loads(body)
+        return status, json.loads(decompress(body)) if body else None
 
 
 def test_a_watch_is_answered_with_the_next_event():
@@ -82,3 +83,14 @@
 )
 def test_what_a_relay_cannot_answer(path, status):
     assert Rig().ask(path)[0] == status
+
+
+def test_followers_of_one_revision_share_an_answer():
+    rig = Rig()
+    rig.change()
+    _, one = run(rig.relay.answer("/objects/servers?Watch=5&WaitMs=1000"))
+    _, two = run(rig.relay.answer("/objects/servers?Watch=5&WaitMs=1000"))
+    assert one is two
+    rig.cache.extend([{"Object": {"meta": {"Name": "c"}}}], 7, rig.now)
+    _, three = rig.ask("/objects/servers?Watch=5&WaitMs=1000")
+    assert [event["Object"]["meta"]["Name"] for event in three["events"]] == ["b", "c"]
--- a/tests/affinity/test_token.py
+++ b/tests/affinity/test_token.py
@@ -1,12 +1,24 @@
 """Tests of pearwell.affinity.token."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearwell.affinity.token import NO_TOKEN, token_of
+from pearwell.affinity.token import NO_TOKEN, draw, token_of
 
 
 @given(st.text(max_size=40))
 def test_token_is_32_bits_and_never_that_of_a_first_packet(name):
     assert NO_TOKEN < token_of(name) < 1 << 32
     assert token_of(name) == token_of(name)
+
+
+@pytest.mark.parametrize("choices", [2, 3, 5, 7, 12])
+def test_each_choice_wins_its_share_of_keys(choices):
+    """CRC-32 alone gave one of three choices half of the keys."""
+    tags = [number.to_bytes(8, "big") for number in range(1, choices + 1)]
+    keys = [number.to_bytes(12, "big") for number in range(600 * choices)]
+    wins = [max(tags, key=lambda tag: draw(key, tag)) for key in keys]
+    for tag in tags:
+        # Five standard deviations of 600 wins are 122.
+        assert abs(wins.count(tag) - 600) <= 122
--- /dev/null
+++ b/tests/platform/test_edge.py
@@ -0,0 +1,143 @@
+"""Tests of the role as a process: start, probes, metrics, reload, stop, broken settings."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+from pearwell.platform.edge import METRICS_PORT
+from pearwell.soak.processes import ROOT
+from pearwell.standins.object_server import ObjectServer
+from tests.addresses import own_address
+from tests.platform.settings_text import settings_text
+
+PACKET_PORT, READY_PORT, CONTROL_PORT, STORE_PORT = 20821, 20822, 20823, 20824
+# Longest wait for something that a busy machine does late.
+PATIENCE_S = 60.0
+IP = own_address(1)
+STORE_IP = own_address(2)
+
+
+def settings(**changes):
+    return settings_text(
+        **{
+            "Ip": IP,
+            "ListenAddrs__DatagramAddr": f"{IP}:{PACKET_PORT}",
+            "ListenAddrs__Ready": f"{IP}:{READY_PORT}",
+            "ListenAddrs__Control": f"{IP}:{CONTROL_PORT}",
+            "Seeds": f"{IP}:{CONTROL_PORT}",
+            # The stop then takes no time.
+            "Bounds__GraceS": "1",
+            "platform__Address": f"{STORE_IP}:{STORE_PORT}",
+            **changes,
+        }
+    )
+
+
+class Role:
+    """The role as a process, with its log."""
+
+    def __init__(self, path, *arguments):
+        self._path = path
+        self._arguments = arguments
+        self.lines = []
+
+    async def __aenter__(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-S",
+            "deploy/edge.py",
+            *self._arguments,
+            cwd=ROOT,
+            env={**os.environ, "PEARWELL_BOOT": str(self._path)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def logged(self, event):
+        """Reads the log up to an event, or to its end."""
+        async with asyncio.timeout(PATIENCE_S):
+            while line := (await self.process.stdout.readline()).decode():
+                self.lines.append(line)
+                if f"event={event} " in line:
+                    return line
+        return ""
+
+
+async def get(port, path):
+    async with aiohttp.ClientSession() as session, session.get(f"http://{IP}:{port}{path}") as got:
+        return got.status, await got.text()
+
+
+async def test_life_of_the_role(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text(settings())
+    store = ObjectServer()
+    await store.start(STORE_IP, STORE_PORT)
+    try:
+        async with Role(path) as role:
+            await role.logged("listed")
+            assert (await get(READY_PORT, "/ready"))[0] == 503
+            await store.write("config", "main", {"Version": 4, "Routes": [], "Limits": {}})
+            assert "version=4" in await role.logged("ready")
+            assert (await get(READY_PORT, "/ready"))[0] == 200
+            status, page = await get(METRICS_PORT, "/metrics")
+            assert (status, "pearwell_configuration_version 4" in page) == (200, True)
+            assert "pearwell_store_list_seconds_bucket" in page
+            assert (await get(METRICS_PORT, "/"))[0] == 404
+            role.process.send_signal(signal.SIGHUP)
+            assert await role.logged("reload")
+            path.write_text("Zone=\n")
+            assert "code=108" in await role.logged("reload_failed")
+            role.process.send_signal(signal.SIGTERM)
+            assert await role.logged("stopping")
+            await role.logged("end of the log")
+            assert await role.process.wait() == 0
+    finally:
+        await store.stop()
+
+
+@pytest.mark.parametrize(
+    ("text", "arguments", "status", "printed"),
+    [
+        (settings(), ("--check_config",), 0, "instance edge-pnw-a-1 in zone pnw-a"),
+        (settings(Zone=None), ("--check_config",), 2, "code=108"),
+        (settings(Bounds__DrainMs="x"), (), 2, "code=107"),
+        (None, (), 2, "code=101"),
+        (settings(), ("--help",), 0, "--check_config"),
+        (settings(), ("--nonsense",), 2, "usage"),
+    ],
+)
+async def test_command_line_and_broken_settings(text, arguments, status, printed, tmp_path):
+    path = tmp_path / "node.conf"
+    if text is not None:
+        path.write_text(text)
+    async with Role(path, *arguments) as role:
+        await role.logged("end of the log")
+        assert await role.process.wait() == status
+    assert printed in "".join(role.lines)
+
+
+async def test_a_port_in_use_has_a_code(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text(settings(ListenAddrs__DatagramAddr=f"{STORE_IP}:{PACKET_PORT}"))
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, local_addr=(STORE_IP, PACKET_PORT)
+    )
+    async with Role(path) as role:
+        assert "code=106" in await role.logged("start_failed")
+    transport.close()
+
+
+def test_the_deploy_file_names_the_metrics_port():
+    assert f'metrics = "{METRICS_PORT}/metrics"' in (ROOT / "deploy/system.toml").read_text()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 import time
+from zlib import compress
 
 import pytest
 
@@ -25,9 +26,9 @@
         monkeypatch.setattr(module, name, LONG_S)
 
 
-def answered(body):
+def answered(body, **headers):
     """Decodes an answer as the client would."""
-    message = module.MessageReader().feed(encode_message("HTTP/1.1 200 OK", {}, body))
+    message = module.MessageReader().feed(encode_message("HTTP/1.1 200 OK", headers, body))
     return module._decode(message, "items")
 
 
@@ -38,6 +39,18 @@
     assert (answer.revision, answer.more) == (3, False)
 
 
+def test_a_compressed_answer_is_read():
+    body = compress(b'{"items":[{"meta":{"Name":"i-2"}}],"AsOf":3}')
+    assert len(answered(body, **{"Content-Encoding": "deflate"}).items) == 1
+
+
+@pytest.mark.parametrize("body", [b"no zlib", compress(b"[" + b" " * module.MAX_BODY_BYTES)])
+def test_a_compressed_answer_that_is_broken_or_too_long_has_a_code(body):
+    with pytest.raises(PlatformError) as caught:
+        answered(body, **{"Content-Encoding": "deflate"})
+    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -70,7 +83,7 @@
         return self
 
     def __exit__(self, *_):
-        self.call(self.server.stop())
+        self.call(self._stop())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join()
 
@@ -78,6 +91,14 @@
         self.server = ObjectServer()
         await self.server.start(own_address(), PORT)
 
+    async def _stop(self):
+        await self.server.stop()
+        # Calls that a silent server never answers.
+        waiting = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
     def call(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
 
