Take targets back that were found gone while they are listed

Found by reading: a target that a probe had found gone got no new flow of that instance ever again, even if only the path to it had been cut. It is now tried again each second while it is listed. The test failed first.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -188,7 +188,9 @@
         self._log(
             "target_probed", target=target.name, answered=answered, refused=refused, silent=silent
         )
-        if answered or not silent:
+        if answered and target.gone and target.listed:
+            self._come_back(target)
+        if answered or not silent or target.gone:
             return
         self._directory.end(target)
         self._suspect(target, now)
@@ -220,9 +222,16 @@
         return [flow for flow in held if flow.opened]
 
     def tick(self, now: float) -> None:
-        """Forgets idle flows and restores the reserve of resends."""
+        """Does what is due each second.
+
+        Idle flows are forgotten, the reserve of resends grows, and listed targets that were found
+        gone are tried again.
+        """
         self._flows.sweep(now, self._routes.idle_s)
         self._resend_tokens = min(RESEND_RESERVE, self._resend_tokens + 1.0)
+        for target in self._directory:
+            if target.gone:
+                self._probe(target, now)
 
     def _on_start(self, packet: Packet, data: bytes, now: float) -> Target | Code:
         key, address, _, seq, copy, _, _ = packet
@@ -320,8 +329,7 @@
             flow.settle()
             target.alive(now)
             if target.gone and target.listed:
-                target.gone = False
-                self._log("target_back", target=target.name)
+                self._come_back(target)
         if length:
             end = (seq + length) & _MASK
             if flow.sent_end < 0 or _newer(end, flow.sent_end):
@@ -335,6 +343,11 @@
         if flags & RST:
             self._flows.remove(flow.key)
 
+    def _come_back(self, target: Target) -> None:
+        target.gone = False
+        target.hinted = False
+        self._log("target_back", target=target.name)
+
     def _sent_again(self, flow: Flow, now: float) -> None:
         target = flow.target
         self._count("data_sent_again")
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -218,6 +218,7 @@
             await self._reactor.sleep(TICK_S)
             self._instance.tick(self._reactor.now())
             self._packets.send_resets()
+            self._spawn_probes()
             modified_at = _modified_at(self._path)
             if modified_at != self._modified_at:
                 self._modified_at = modified_at
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -416,6 +416,29 @@
     assert len(world.director.take_resets()) == resets
 
 
+def test_a_listed_target_that_was_found_gone_is_tried_again_until_it_answers():
+    """A zone that was cut off is back: its targets take new flows again."""
+    world = World(target(1))
+    held = stall(world)
+    world.director.take_probes()
+    world.director.probed(held, False, False, world.now)
+    assert world.send(syn(50)) is Code.FLOW_NO_TARGET
+    for _ in range(3):
+        world.now += PROBE_PAUSE_S
+        world.director.tick(world.now)
+        assert world.director.take_probes() == [held]
+        world.director.probed(held, False, False, world.now)
+    assert world.director.take_hints() == [held.name]
+    world.now += PROBE_PAUSE_S
+    world.director.tick(world.now)
+    world.director.take_probes()
+    world.director.probed(held, True, False, world.now)
+    assert world.send(syn(51)) is held
+    world.now += PROBE_PAUSE_S
+    world.director.tick(world.now)
+    assert world.director.take_probes() == []
+
+
 def test_probes_of_one_target_are_spaced():
     world = World(target(1))
     held = stall(world)
