Keep flows of lapsed draining targets, and of routes not known here yet

Found by reading. A draining target whose entry lapsed while the store was away was believed to have left, and its flows would have been reset although it may serve on for many seconds. An open flow whose route an instance doesn't know yet, as it lags by a version, would have been reset; it now goes on unless a version dropped the route. Both tests failed first.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -112,7 +112,7 @@
         if packet[2] & SYN:
             return self._on_start(packet, data, now)
         key, address, flags, seq, ack, length, token = packet
-        if self._routes.find(address) is None:
+        if self._routes.find(address) is None and not self._may_lag(address, token):
             return self._refuse(Code.FLOW_NO_ROUTE, packet)
         flow = self._flows.get(key)
         if flow is not None and flow.opened and flow.target.token == token:
@@ -293,6 +293,11 @@
         target = self._choose(route, flow.tried, flow.key, now)
         return None if target in flow.tried else target
 
+    def _may_lag(self, address: bytes, token: int) -> bool:
+        """Whether a flow without a route may be of a version that isn't in force here yet."""
+        known = self._directory.of_token(token) is not None
+        return known and not self._routes.was_dropped(address)
+
     def _target_of(self, flow: Flow | None, token: int) -> Target | None:
         """Returns the target that a packet of an open flow belongs to.
 
--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -128,14 +128,14 @@
         target.listed = False
         target.removed_at = now
         self._unlisted[name] = target
-        if target.draining:
-            # A draining target is removed when it has left.
-            self.end(target)
-            return [("target_left", target)]
-        target.lapsed = not trusted
+        target.lapsed = not trusted and not target.draining
         if target.lapsed:
             return [("target_lapsed", target)]
         self._drop_from_service(target)
+        if target.draining and trusted:
+            # A draining target is removed when it has left.
+            self.end(target)
+            return [("target_left", target)]
         return [("target_unlisted", target)]
 
     def settle(self, now: float, store_good_since: float) -> list[Change]:
--- a/pearwell/affinity/routes.py
+++ b/pearwell/affinity/routes.py
@@ -68,6 +68,7 @@
     def __init__(self) -> None:
         self._routes = Routes(-1, {})
         self._applied_at = 0.0
+        self._dropped: set[bytes] = set()
         self.find: Callable[[bytes], Route | None] = self._routes.by_address.get
 
     @property
@@ -93,10 +94,16 @@
     def __len__(self) -> int:
         return len(self._routes.by_address)
 
+    def was_dropped(self, address: bytes) -> bool:
+        """Whether a version removed a route that an earlier one had."""
+        return address in self._dropped
+
     def apply(self, routes: Routes, now: float) -> bool:
         """Takes a version; returns False if it isn't newer than the one in force."""
         if routes.version <= self._routes.version:
             return False
+        self._dropped |= self._routes.by_address.keys()
+        self._dropped -= routes.by_address.keys()
         self._routes = routes
         self._applied_at = now
         self.find = routes.by_address.get
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -101,6 +101,19 @@
     assert World(target(1)).send(packet) is expected
 
 
+def test_an_open_flow_of_a_route_that_is_not_known_here_yet_goes_on():
+    """It opened through an instance that applied the version before this one."""
+    world = World(target(1))
+    token = target(1).token
+    assert world.send(data(1, token, route=OTHER_ROUTE)).token == token
+    world.routes.apply(Routes(2, {OTHER_ROUTE: Route("r", (("intake", 1),))}), world.now)
+    assert world.send(data(1, token, route=OTHER_ROUTE, seq=1101)).token == token
+    world.routes.apply(Routes(3, {}), world.now)
+    assert world.send(data(1, token, route=OTHER_ROUTE, seq=1201)) is Code.FLOW_NO_ROUTE
+    world.routes.apply(Routes(4, {OTHER_ROUTE: Route("r", (("intake", 1),))}), world.now)
+    assert world.send(data(2, token, route=OTHER_ROUTE)).token == token
+
+
 @pytest.mark.parametrize("targets", [(), (target(1, draining=True),), (target(1, service="x"),)])
 def test_a_flow_that_no_target_may_take_is_refused_at_once(targets):
     assert World(*targets).send(syn(1)) is Code.FLOW_NO_TARGET
--- a/tests/affinity/test_directory.py
+++ b/tests/affinity/test_directory.py
@@ -74,6 +74,21 @@
     assert held.of_service("intake") == []
 
 
+def test_a_draining_target_whose_entry_lapsed_with_the_store_keeps_its_flows():
+    """It may serve on for many seconds; a reset of its flows would break them."""
+    held = Directory()
+    held.replace([target(1, draining=True)], 0.0)
+    draining = held.of_token(target(1).token)
+    held.replace([], 14.0, trusted=False)
+    assert not draining.gone
+    assert held.take_ended() == []
+    draining.life_at = 16.0
+    held.settle(14.0 + SETTLE_S, 14.0)
+    assert not draining.gone
+    held.settle(16.0 + SETTLE_S, 14.0)
+    assert held.take_ended() == [draining]
+
+
 def test_a_lapsed_entry_that_is_back_is_listed_once():
     held = Directory()
     held.replace([target(1)], 0.0)
