Let the soak's store refuse the callers that it means to refuse

Proxies now call from their own address, and the fault refuses every second one. Two unused constants go.

--- a/pearwell/soak/proxy.py
+++ b/pearwell/soak/proxy.py
@@ -8,7 +8,6 @@
 __all__ = ["Link", "Proxy"]
 
 CHUNK_BYTES = 65_536
-POLL_S = 0.02
 
 
 class Link(StrEnum):
@@ -29,16 +28,19 @@
 class Proxy:
     """One listening address in front of another one.
 
-    Connections that went silent stay silent for good, as those of a broken network may.
+    Connections that went silent stay silent for good, as those of a broken network may. Towards the
+    server they come from the proxy's own address, by which it can tell callers apart.
     """
 
     def __init__(self) -> None:
         self._link = Link.OPEN
+        self._ip = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, listen: tuple[str, int], to: tuple[str, int]) -> None:
         """Starts to listen."""
+        self._ip = listen[0]
         self._server = await asyncio.start_server(
             lambda reader, writer: self._serve(reader, writer, to), *listen
         )
@@ -62,7 +64,7 @@
             _reset(writer)
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(*to)
+            far_reader, far_writer = await asyncio.open_connection(*to, local_addr=(self._ip, 0))
         except OSError:
             _reset(writer)
             return
--- a/pearwell/soak/world.py
+++ b/pearwell/soak/world.py
@@ -412,7 +412,9 @@
 async def _store_fault(world: _World, fault: Fault) -> None:
     name, value = _STORE_FAULTS[fault.kind]
     if fault.kind is FaultKind.STORE_REFUSES:
-        value = frozenset({world.ip(0, 1)})
+        # The instances' proxies, by which the store knows them: some are refused, others served.
+        refused = range(fault.subject % 2, len(world.proxies), 2)
+        value = frozenset(world.ip(4, index + 1) for index in refused)
     world.disturb(fault.for_s)
     before = getattr(world.store.faults, name)
     setattr(world.store.faults, name, value)
--- a/pearwell/standins/object_server.py
+++ b/pearwell/standins/object_server.py
@@ -11,7 +11,6 @@
 __all__ = ["Faults", "ObjectServer"]
 
 PAGE_SIZE = 50
-POLL_S = 0.01
 
 
 @dataclass(slots=True)
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -45,6 +45,31 @@
         server.close()
 
 
+async def test_a_server_knows_callers_by_the_proxy_they_come_through():
+    """The soak's fault of a store that refuses some callers reached nobody before."""
+    callers = []
+
+    async def note(reader, writer):
+        callers.append(writer.get_extra_info("peername")[0])
+        writer.close()
+
+    server = await asyncio.start_server(note, *ECHO)
+    proxies = [Proxy(), Proxy()]
+    fronts = [(own_address(number), FRONT[1]) for number in (3, 4)]
+    try:
+        for proxy, front in zip(proxies, fronts, strict=True):
+            await proxy.start(front, ECHO)
+            reader, writer = await asyncio.open_connection(*front)
+            with contextlib.suppress(OSError):
+                await reader.read()
+            writer.close()
+        assert callers == [ip for ip, _ in fronts]
+    finally:
+        for proxy in proxies:
+            await proxy.stop()
+        server.close()
+
+
 async def _try(reader, writer):
     try:
         writer.write(b"hello")
