--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -358,9 +358,6 @@
         self._count("data_sent_again")
         if now - max(target.life_at, flow.sent_at) < STALL_S or not flow.waiting:
             return
-        if not flow.stalled:
-            flow.stalled = True
-            target.stalled += 1
         self._probe(target, now)
 
     def _probe(self, target: Target, now: float) -> None:
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -27,7 +27,6 @@
         sent_at: When that data was first seen, in seconds of the clock.
         acked: The client's latest acknowledgement.
         waiting: Whether a request has had no answer so far.
-        stalled: Whether data was sent again without a sign of life of the target.
         ended: Whether the client has closed its side.
     """
 
@@ -38,7 +37,6 @@
         "opened",
         "sent_at",
         "sent_end",
-        "stalled",
         "syn",
         "syn_at",
         "syn_seq",
@@ -59,7 +57,6 @@
         self.sent_at = 0.0
         self.acked = 0
         self.waiting = False
-        self.stalled = False
         self.ended = False
         target.open_flows += 1
 
@@ -87,7 +84,6 @@
         if self.waiting:
             self.waiting = False
             self.target.in_flight -= 1
-        self.stalled = False
 
     def close(self) -> None:
         """Takes the flow out of its target's counts."""
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -19,7 +19,7 @@
 
 
 class Relay:
-    """Serves lists and watches from what this instance holds.
+    """Serves watches from what this instance holds.
 
     Args:
         zone: Own availability zone.
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -32,7 +32,6 @@
         open_flows: Flows of this instance that it holds.
         in_flight: Requests of these flows without an answer so far.
         hinted: Whether another instance has found it gone.
-        stalled: Flows whose data was sent again since its latest sign of life.
         probing: Whether a connection attempt is to settle if it is gone.
         probed_at: When the latest attempt ended, in seconds of the clock.
     """
@@ -54,7 +53,6 @@
         "removed_at",
         "service",
         "shadowed",
-        "stalled",
         "strikes",
         "suspect_until",
         "tag",
@@ -94,7 +92,6 @@
         self.open_flows = 0
         self.in_flight = 0
         self.hinted = False
-        self.stalled = 0
         self.probing = False
         self.probed_at = NEVER
 
@@ -111,5 +108,4 @@
         """Takes evidence that the target answers."""
         self.life_at = now
         self.strikes = 0
-        self.stalled = 0
         self.suspect_until = NEVER
