--- a/bench/balance.py
+++ b/bench/balance.py
@@ -18,8 +18,8 @@
 from bench.balance_model import FAULTS, PROFILES, SAMPLE_S, Fault, Model
 from bench.balance_schemes import SCHEMES, Pearwell
 from bench.overload import measure_overload
-from pearwell.service import Preference
-from pearwell.weights import POLICIES, WeightPolicy
+from pearwell.model.service import Preference
+from pearwell.targets.weights import POLICIES, WeightPolicy
 
 __all__ = ["main"]
 
--- a/bench/balance_model.py
+++ b/bench/balance_model.py
@@ -8,12 +8,12 @@
 from typing import Protocol
 
 from pearwell.clock import ManualClock
-from pearwell.group import HealthCheck, TargetIntent, TargetSpec
-from pearwell.health import GroupHealth
-from pearwell.load_report import LoadReport
-from pearwell.placement import TargetState
-from pearwell.probe_history import Outcome, ProbeHistory
-from pearwell.silence import SilenceDetector
+from pearwell.model.group import HealthCheck, TargetIntent, TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.model.placement import TargetState
+from pearwell.targets.health import GroupHealth
+from pearwell.targets.probe_history import Outcome, ProbeHistory
+from pearwell.targets.silence import SilenceDetector
 
 __all__ = ["FAULTS", "PROFILES", "Fault", "Flow", "Model", "Profile", "Scheme", "Target"]
 
--- a/bench/balance_schemes.py
+++ b/bench/balance_schemes.py
@@ -3,13 +3,13 @@
 from collections import Counter
 
 from bench.balance_model import Flow, Model, Scheme
-from pearwell.change import activate, fail, initial, prepare, release
-from pearwell.drain import TargetDrain
 from pearwell.errors import Code, InvariantError
-from pearwell.group import TargetIntent, TargetSpec
-from pearwell.load_report import LoadReport
-from pearwell.placement import Generation, PlacedTarget, Placement, TargetState
-from pearwell.weights import WeightController, WeightPolicy
+from pearwell.model.group import TargetIntent, TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.model.placement import Generation, PlacedTarget, Placement, TargetState
+from pearwell.placement.change import activate, fail, initial, prepare, release
+from pearwell.targets.drain import TargetDrain
+from pearwell.targets.weights import WeightController, WeightPolicy
 
 __all__ = ["SCHEMES", "Pearwell", "PlainHashing", "RoundRobin"]
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,22 +19,22 @@
 from absl import app, flags
 
 from bench.idle_zone import measure_idle
-from pearwell.admission import Admission
-from pearwell.change import activate, initial, prepare
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration, Kind
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.invariants import Invariants
-from pearwell.membership import Member
+from pearwell.configuration.schema import from_document, to_document
 from pearwell.messages import Message, decode, encode
 from pearwell.messages.gossip import Entry, EntryVersion, Push
-from pearwell.placement import Generation, PlacedTarget, Placement
-from pearwell.record import FlowRecords, RecordFlag
-from pearwell.schema import from_document, to_document
-from pearwell.service import FlowLimits, ServiceSpec, TransportProtocol
-from pearwell.steered_group import SteeredGroup
-from pearwell.steering import Steering
-from pearwell.verdict import FlowEvent
+from pearwell.model.configuration import Configuration, Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.membership import Member
+from pearwell.model.placement import Generation, PlacedTarget, Placement
+from pearwell.model.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.placement.change import activate, initial, prepare
+from pearwell.steering.invariants import Invariants
+from pearwell.steering.record import FlowRecords, RecordFlag
+from pearwell.steering.steered_group import SteeredGroup
+from pearwell.steering.steering import Steering
+from pearwell.steering.verdict import FlowEvent
+from pearwell.targets.admission import Admission
 
 __all__ = ["Slope", "main", "measure"]
 
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -12,18 +12,18 @@
 from collections.abc import Sequence
 from typing import Any
 
-from pearwell import edits
-from pearwell.applied import AppliedConfiguration, entry_of
-from pearwell.audit import MAX_ENTRIES, Action
 from pearwell.clock import MonotonicClock
-from pearwell.configuration import Kind
-from pearwell.editor import ConfigurationEditor, WriteRequest
-from pearwell.group import GroupSpec, TargetSpec
+from pearwell.configuration import edits
+from pearwell.configuration.applied import AppliedConfiguration, entry_of
+from pearwell.configuration.audit import MAX_ENTRIES, Action
+from pearwell.configuration.editor import ConfigurationEditor, WriteRequest
+from pearwell.configuration.schema import to_document
 from pearwell.messages import Entry
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.service import ServiceSpec, TransportProtocol
 from pearwell.object_store import MemoryObjectStore, RetryingObjectStore, StoredObject
-from pearwell.platform_client import PlatformClient
-from pearwell.schema import to_document
-from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.object_store.platform_client import PlatformClient
 from pearwell.standins.platform import PlatformStandin
 
 __all__ = ["main"]
--- a/bench/control.py
+++ b/bench/control.py
@@ -22,11 +22,11 @@
 
 from bench.control_zone import ControlZone
 from bench.virtual_time import VirtualTimeLoop
+from pearwell.agreement.peers import Peers
 from pearwell.clock import Clock, MonotonicClock
-from pearwell.configuration import Kind
-from pearwell.document import Document, encode_document
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.peers import Peers
+from pearwell.configuration.document import Document, encode_document
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
 
 __all__ = ["main"]
 
--- a/bench/control_zone.py
+++ b/bench/control_zone.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from pearwell.agreement.gossip_service import GossipService
+from pearwell.agreement.membership_service import MembershipService, PeerDirectory
+from pearwell.agreement.peers import Peers
 from pearwell.clock import Clock
-from pearwell.configuration_service import ConfigurationService
+from pearwell.configuration.service import ConfigurationService
 from pearwell.errors import Code, PlatformError
-from pearwell.gossip_service import GossipService
 from pearwell.kernel import Kernel, KernelService, QueuedService
-from pearwell.membership import Member, View
-from pearwell.membership_service import MembershipService, PeerDirectory
 from pearwell.messages import (
     ConfigurationChanged,
     Entry,
@@ -26,6 +26,8 @@
     decode,
     encode,
 )
+from pearwell.model.membership import Member, View
+from pearwell.model.placement import Generation
 from pearwell.object_store import (
     MemoryObjectStore,
     ObjectList,
@@ -34,10 +36,8 @@
     Value,
     WatchEvent,
 )
-from pearwell.peers import Peers
-from pearwell.placement import Generation
-from pearwell.placement_service import PlacementService
-from pearwell.placement_store import PlacementStore
+from pearwell.placement.service import PlacementService
+from pearwell.placement.store import PlacementStore
 from pearwell.settings import Endpoint, PeerSettings, Settings
 
 __all__ = ["ControlInstance", "ControlZone", "Faults", "Observer", "ReachableStore", "Values"]
--- a/bench/idle_zone.py
+++ b/bench/idle_zone.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from pearwell.admin_client import AdminClient
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
-from pearwell.health import PROBERS_PER_TARGET
+from pearwell.admin.client import AdminClient
+from pearwell.admin.porcelain import Write, create_group
 from pearwell.load.fleet import HEALTH_PORT, Fleet
-from pearwell.porcelain import Write, create_group
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.standins.zone import ZONE, ZoneProcesses
+from pearwell.targets.health import PROBERS_PER_TARGET
 
 __all__ = ["IdleCost", "measure_idle"]
 
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 from bench.balance_model import Profile
-from pearwell.admission import Admission
+from pearwell.agreement.rendezvous import rank
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
 from pearwell.errors import Code
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.rendezvous import rank
-from pearwell.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.targets.admission import Admission
 
 __all__ = ["measure_overload"]
 
--- a/bench/packet.py
+++ b/bench/packet.py
@@ -21,22 +21,22 @@
 import uvloop
 from absl import app, flags
 
-from pearwell import change
-from pearwell.admission import Admission
 from pearwell.clock import MonotonicClock
-from pearwell.configuration import Configuration
 from pearwell.errors import Code
-from pearwell.flow_meter import FlowMeter
-from pearwell.ip import build_packet
 from pearwell.kernel import Kernel
 from pearwell.logs import configure_logs
 from pearwell.messages import ConfigurationChanged, Message, PlacementChanged
-from pearwell.packet_path import PacketPath, bind_udp
-from pearwell.placement import Generation, PlacedTarget, Placement
-from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.model.configuration import Configuration
+from pearwell.model.placement import Generation, PlacedTarget, Placement
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.placement import change
 from pearwell.settings import Endpoint, Settings
-from pearwell.steering import Steering
-from pearwell.verdict import Action
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.ip import build_packet
+from pearwell.steering.packet_path import PacketPath, bind_udp
+from pearwell.steering.steering import Steering
+from pearwell.steering.verdict import Action
+from pearwell.targets.admission import Admission
 
 __all__ = ["main"]
 
--- a/bench/steering.py
+++ b/bench/steering.py
@@ -11,7 +11,7 @@
 
 from bench.steering_schemes import SCHEMES
 from bench.steering_zone import FlowPlan, Zone
-from pearwell.verdict import FlowEvent
+from pearwell.steering.verdict import FlowEvent
 
 __all__ = ["CHANGES", "main", "measure"]
 
--- a/bench/steering_planner.py
+++ b/bench/steering_planner.py
@@ -1,11 +1,11 @@
-"""A minimal planner for the in-memory zone; the real one is pearwell.planner."""
+"""A minimal planner for the in-memory zone; the real one is pearwell.placement.planner."""
 
 from collections.abc import Iterable
 from typing import Protocol
 
-from pearwell.change import activate, fail, initial, prepare, release
 from pearwell.messages import BucketsClear, Message
-from pearwell.placement import Generation, Phase, PlacedTarget, Placement, TargetState
+from pearwell.model.placement import Generation, Phase, PlacedTarget, Placement, TargetState
+from pearwell.placement.change import activate, fail, initial, prepare, release
 
 __all__ = ["GROUP", "ZONE", "PlannedZone", "Planner"]
 
--- a/bench/steering_schemes.py
+++ b/bench/steering_schemes.py
@@ -4,14 +4,14 @@
 
 from bench.steering_planner import GROUP, ZONE
 from bench.steering_zone import SchemeFactory, Zone
-from pearwell.configuration import Configuration
-from pearwell.membership import View
+from pearwell.agreement.transport import Transport
 from pearwell.messages import Message
-from pearwell.placement import Phase, Placement
-from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.steering import Steering
-from pearwell.transport import Transport
-from pearwell.verdict import Action, FlowEvent, Verdict
+from pearwell.model.configuration import Configuration
+from pearwell.model.membership import View
+from pearwell.model.placement import Phase, Placement
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.steering.steering import Steering
+from pearwell.steering.verdict import Action, FlowEvent, Verdict
 
 __all__ = ["IDLE_TIMEOUT_S", "SCHEMES", "FlowTable", "Pearwell", "Stateless"]
 
--- a/bench/steering_zone.py
+++ b/bench/steering_zone.py
@@ -6,13 +6,13 @@
 from typing import Protocol
 
 from bench.steering_planner import Planner
+from pearwell.agreement.transport import MemoryNetwork, Transport
 from pearwell.clock import ManualClock
-from pearwell.invariants import Invariant, Invariants
-from pearwell.membership import Member, MemberState, View
 from pearwell.messages import Message
-from pearwell.placement import Generation, Placement
-from pearwell.transport import MemoryNetwork, Transport
-from pearwell.verdict import Action, FlowEvent, Verdict
+from pearwell.model.membership import Member, MemberState, View
+from pearwell.model.placement import Generation, Placement
+from pearwell.steering.invariants import Invariant, Invariants
+from pearwell.steering.verdict import Action, FlowEvent, Verdict
 
 __all__ = ["Flow", "FlowPlan", "Node", "Scheme", "SchemeFactory", "Zone"]
 
--- /dev/null
+++ b/pearwell/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's interface: its server, its client and their schema."""
--- a/pearwell/admin_client.py
+++ b/pearwell/admin/client.py
@@ -6,7 +6,7 @@
 
 import grpc
 
-from pearwell.admin_codec import CODE_KEY
+from pearwell.admin.codec import CODE_KEY
 from pearwell.errors import (
     Code,
     ConfigurationError,
--- a/pearwell/admin_codec.py
+++ b/pearwell/admin/codec.py
@@ -8,17 +8,17 @@
 from google.protobuf.message import Message as ProtoMessage
 from xxhash import xxh3_128_hexdigest
 
-from pearwell.audit import AuditRecord
-from pearwell.configuration import Configuration, Kind
-from pearwell.document import Document
-from pearwell.editor import WriteOutcome
+from pearwell.configuration.audit import AuditRecord
+from pearwell.configuration.document import Document
+from pearwell.configuration.editor import WriteOutcome
+from pearwell.configuration.in_force import MAX_LAGGING, InForceReport
+from pearwell.configuration.schema import Spec, TargetModel, from_document, to_document, validated
 from pearwell.errors import Code, ConfigurationError
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.in_force import MAX_LAGGING, InForceReport
-from pearwell.membership import Member
-from pearwell.placement import Placement
-from pearwell.schema import Spec, TargetModel, from_document, to_document, validated
-from pearwell.service import ServiceSpec
+from pearwell.model.configuration import Configuration, Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.membership import Member
+from pearwell.model.placement import Placement
+from pearwell.model.service import ServiceSpec
 from pearwell.v1 import admin_pb2 as pb
 
 __all__ = [
--- a/pearwell/instance_state.py
+++ b/pearwell/admin/instance_state.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from pearwell.configuration import Configuration
-from pearwell.membership import View
-from pearwell.placement import Placement
+from pearwell.model.configuration import Configuration
+from pearwell.model.membership import View
+from pearwell.model.placement import Placement
 
 __all__ = ["InstanceState"]
 
--- a/pearwell/porcelain.py
+++ b/pearwell/admin/porcelain.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pearwell.admin_client import AdminClient
-from pearwell.admin_codec import KINDS, group_to_proto, service_to_proto, target_to_proto
-from pearwell.configuration import Kind
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.service import ServiceSpec
+from pearwell.admin.client import AdminClient
+from pearwell.admin.codec import KINDS, group_to_proto, service_to_proto, target_to_proto
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.service import ServiceSpec
 from pearwell.v1 import admin_pb2 as pb
 
 __all__ = [
--- a/pearwell/admin_server.py
+++ b/pearwell/admin/server.py
@@ -8,12 +8,12 @@
 from grpc_health.v1 import health, health_pb2, health_pb2_grpc
 from grpc_reflection.v1alpha import reflection
 
-from pearwell.admin import AdminServicer
-from pearwell.document import Document
-from pearwell.editor import ConfigurationEditor
+from pearwell.admin.instance_state import InstanceState
+from pearwell.admin.servicer import AdminServicer
+from pearwell.configuration.document import Document
+from pearwell.configuration.editor import ConfigurationEditor
+from pearwell.configuration.in_force import InForceSource
 from pearwell.errors import Code, SettingsError
-from pearwell.in_force import InForceSource
-from pearwell.instance_state import InstanceState
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import ConfigurationChanged, Message, PlacementChanged, ViewChanged
 from pearwell.v1 import admin_pb2, admin_pb2_grpc
--- a/pearwell/admin.py
+++ b/pearwell/admin/servicer.py
@@ -7,18 +7,23 @@
 import grpc
 import structlog
 
-from pearwell import admin_codec as codec
-from pearwell import edits
-from pearwell.audit import Action, AuditEntry, AuditRecord, RefusalLog
-from pearwell.audit_reader import AuditPage, AuditReader
-from pearwell.configuration import Kind
-from pearwell.configuration_reader import ConfigurationReader
-from pearwell.document import Document
-from pearwell.editor import MAX_PAGE_SIZE, ConfigurationEditor, WriteOutcome, WriteRequest
-from pearwell.edits import Edit
+from pearwell.admin import codec as codec
+from pearwell.admin.instance_state import InstanceState
+from pearwell.configuration import edits
+from pearwell.configuration.audit import Action, AuditEntry, AuditRecord, RefusalLog
+from pearwell.configuration.audit_reader import AuditPage, AuditReader
+from pearwell.configuration.document import Document
+from pearwell.configuration.editor import (
+    MAX_PAGE_SIZE,
+    ConfigurationEditor,
+    WriteOutcome,
+    WriteRequest,
+)
+from pearwell.configuration.edits import Edit
+from pearwell.configuration.in_force import InForceReport, InForceSource, NoZones, wait_in_force
+from pearwell.configuration.reader import ConfigurationReader
 from pearwell.errors import ConfigurationError, PearwellError
-from pearwell.in_force import InForceReport, InForceSource, NoZones, wait_in_force
-from pearwell.instance_state import InstanceState
+from pearwell.model.configuration import Kind
 from pearwell.v1 import admin_pb2 as pb
 from pearwell.v1 import admin_pb2_grpc
 
--- a/pearwell/entry_store.py
+++ b/pearwell/agreement/entry_store.py
@@ -10,7 +10,7 @@
 
 
 class EntryStore(Protocol):
-    """The part of pearwell.gossip.Gossip that spreads entries."""
+    """The part of pearwell.agreement.gossip.Gossip that spreads entries."""
 
     def put(self, entry: Entry) -> bool:
         """Adopts an entry that is higher than the held one and spreads it."""
--- a/pearwell/gossip.py
+++ b/pearwell/agreement/gossip.py
@@ -7,9 +7,11 @@
 from operator import xor
 from typing import Any
 
+from pearwell.agreement.entry_set import EntrySet, domain_of
+from pearwell.agreement.holders import Holders
+from pearwell.agreement.ring import successors
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.entry_set import EntrySet, domain_of
-from pearwell.holders import Holders
 from pearwell.messages import (
     Digest,
     Entry,
@@ -21,8 +23,6 @@
     Pull,
     Push,
 )
-from pearwell.ring import successors
-from pearwell.transport import Transport
 
 __all__ = ["URGENT_DOMAINS", "Gossip"]
 
--- a/pearwell/gossip_service.py
+++ b/pearwell/agreement/gossip_service.py
@@ -2,11 +2,11 @@
 
 import random
 
+from pearwell.agreement.gossip import Gossip
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.gossip import Gossip
 from pearwell.kernel import QueuedService
 from pearwell.messages import Entry, EntryAdopted, Message, PeerMessage, ViewChanged
-from pearwell.transport import Transport
 
 __all__ = ["GossipService"]
 
--- a/pearwell/holders.py
+++ b/pearwell/agreement/holders.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from pearwell.agreement.entry_set import EntrySet
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.entry_set import EntrySet
 from pearwell.messages import Entry, EntryVersion, Held, HoldersQuery
-from pearwell.transport import Transport
 
 __all__ = ["Holders"]
 
--- a/pearwell/instance_list.py
+++ b/pearwell/agreement/instance_list.py
@@ -14,8 +14,8 @@
 
 from pearwell.errors import Code, PlatformError
 from pearwell.kernel import Kernel
-from pearwell.membership import Member
 from pearwell.messages import Message
+from pearwell.model.membership import Member
 from pearwell.object_store import ObjectStore, StoredObject
 from pearwell.settings import Settings
 
--- a/pearwell/member_table.py
+++ b/pearwell/agreement/member_table.py
@@ -6,7 +6,7 @@
 from xxhash import xxh3_64_intdigest
 
 from pearwell.clock import Clock
-from pearwell.membership import Member, MemberState, View
+from pearwell.model.membership import Member, MemberState, View
 
 __all__ = ["MemberTable"]
 
--- a/pearwell/membership_service.py
+++ b/pearwell/agreement/membership_service.py
@@ -7,16 +7,16 @@
 
 import structlog
 
+from pearwell.agreement.gossip import Gossip
+from pearwell.agreement.rendezvous import rank
+from pearwell.agreement.swim import TICK_INTERVAL_S, Swim, SwimEvents
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
 from pearwell.errors import PlatformError
-from pearwell.gossip import Gossip
 from pearwell.kernel import Kernel, QueuedService
-from pearwell.membership import Member, View
 from pearwell.messages import Message, PeerMessage, ViewChanged, ViewRenewed
-from pearwell.rendezvous import rank
+from pearwell.model.membership import Member, View
 from pearwell.settings import Settings
-from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
-from pearwell.transport import Transport
 
 __all__ = ["MembershipService", "PeerDirectory", "SeedSource", "own_member"]
 
--- a/pearwell/peer_link.py
+++ b/pearwell/agreement/peer_link.py
@@ -9,7 +9,7 @@
 import structlog
 
 from pearwell.clock import Clock
-from pearwell.membership import Member
+from pearwell.model.membership import Member
 from pearwell.tls import TlsCredentials
 from pearwell.v1 import peer_pb2, peer_pb2_grpc
 
--- a/pearwell/peers.py
+++ b/pearwell/agreement/peers.py
@@ -8,10 +8,10 @@
 import grpc
 import structlog
 
+from pearwell.agreement.peer_link import PeerLink
 from pearwell.clock import Clock
 from pearwell.errors import Code, PeerError, SettingsError
 from pearwell.kernel import Kernel, QueuedService
-from pearwell.membership import Member, View
 from pearwell.messages import (
     Ack,
     IndirectAck,
@@ -25,7 +25,7 @@
     decode,
     encode,
 )
-from pearwell.peer_link import PeerLink
+from pearwell.model.membership import Member, View
 from pearwell.settings import Settings
 from pearwell.tls import TlsCredentials
 from pearwell.v1 import peer_pb2, peer_pb2_grpc
--- a/pearwell/swim.py
+++ b/pearwell/agreement/swim.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from pearwell.agreement.member_table import MemberTable
+from pearwell.agreement.ring import successors
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.member_table import MemberTable
-from pearwell.membership import Member, MemberState, View
 from pearwell.messages import (
     Ack,
     IndirectAck,
@@ -17,8 +18,7 @@
     Ping,
     ProbeRequest,
 )
-from pearwell.ring import successors
-from pearwell.transport import Transport
+from pearwell.model.membership import Member, MemberState, View
 
 __all__ = ["TICK_INTERVAL_S", "Swim", "SwimEvents"]
 
--- a/pearwell/cli/commands.py
+++ b/pearwell/cli/commands.py
@@ -5,19 +5,19 @@
 from pathlib import Path
 from typing import Any
 
-from pearwell import porcelain
-from pearwell.admin_client import AdminClient
-from pearwell.admin_codec import group_from_proto, service_from_proto
+from pearwell.admin import porcelain
+from pearwell.admin.client import AdminClient
+from pearwell.admin.codec import group_from_proto, service_from_proto
+from pearwell.admin.porcelain import Write
 from pearwell.cli import rows
 from pearwell.cli.options import Options
 from pearwell.cli.output import Output
-from pearwell.configuration import Kind
+from pearwell.configuration.schema import TargetModel, from_document, to_document, validated
 from pearwell.errors import Code, ConfigurationError, SettingsError
 from pearwell.explanation import explain_flow, parse_log
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.porcelain import Write
-from pearwell.schema import TargetModel, from_document, to_document, validated
-from pearwell.service import ServiceSpec
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.service import ServiceSpec
 from pearwell.v1 import admin_pb2 as pb
 
 __all__ = ["COMMANDS", "Command", "UsageError"]
--- a/pearwell/cli/ctl.py
+++ b/pearwell/cli/ctl.py
@@ -7,7 +7,7 @@
 
 from absl import flags
 
-from pearwell.admin_client import AdminClient
+from pearwell.admin.client import AdminClient
 from pearwell.cli.commands import COMMANDS, Command, UsageError
 from pearwell.cli.options import OPTIONS, Options, credentials
 from pearwell.cli.output import Output
--- /dev/null
+++ b/pearwell/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects: stored, checked, changed, watched and spread to every instance."""
--- a/pearwell/applied.py
+++ b/pearwell/configuration/applied.py
@@ -5,13 +5,13 @@
 
 import msgspec
 
-from pearwell.configuration import Configuration, Kind
+from pearwell.configuration.schema import Spec, from_document
 from pearwell.errors import Code, ConfigurationError, InvariantError
-from pearwell.group import GroupSpec
 from pearwell.messages.gossip import Entry, EntryVersion
+from pearwell.model.configuration import Configuration, Kind
+from pearwell.model.group import GroupSpec
+from pearwell.model.service import ServiceSpec
 from pearwell.object_store import StoredObject
-from pearwell.schema import Spec, from_document
-from pearwell.service import ServiceSpec
 
 __all__ = [
     "CONFIG_PREFIX",
--- a/pearwell/audit.py
+++ b/pearwell/configuration/audit.py
@@ -6,8 +6,8 @@
 from enum import StrEnum
 from typing import Any
 
-from pearwell.configuration import Kind
 from pearwell.errors import Code
+from pearwell.model.configuration import Kind
 
 __all__ = [
     "MAX_ENTRIES",
--- a/pearwell/audit_reader.py
+++ b/pearwell/configuration/audit_reader.py
@@ -3,11 +3,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from pearwell.audit import AuditRecord, RefusalLog, records
-from pearwell.configuration import Kind
-from pearwell.document import Document
-from pearwell.editor import ConfigurationEditor
+from pearwell.configuration.audit import AuditRecord, RefusalLog, records
+from pearwell.configuration.document import Document
+from pearwell.configuration.editor import ConfigurationEditor
 from pearwell.errors import Code, ConfigurationError
+from pearwell.model.configuration import Kind
 
 __all__ = ["AuditPage", "AuditReader"]
 
--- a/pearwell/claims.py
+++ b/pearwell/configuration/claims.py
@@ -7,8 +7,8 @@
 from typing import Any, Protocol
 
 from pearwell.errors import Code, ConfigurationError, ConflictError, PlatformError
+from pearwell.model.service import ServiceSpec
 from pearwell.object_store import ObjectStore, StoredObject
-from pearwell.service import ServiceSpec
 
 __all__ = ["CLAIM_KIND", "Claims", "Holders", "claim_name"]
 
--- a/pearwell/document.py
+++ b/pearwell/configuration/document.py
@@ -5,11 +5,11 @@
 
 import pydantic
 
-from pearwell.audit import Action, AuditEntry
-from pearwell.configuration import Kind
+from pearwell.configuration.audit import Action, AuditEntry
+from pearwell.configuration.schema import Spec, from_document, to_document
 from pearwell.errors import Code, PlatformError
+from pearwell.model.configuration import Kind
 from pearwell.object_store import StoredObject
-from pearwell.schema import Spec, from_document, to_document
 
 __all__ = ["Document", "decode_document", "encode_document"]
 
--- a/pearwell/editor.py
+++ b/pearwell/configuration/editor.py
@@ -6,23 +6,23 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from pearwell.audit import (
+from pearwell.configuration.audit import (
     Action,
     AuditEntry,
     append_entry,
     describe_changes,
     find_entry,
 )
-from pearwell.claims import Claims
-from pearwell.configuration import Kind
-from pearwell.document import Document, decode_document, encode_document
-from pearwell.edits import Edit
+from pearwell.configuration.claims import Claims
+from pearwell.configuration.document import Document, decode_document, encode_document
+from pearwell.configuration.edits import Edit
+from pearwell.configuration.schema import Spec, check_name, to_document
+from pearwell.configuration.validation import check_group, check_group_unused, endpoint
 from pearwell.errors import Code, ConfigurationError, ConflictError, PlatformError
-from pearwell.group import GroupSpec
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec
+from pearwell.model.service import ServiceSpec
 from pearwell.object_store import ObjectStore, StoredObject
-from pearwell.schema import Spec, check_name, to_document
-from pearwell.service import ServiceSpec
-from pearwell.validation import check_group, check_group_unused, endpoint
 
 __all__ = ["ConfigurationEditor", "DocumentPage", "WriteOutcome", "WriteRequest"]
 
--- a/pearwell/edits.py
+++ b/pearwell/configuration/edits.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from pearwell.configuration.schema import Spec
 from pearwell.errors import Code, ConfigurationError
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.schema import Spec
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
 
 __all__ = [
     "Edit",
--- a/pearwell/in_force.py
+++ b/pearwell/configuration/in_force.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pearwell.configuration import Kind
+from pearwell.model.configuration import Kind
 
 __all__ = ["InForceReport", "InForceSource", "NoZones", "ZoneReport", "wait_in_force"]
 
--- a/pearwell/configuration_reader.py
+++ b/pearwell/configuration/reader.py
@@ -4,10 +4,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from pearwell.configuration import Configuration, Kind
-from pearwell.document import Document
-from pearwell.editor import ConfigurationEditor
+from pearwell.configuration.document import Document
+from pearwell.configuration.editor import ConfigurationEditor
 from pearwell.errors import Code, ConfigurationError, PlatformError
+from pearwell.model.configuration import Configuration, Kind
 
 __all__ = ["ConfigurationReader", "Found"]
 
--- a/pearwell/relay.py
+++ b/pearwell/configuration/relay.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable, Collection
 
-from pearwell.applied import CONFIG_PREFIX, entry_of, is_tombstone, key_of, tombstone
-from pearwell.configuration import Kind
-from pearwell.entry_table import EntryTable
+from pearwell.agreement.entry_table import EntryTable
+from pearwell.agreement.rendezvous import rank
+from pearwell.configuration.applied import CONFIG_PREFIX, entry_of, is_tombstone, key_of, tombstone
 from pearwell.errors import Code, InvariantError, PearwellError
-from pearwell.membership import MemberState, View
 from pearwell.messages.gossip import Entry
+from pearwell.model.configuration import Kind
+from pearwell.model.membership import MemberState, View
 from pearwell.object_store import ObjectList, StoredObject, WatchEvent, WatchEventType
-from pearwell.rendezvous import rank
 
 __all__ = ["RELAY_COUNT", "Relay", "relays"]
 
--- a/pearwell/schema.py
+++ b/pearwell/configuration/schema.py
@@ -7,9 +7,9 @@
 
 import pydantic
 
-from pearwell.configuration import Kind
 from pearwell.errors import Code, ConfigurationError
-from pearwell.group import (
+from pearwell.model.configuration import Kind
+from pearwell.model.group import (
     DEFAULT_ENCAPSULATION_PORT,
     DEFAULT_WEIGHT,
     MAX_WEIGHT,
@@ -19,7 +19,7 @@
     TargetIntent,
     TargetSpec,
 )
-from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
+from pearwell.model.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
 
 __all__ = [
     "GroupModel",
--- a/pearwell/configuration_service.py
+++ b/pearwell/configuration/service.py
@@ -7,21 +7,21 @@
 
 import structlog
 
-from pearwell.applied import CONFIG_PREFIX, AppliedConfiguration, entry_of
+from pearwell.agreement.entry_table import EntryTable
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration, Kind
-from pearwell.document import Document, encode_document
-from pearwell.entry_table import EntryTable
+from pearwell.configuration.applied import CONFIG_PREFIX, AppliedConfiguration, entry_of
+from pearwell.configuration.document import Document, encode_document
+from pearwell.configuration.relay import Relay, relays
+from pearwell.configuration.status_store import StatusStore
+from pearwell.configuration.tombstones import TombstonePurge
+from pearwell.configuration.watch import PlatformWatch
+from pearwell.configuration.zone_status import StatusReporter
 from pearwell.errors import Code, PearwellError, PlatformError
 from pearwell.kernel import Kernel, QueuedService
-from pearwell.membership import View
 from pearwell.messages import ConfigurationChanged, Entry, EntryAdopted, Message, ViewChanged
+from pearwell.model.configuration import Configuration, Kind
+from pearwell.model.membership import View
 from pearwell.object_store import ObjectStore, StoredObject
-from pearwell.platform_watch import PlatformWatch
-from pearwell.relay import Relay, relays
-from pearwell.status_store import StatusStore
-from pearwell.tombstones import TombstonePurge
-from pearwell.zone_status import StatusReporter
 
 __all__ = ["ConfigurationService"]
 
--- a/pearwell/status_store.py
+++ b/pearwell/configuration/status_store.py
@@ -3,13 +3,10 @@
 import time
 from collections.abc import Callable, Sequence
 
-from pearwell.applied import key_of
-from pearwell.configuration import Kind
-from pearwell.entry_table import EntryTable
-from pearwell.errors import Code, PlatformError
-from pearwell.in_force import ZoneReport
-from pearwell.object_store import ObjectStore, StoredObject
-from pearwell.zone_status import (
+from pearwell.agreement.entry_table import EntryTable
+from pearwell.configuration.applied import key_of
+from pearwell.configuration.in_force import ZoneReport
+from pearwell.configuration.zone_status import (
     EXPIRY_S,
     ZONE_STATUS_KIND,
     ZoneStatus,
@@ -17,6 +14,9 @@
     encode_status,
     own_report,
 )
+from pearwell.errors import Code, PlatformError
+from pearwell.model.configuration import Kind
+from pearwell.object_store import ObjectStore, StoredObject
 
 __all__ = ["PlatformInForce", "StatusStore"]
 
--- a/pearwell/tombstones.py
+++ b/pearwell/configuration/tombstones.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from pearwell.document import decode_document
+from pearwell.configuration.document import decode_document
 from pearwell.errors import PearwellError
 from pearwell.object_store import ObjectStore, StoredObject
 
--- a/pearwell/validation.py
+++ b/pearwell/configuration/validation.py
@@ -4,8 +4,8 @@
 from collections.abc import Hashable, Iterable
 
 from pearwell.errors import Code, ConfigurationError
-from pearwell.group import GroupSpec
-from pearwell.service import ServiceSpec
+from pearwell.model.group import GroupSpec
+from pearwell.model.service import ServiceSpec
 
 __all__ = ["check_group", "check_group_unused", "endpoint"]
 
--- a/pearwell/platform_watch.py
+++ b/pearwell/configuration/watch.py
@@ -7,10 +7,10 @@
 import structlog
 
 from pearwell.clock import Clock
-from pearwell.configuration import Kind
+from pearwell.configuration.relay import Relay
 from pearwell.errors import Code, PlatformError
+from pearwell.model.configuration import Kind
 from pearwell.object_store import ObjectList, ObjectStore, StoredObject
-from pearwell.relay import Relay
 
 __all__ = ["PlatformWatch"]
 
--- a/pearwell/zone_status.py
+++ b/pearwell/configuration/zone_status.py
@@ -5,10 +5,10 @@
 
 import pydantic
 
-from pearwell.applied import CONFIG_PREFIX
-from pearwell.entry_table import EntryTable
+from pearwell.agreement.entry_table import EntryTable
+from pearwell.configuration.applied import CONFIG_PREFIX
+from pearwell.configuration.in_force import ZoneReport
 from pearwell.errors import Code, PlatformError
-from pearwell.in_force import ZoneReport
 from pearwell.messages.gossip import Entry
 from pearwell.object_store import StoredObject
 
--- a/pearwell/daemon.py
+++ b/pearwell/daemon.py
@@ -6,32 +6,32 @@
 import aiomisc
 import structlog
 
-from pearwell.admin_server import AdminService
-from pearwell.admission import Admission
-from pearwell.balancer import Balancer
+from pearwell.admin.instance_state import InstanceState
+from pearwell.admin.server import AdminService
+from pearwell.agreement.gossip_service import GossipService
+from pearwell.agreement.instance_list import InstanceList, InstanceRegistration, ListedState
+from pearwell.agreement.membership_service import MembershipService
+from pearwell.agreement.peers import Peers
 from pearwell.clock import MonotonicClock
-from pearwell.configuration_service import ConfigurationService
-from pearwell.editor import ConfigurationEditor
-from pearwell.flow_meter import FlowMeter
-from pearwell.gossip_service import GossipService
-from pearwell.instance_list import InstanceList, InstanceRegistration, ListedState
-from pearwell.instance_state import InstanceState
+from pearwell.configuration.editor import ConfigurationEditor
+from pearwell.configuration.service import ConfigurationService
+from pearwell.configuration.status_store import PlatformInForce, StatusStore
 from pearwell.kernel import Kernel, KernelService
-from pearwell.membership import Member
-from pearwell.membership_service import MembershipService
 from pearwell.metrics import Metrics
+from pearwell.model.membership import Member
 from pearwell.object_store import RetryingObjectStore
-from pearwell.packet_path import PacketPath
-from pearwell.peers import Peers
-from pearwell.placement_service import PlacementService
-from pearwell.placement_store import SAVE_POLICY, PlacementStore
-from pearwell.platform_client import PlatformClient
-from pearwell.prober import Prober
+from pearwell.object_store.platform_client import PlatformClient
+from pearwell.placement.service import PlacementService
+from pearwell.placement.store import SAVE_POLICY, PlacementStore
 from pearwell.samples import InstanceParts, collect
 from pearwell.settings import Endpoint, Settings
 from pearwell.shutdown import ShutdownSteps, ShutdownTimes, shut_down
-from pearwell.status_store import PlatformInForce, StatusStore
-from pearwell.steering import Steering
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.packet_path import PacketPath
+from pearwell.steering.steering import Steering
+from pearwell.targets.admission import Admission
+from pearwell.targets.balancer import Balancer
+from pearwell.targets.prober import Prober
 from pearwell.tls import load_tls
 
 __all__ = ["Daemon", "DaemonService"]
--- a/pearwell/load/experiment.py
+++ b/pearwell/load/experiment.py
@@ -10,21 +10,21 @@
 import structlog
 from hdrh.histogram import HdrHistogram
 
-from pearwell.admin_client import AdminClient
-from pearwell.drain import NEW_FLOW_GRACE_S
+from pearwell.admin.client import AdminClient
+from pearwell.admin.porcelain import Write, create_group, create_service
 from pearwell.errors import PearwellError
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.load.fleet import HEALTH_PORT, Fleet, ProcessUsage
 from pearwell.load.fleet_events import FleetEvents
 from pearwell.load.profile import Profile, ServiceProfile
 from pearwell.load.report import EventReport, InstanceReport, Report, Sample
 from pearwell.load.schedule import Event
 from pearwell.load.traffic import TrafficShape, plan_flows
-from pearwell.porcelain import Write, create_group, create_service
-from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.model.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerService, FlowOutcome
 from pearwell.standins.caller_host import CallerHost
 from pearwell.standins.zone import ZONE
+from pearwell.targets.drain import NEW_FLOW_GRACE_S
 
 __all__ = ["Experiment", "ExperimentPlan"]
 
--- a/pearwell/load/fleet_events.py
+++ b/pearwell/load/fleet_events.py
@@ -7,12 +7,9 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
-from pearwell.admin_client import AdminClient
-from pearwell.admin_codec import service_from_proto
-from pearwell.group import TargetSpec
-from pearwell.load.fleet import Fleet
-from pearwell.load.schedule import Event, EventKind
-from pearwell.porcelain import (
+from pearwell.admin.client import AdminClient
+from pearwell.admin.codec import service_from_proto
+from pearwell.admin.porcelain import (
     Write,
     drain_target,
     get_service,
@@ -20,6 +17,9 @@
     undrain_target,
     update_service,
 )
+from pearwell.load.fleet import Fleet
+from pearwell.load.schedule import Event, EventKind
+from pearwell.model.group import TargetSpec
 from pearwell.standins.target import TargetMode
 from pearwell.standins.zone import ZONE
 
--- a/pearwell/load/profile.py
+++ b/pearwell/load/profile.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from pearwell.errors import Code, SettingsError
-from pearwell.service import Preference
+from pearwell.model.service import Preference
 
 __all__ = ["PROFILES", "Profile", "ServiceProfile", "find_profile"]
 
--- a/pearwell/messages/local.py
+++ b/pearwell/messages/local.py
@@ -1,10 +1,10 @@
 """Messages between the services of one instance."""
 
-from pearwell.configuration import Configuration
-from pearwell.membership import View
 from pearwell.messages.base import Message, wire
 from pearwell.messages.gossip import Entry
-from pearwell.placement import Placement, TargetState
+from pearwell.model.configuration import Configuration
+from pearwell.model.membership import View
+from pearwell.model.placement import Placement, TargetState
 
 __all__ = [
     "BucketsClear",
--- a/pearwell/messages/membership.py
+++ b/pearwell/messages/membership.py
@@ -1,7 +1,7 @@
 """Messages of the membership protocol."""
 
-from pearwell.membership import Member
 from pearwell.messages.base import Message, wire
+from pearwell.model.membership import Member
 
 __all__ = ["Ack", "IndirectAck", "Join", "MemberUpdates", "Ping", "ProbeRequest"]
 
--- a/pearwell/messages/steering.py
+++ b/pearwell/messages/steering.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from pearwell.messages.base import Message, wire
-from pearwell.placement import Generation
+from pearwell.model.placement import Generation
 
 __all__ = [
     "ClearMark",
--- a/pearwell/messages/targets.py
+++ b/pearwell/messages/targets.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from pearwell.load_report import LoadReport
 from pearwell.messages.base import Message, wire
-from pearwell.placement import TargetState
+from pearwell.model.load_report import LoadReport
+from pearwell.model.placement import TargetState
 
 __all__ = [
     "FlowCounts",
--- a/pearwell/configuration.py
+++ b/pearwell/model/configuration.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from pearwell.group import GroupSpec
-from pearwell.service import ServiceSpec
+from pearwell.model.group import GroupSpec
+from pearwell.model.service import ServiceSpec
 
 __all__ = ["Configuration", "Kind"]
 
--- a/pearwell/bucket.py
+++ b/pearwell/placement/bucket.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-from pearwell.placement import Placement
+from pearwell.model.placement import Placement
 
 __all__ = [
     "TRANSITIONS",
--- a/pearwell/change.py
+++ b/pearwell/placement/change.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from pearwell.placement import Generation, Phase, PlacedTarget, Placement, TargetState
-from pearwell.table import assign, table_size
+from pearwell.model.placement import Generation, Phase, PlacedTarget, Placement, TargetState
+from pearwell.placement.table import assign, table_size
 
 __all__ = ["activate", "fail", "initial", "prepare", "release"]
 
--- a/pearwell/placement_codec.py
+++ b/pearwell/placement/codec.py
@@ -9,8 +9,8 @@
 
 from pearwell.errors import Code, PeerError, PlatformError
 from pearwell.messages import Entry, EntryVersion
+from pearwell.model.placement import Placement
 from pearwell.object_store import StoredObject, Value
-from pearwell.placement import Placement
 
 __all__ = [
     "PLACEMENT_DOMAIN",
--- a/pearwell/planner.py
+++ b/pearwell/placement/planner.py
@@ -5,12 +5,12 @@
 
 from xxhash import xxh3_64_intdigest
 
-from pearwell import change
+from pearwell.agreement.rendezvous import rank
 from pearwell.clock import Clock
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.membership import MemberState, View
-from pearwell.placement import Generation, Phase, PlacedTarget, Placement, TargetState
-from pearwell.rendezvous import rank
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.membership import MemberState, View
+from pearwell.model.placement import Generation, Phase, PlacedTarget, Placement, TargetState
+from pearwell.placement import change
 
 __all__ = [
     "PREPARE_WAIT_S",
--- a/pearwell/placement_service.py
+++ b/pearwell/placement/service.py
@@ -7,14 +7,11 @@
 
 import structlog
 
+from pearwell.agreement.gossip import Gossip
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.drain import TargetDrain, TargetDrainState
 from pearwell.errors import PearwellError, PlatformError
-from pearwell.gossip import Gossip
-from pearwell.group import GroupSpec, TargetIntent
 from pearwell.kernel import Kernel, QueuedService
-from pearwell.membership import View
 from pearwell.messages import (
     BucketsClear,
     ConfigurationChanged,
@@ -29,10 +26,13 @@
     ViewRenewed,
     WeightsChanged,
 )
-from pearwell.placement import Phase, Placement, TargetState
-from pearwell.placement_codec import PLACEMENT_DOMAIN, decode_entry, encode_entry, entry_key
-from pearwell.placement_store import PlacementStore, Saved, SaveOutcome
-from pearwell.planner import (
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, TargetIntent
+from pearwell.model.membership import View
+from pearwell.model.placement import Phase, Placement, TargetState
+from pearwell.model.service import TransportProtocol
+from pearwell.placement.codec import PLACEMENT_DOMAIN, decode_entry, encode_entry, entry_key
+from pearwell.placement.planner import (
     ACKNOWLEDGED_WAIT_S,
     PREPARE_WAIT_S,
     GroupPlanner,
@@ -40,10 +40,10 @@
     Planners,
     placed_targets,
 )
-from pearwell.service import TransportProtocol
-from pearwell.spill import SpillOver
-from pearwell.transport import Transport
-from pearwell.zone_health import spill_zones_of
+from pearwell.placement.store import PlacementStore, Saved, SaveOutcome
+from pearwell.targets.drain import TargetDrain, TargetDrainState
+from pearwell.targets.spill import SpillOver
+from pearwell.targets.zone_health import spill_zones_of
 
 __all__ = ["PlacementService"]
 
--- a/pearwell/placement_store.py
+++ b/pearwell/placement/store.py
@@ -8,9 +8,9 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code, PlatformError
+from pearwell.model.placement import Generation, Placement
 from pearwell.object_store import ObjectStore, RetryPolicy, StoredObject
-from pearwell.placement import Generation, Placement
-from pearwell.placement_codec import PLACEMENT_KIND, decode_stored, encode_value, object_name
+from pearwell.placement.codec import PLACEMENT_KIND, decode_stored, encode_value, object_name
 
 __all__ = ["SAVE_POLICY", "PlacementStore", "SaveOutcome", "Saved"]
 
--- a/pearwell/samples.py
+++ b/pearwell/samples.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from pearwell.configuration_service import ConfigurationService
-from pearwell.membership_service import MembershipService
-from pearwell.packet_path import PacketPath
-from pearwell.peers import Peers
-from pearwell.placement_service import PlacementService
-from pearwell.platform_client import PlatformClient
-from pearwell.prober import Prober
-from pearwell.steering import Steering
+from pearwell.agreement.membership_service import MembershipService
+from pearwell.agreement.peers import Peers
+from pearwell.configuration.service import ConfigurationService
+from pearwell.object_store.platform_client import PlatformClient
+from pearwell.placement.service import PlacementService
+from pearwell.steering.packet_path import PacketPath
+from pearwell.steering.steering import Steering
+from pearwell.targets.prober import Prober
 
 __all__ = ["InstanceParts", "Sample", "collect"]
 
--- a/pearwell/standins/caller_host.py
+++ b/pearwell/standins/caller_host.py
@@ -6,12 +6,12 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from pearwell.instance_list import InstanceList
-from pearwell.packet_path import bind_udp
-from pearwell.platform_client import PlatformClient
+from pearwell.agreement.instance_list import InstanceList
+from pearwell.object_store.platform_client import PlatformClient
 from pearwell.standins.caller import CallerCore
 from pearwell.standins.fabric import Fabric, follow_instances
-from pearwell.verdict import Address
+from pearwell.steering.packet_path import bind_udp
+from pearwell.steering.verdict import Address
 
 __all__ = ["CallerHost"]
 
--- a/pearwell/standins/demo.py
+++ b/pearwell/standins/demo.py
@@ -19,11 +19,11 @@
 import uvloop
 from absl import app, flags
 
-from pearwell import porcelain
-from pearwell.admin_client import AdminClient
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
-from pearwell.porcelain import Write
-from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.admin import porcelain
+from pearwell.admin.client import AdminClient
+from pearwell.admin.porcelain import Write
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.model.service import ServiceSpec, TransportProtocol
 from pearwell.standins.caller import CallerService, FlowOutcome, FlowPlan
 from pearwell.standins.caller_host import CallerHost
 from pearwell.standins.target import Ledger, TargetConfig
--- a/pearwell/standins/fabric.py
+++ b/pearwell/standins/fabric.py
@@ -5,9 +5,9 @@
 import socket
 from collections.abc import Iterable
 
+from pearwell.agreement.instance_list import InstanceList, ListedState
 from pearwell.errors import PlatformError
-from pearwell.instance_list import InstanceList, ListedState
-from pearwell.verdict import Address
+from pearwell.steering.verdict import Address
 
 __all__ = ["Fabric", "follow_instances"]
 
--- a/pearwell/standins/platform.py
+++ b/pearwell/standins/platform.py
@@ -12,7 +12,7 @@
 
 from pearwell.errors import Code, PlatformError
 from pearwell.object_store import MemoryObjectStore, StoredObject, WatchEvent, WatchEventType
-from pearwell.platform_client import collection_path, to_resource
+from pearwell.object_store.platform_client import collection_path, to_resource
 
 __all__ = ["FaultModel", "PlatformStandin", "main"]
 
--- a/pearwell/standins/segment.py
+++ b/pearwell/standins/segment.py
@@ -6,7 +6,7 @@
 
 import dpkt
 
-from pearwell.ip import build_packet, unpack_packet
+from pearwell.steering.ip import build_packet, unpack_packet
 
 __all__ = ["Endpoints", "Flags", "Segment", "read_segment"]
 
--- a/pearwell/standins/target_host.py
+++ b/pearwell/standins/target_host.py
@@ -16,8 +16,8 @@
 from aiohttp import web
 
 from pearwell.metrics import serve_http
-from pearwell.packet_path import bind_udp
 from pearwell.standins.target import LoadReport, TargetConfig, TargetCore, TargetMode
+from pearwell.steering.packet_path import bind_udp
 
 __all__ = ["HostConfig", "serve_targets"]
 
--- a/pearwell/standins/zone.py
+++ b/pearwell/standins/zone.py
@@ -12,14 +12,14 @@
 import aiohttp
 import msgspec
 
-from pearwell.admin_client import AdminClient
+from pearwell.admin.client import AdminClient
+from pearwell.admin.porcelain import list_placements
+from pearwell.agreement.instance_list import InstanceList
 from pearwell.errors import PlatformError
-from pearwell.instance_list import InstanceList
-from pearwell.platform_client import PlatformClient
-from pearwell.porcelain import list_placements
+from pearwell.object_store.platform_client import PlatformClient
 from pearwell.standins.target import Ledger, LoadReport, TargetConfig
 from pearwell.standins.target_host import HostConfig
-from pearwell.verdict import Address
+from pearwell.steering.verdict import Address
 
 __all__ = ["ZONE", "ZoneProcesses", "read_ledger", "read_load", "wait_for_port"]
 
--- a/pearwell/forwarding.py
+++ b/pearwell/steering/forwarding.py
@@ -7,13 +7,13 @@
 
 from xxhash import xxh3_64_intdigest
 
-from pearwell.configuration import Configuration
 from pearwell.errors import Code, PacketError
-from pearwell.flow_meter import FlowMeter
-from pearwell.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
-from pearwell.reply import refusal
-from pearwell.steering_table import SteeringTable
-from pearwell.verdict import Action, Address, FlowEvent, Verdict
+from pearwell.model.configuration import Configuration
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
+from pearwell.steering.reply import refusal
+from pearwell.steering.steering_table import SteeringTable
+from pearwell.steering.verdict import Action, Address, FlowEvent, Verdict
 
 __all__ = ["Decider", "Forwarder", "Limits"]
 
@@ -23,7 +23,7 @@
 
 
 class Decider(Protocol):
-    """The part of pearwell.steering.Steering that forwarding asks."""
+    """The part of pearwell.steering.steering.Steering that forwarding asks."""
 
     def table(self, group: str) -> SteeringTable | None:
         """Returns the table of a group, or None while there is no placement."""
@@ -44,7 +44,7 @@
 
 
 class Limits(Protocol):
-    """The part of pearwell.admission.Admission that forwarding asks."""
+    """The part of pearwell.targets.admission.Admission that forwarding asks."""
 
     def limited(self, service: str) -> bool:
         """Returns whether flow starts of a service go to their owner to be admitted."""
--- a/pearwell/invariants.py
+++ b/pearwell/steering/invariants.py
@@ -5,9 +5,9 @@
 
 import structlog
 
-from pearwell.bucket import classify, reachable
 from pearwell.errors import Code, InvariantError
-from pearwell.placement import Placement
+from pearwell.model.placement import Placement
+from pearwell.placement.bucket import classify, reachable
 
 __all__ = ["Invariant", "Invariants"]
 
--- a/pearwell/lease.py
+++ b/pearwell/steering/lease.py
@@ -5,11 +5,11 @@
 
 from xxhash import xxh3_64_intdigest
 
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
 from pearwell.messages import Message
 from pearwell.messages.steering import PlacementQuery, PlacementState
-from pearwell.placement import Generation
-from pearwell.transport import Transport
+from pearwell.model.placement import Generation
 
 __all__ = ["VIEW_LEASE_S", "ViewLease"]
 
--- a/pearwell/owner.py
+++ b/pearwell/steering/owner.py
@@ -5,15 +5,15 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code
-from pearwell.invariants import Invariant, Invariants
-from pearwell.membership import Member
-from pearwell.ownership import Ownership
-from pearwell.placement import TargetState
-from pearwell.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
-from pearwell.replication import Replicator
-from pearwell.retry import RetryRule
-from pearwell.steered_group import SteeredGroup
-from pearwell.verdict import Action, FlowEvent, Verdict
+from pearwell.model.membership import Member
+from pearwell.model.placement import TargetState
+from pearwell.steering.invariants import Invariant, Invariants
+from pearwell.steering.ownership import Ownership
+from pearwell.steering.record import SHARDS, STAMP_S, RecordFlag, flags_of, index_of, stamp_of
+from pearwell.steering.replication import Replicator
+from pearwell.steering.retry import RetryRule
+from pearwell.steering.steered_group import SteeredGroup
+from pearwell.steering.verdict import Action, FlowEvent, Verdict
 
 __all__ = ["Owner"]
 
--- a/pearwell/ownership.py
+++ b/pearwell/steering/ownership.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.membership import Member, MemberState, View
 from pearwell.messages import Message
 from pearwell.messages.steering import (
     OwnershipAnswer,
@@ -14,9 +14,9 @@
     OwnershipPull,
     ShardState,
 )
-from pearwell.record import SHARDS
-from pearwell.shard_rank import outranks, rank_owners
-from pearwell.transport import Transport
+from pearwell.model.membership import Member, MemberState, View
+from pearwell.steering.record import SHARDS
+from pearwell.steering.shard_rank import outranks, rank_owners
 
 __all__ = ["Ownership", "ShardKeeper"]
 
--- a/pearwell/packet.py
+++ b/pearwell/steering/packet.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from pearwell.errors import Code, PacketError
-from pearwell.verdict import FlowEvent
+from pearwell.steering.verdict import FlowEvent
 
 __all__ = [
     "MAX_PACKET_BYTES",
--- a/pearwell/packet_path.py
+++ b/pearwell/steering/packet_path.py
@@ -9,11 +9,7 @@
 
 import structlog
 
-from pearwell.admission import Admission
-from pearwell.configuration import Configuration
 from pearwell.errors import Code, SettingsError
-from pearwell.flow_meter import FlowMeter
-from pearwell.forwarding import Forwarder
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import (
     ConfigurationChanged,
@@ -24,10 +20,14 @@
     ViewRenewed,
 )
 from pearwell.messages.targets import OpenFlowsReported
-from pearwell.packet import MAX_PACKET_BYTES
+from pearwell.model.configuration import Configuration
 from pearwell.settings import Settings
-from pearwell.steering import Steering
-from pearwell.verdict import Action, Address
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.forwarding import Forwarder
+from pearwell.steering.packet import MAX_PACKET_BYTES
+from pearwell.steering.steering import Steering
+from pearwell.steering.verdict import Action, Address
+from pearwell.targets.admission import Admission
 
 __all__ = ["PacketPath", "bind_udp"]
 
--- a/pearwell/release.py
+++ b/pearwell/steering/release.py
@@ -5,9 +5,9 @@
 
 from pearwell.clock import Clock
 from pearwell.messages import BucketsClear, Message
-from pearwell.ownership import Ownership
-from pearwell.placement import TargetState
-from pearwell.record import (
+from pearwell.model.placement import TargetState
+from pearwell.steering.ownership import Ownership
+from pearwell.steering.record import (
     PARTITIONS,
     SHARDS,
     STAMP_S,
@@ -16,9 +16,9 @@
     index_of,
     stamp_of,
 )
-from pearwell.replication import Replicator
-from pearwell.steered_group import SteeredGroup
-from pearwell.verdict import Action
+from pearwell.steering.replication import Replicator
+from pearwell.steering.steered_group import SteeredGroup
+from pearwell.steering.verdict import Action
 
 __all__ = ["Releaser"]
 
--- a/pearwell/replication.py
+++ b/pearwell/steering/replication.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
 from pearwell.messages import Message
 from pearwell.messages.steering import ClearMark, Forget, Replicate, ReplicateAck
-from pearwell.placement import Generation
-from pearwell.record import SHARDS, FlowRecords, RecordFlag, flags_of
-from pearwell.transport import Transport
+from pearwell.model.placement import Generation
+from pearwell.steering.record import SHARDS, FlowRecords, RecordFlag, flags_of
 
 __all__ = ["Replicator"]
 
--- a/pearwell/reply.py
+++ b/pearwell/steering/reply.py
@@ -4,7 +4,7 @@
 
 import dpkt
 
-from pearwell.ip import build_packet, unpack_packet
+from pearwell.steering.ip import build_packet, unpack_packet
 
 __all__ = ["refusal"]
 
--- a/pearwell/retry.py
+++ b/pearwell/steering/retry.py
@@ -9,8 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from pearwell.agreement.rendezvous import rank
 from pearwell.errors import Code, InvariantError
-from pearwell.rendezvous import rank
 
 __all__ = ["FlowProgress", "RetryRule"]
 
--- a/pearwell/shard_rank.py
+++ b/pearwell/steering/shard_rank.py
@@ -4,7 +4,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from pearwell.record import SHARDS
+from pearwell.steering.record import SHARDS
 
 __all__ = ["outranks", "rank_owners"]
 
--- a/pearwell/shard_state.py
+++ b/pearwell/steering/shard_state.py
@@ -5,10 +5,10 @@
 from enum import StrEnum
 
 from pearwell.messages.steering import ClearMark, ShardState
-from pearwell.ownership import Ownership
-from pearwell.record import SHARDS, target_tag, unpack
-from pearwell.replication import Replicator
-from pearwell.steered_group import SteeredGroup
+from pearwell.steering.ownership import Ownership
+from pearwell.steering.record import SHARDS, target_tag, unpack
+from pearwell.steering.replication import Replicator
+from pearwell.steering.steered_group import SteeredGroup
 
 __all__ = ["SteeredGroups", "SteeringCount"]
 
--- a/pearwell/steered_group.py
+++ b/pearwell/steering/steered_group.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterable
 
 from pearwell.clock import Clock
-from pearwell.invariants import Invariant, Invariants
 from pearwell.messages.steering import ShardState
-from pearwell.placement import Generation, Placement, TargetState
-from pearwell.record import (
+from pearwell.model.placement import Generation, Placement, TargetState
+from pearwell.steering.invariants import Invariant, Invariants
+from pearwell.steering.record import (
     SHARDS,
     FlowRecords,
     RecordFlag,
@@ -15,8 +15,8 @@
     target_tag,
     unpack,
 )
-from pearwell.steering_table import SteeringTable
-from pearwell.verdict import Action, Verdict
+from pearwell.steering.steering_table import SteeringTable
+from pearwell.steering.verdict import Action, Verdict
 
 __all__ = ["SteeredGroup"]
 
--- a/pearwell/steering.py
+++ b/pearwell/steering/steering.py
@@ -6,23 +6,23 @@
 
 import structlog
 
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.invariants import Invariants
-from pearwell.lease import VIEW_LEASE_S, ViewLease
-from pearwell.membership import View
 from pearwell.messages import Message
-from pearwell.owner import Owner
-from pearwell.ownership import Ownership
-from pearwell.placement import Generation, Placement
-from pearwell.record import SHARDS
-from pearwell.release import Releaser
-from pearwell.replication import Replicator
-from pearwell.shard_state import SteeredGroups, SteeringCount
-from pearwell.steered_group import SteeredGroup
-from pearwell.steering_table import SteeringTable
-from pearwell.transport import Transport
-from pearwell.verdict import Action, FlowEvent, Verdict
+from pearwell.model.configuration import Configuration
+from pearwell.model.membership import View
+from pearwell.model.placement import Generation, Placement
+from pearwell.steering.invariants import Invariants
+from pearwell.steering.lease import VIEW_LEASE_S, ViewLease
+from pearwell.steering.owner import Owner
+from pearwell.steering.ownership import Ownership
+from pearwell.steering.record import SHARDS
+from pearwell.steering.release import Releaser
+from pearwell.steering.replication import Replicator
+from pearwell.steering.shard_state import SteeredGroups, SteeringCount
+from pearwell.steering.steered_group import SteeredGroup
+from pearwell.steering.steering_table import SteeringTable
+from pearwell.steering.verdict import Action, FlowEvent, Verdict
 
 __all__ = ["Steering", "SteeringCount", "SteeringTable"]
 
--- a/pearwell/steering_table.py
+++ b/pearwell/steering/steering_table.py
@@ -1,9 +1,9 @@
 """The lookup table of one group as the packet path reads it."""
 
-from pearwell.bucket import moving_buckets
 from pearwell.errors import Code
-from pearwell.placement import Placement, TargetState
-from pearwell.verdict import Action, Address, Verdict
+from pearwell.model.placement import Placement, TargetState
+from pearwell.placement.bucket import moving_buckets
+from pearwell.steering.verdict import Action, Address, Verdict
 
 __all__ = ["SteeringTable"]
 
--- a/pearwell/admission.py
+++ b/pearwell/targets/admission.py
@@ -12,12 +12,12 @@
 from xxhash import xxh3_64_intdigest
 
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.drain import TargetDrain
 from pearwell.errors import Code, InvariantError
-from pearwell.group import TargetIntent
-from pearwell.rate_limit import OpenFlowLimit, RateLimit, RecentAnswers
-from pearwell.service import FlowLimits
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import TargetIntent
+from pearwell.model.service import FlowLimits
+from pearwell.targets.drain import TargetDrain
+from pearwell.targets.rate_limit import OpenFlowLimit, RateLimit, RecentAnswers
 
 __all__ = ["Admission"]
 
--- a/pearwell/balancer.py
+++ b/pearwell/targets/balancer.py
@@ -10,11 +10,10 @@
 import msgspec
 import structlog
 
+from pearwell.agreement.entry_store import EntryStore, put_next
+from pearwell.agreement.rendezvous import rank
+from pearwell.agreement.transport import Transport
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.entry_store import EntryStore, put_next
-from pearwell.group import TargetIntent, TargetSpec
-from pearwell.group_balance import Decisions, GroupBalance, policy_of
 from pearwell.kernel import QueuedService
 from pearwell.messages import (
     ConfigurationChanged,
@@ -37,11 +36,12 @@
     SilenceVerdict,
     StartsCounted,
 )
-from pearwell.placement import TargetState
-from pearwell.rendezvous import rank
-from pearwell.service import ServiceSpec
-from pearwell.transport import Transport
-from pearwell.zone_health import live_instances, silence_key
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.model.service import ServiceSpec
+from pearwell.targets.group_balance import Decisions, GroupBalance, policy_of
+from pearwell.targets.zone_health import live_instances, silence_key
 
 __all__ = ["Balancer"]
 
--- a/pearwell/group_balance.py
+++ b/pearwell/targets/group_balance.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass, field
 
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.group import TargetSpec
-from pearwell.load_report import LoadReport
 from pearwell.messages.targets import FlowCounts
-from pearwell.service import Preference
-from pearwell.silence import SilenceDetector
-from pearwell.weights import POLICIES, WeightController, WeightPolicy
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.model.service import Preference
+from pearwell.targets.silence import SilenceDetector
+from pearwell.targets.weights import POLICIES, WeightController, WeightPolicy
 
 __all__ = ["Decisions", "GroupBalance", "policy_of"]
 
--- a/pearwell/health.py
+++ b/pearwell/targets/health.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass, field
 
 from pearwell.clock import Clock
-from pearwell.drain import TargetDrain
-from pearwell.group import TargetIntent, TargetSpec
-from pearwell.placement import TargetState
+from pearwell.model.group import TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.targets.drain import TargetDrain
 
 __all__ = ["PROBERS_PER_TARGET", "GroupHealth"]
 
--- a/pearwell/probe.py
+++ b/pearwell/targets/probe.py
@@ -7,9 +7,9 @@
 import aiohttp
 from yarl import URL
 
-from pearwell.group import HealthCheck, TargetSpec
-from pearwell.load_report import LoadReport, LoadReportError, parse_load_report
-from pearwell.probe_history import Outcome
+from pearwell.model.group import HealthCheck, TargetSpec
+from pearwell.model.load_report import LoadReport, LoadReportError, parse_load_report
+from pearwell.targets.probe_history import Outcome
 
 __all__ = ["fetch_load", "probe_health"]
 
--- a/pearwell/probe_history.py
+++ b/pearwell/targets/probe_history.py
@@ -4,8 +4,8 @@
 from enum import IntEnum
 
 from pearwell.clock import Clock
-from pearwell.group import HealthCheck
-from pearwell.placement import TargetState
+from pearwell.model.group import HealthCheck
+from pearwell.model.placement import TargetState
 
 __all__ = ["Outcome", "ProbeHistory"]
 
--- a/pearwell/prober.py
+++ b/pearwell/targets/prober.py
@@ -6,18 +6,18 @@
 import aiohttp
 import structlog
 
+from pearwell.agreement.entry_store import EntryStore, put_next
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.entry_store import EntryStore, put_next
-from pearwell.group import HealthCheck, TargetSpec
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import ConfigurationChanged, Message, TargetJudged, ViewChanged
 from pearwell.messages.local import EntryAdopted
 from pearwell.messages.targets import LoadReported, TargetVerdict
-from pearwell.placement import TargetState
-from pearwell.probe import fetch_load, probe_health
-from pearwell.probe_history import ProbeHistory
-from pearwell.zone_health import Assignment, ZoneHealth, live_instances, verdict_key
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import HealthCheck, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.targets.probe import fetch_load, probe_health
+from pearwell.targets.probe_history import ProbeHistory
+from pearwell.targets.zone_health import Assignment, ZoneHealth, live_instances, verdict_key
 
 __all__ = ["Prober"]
 
--- a/pearwell/spill.py
+++ b/pearwell/targets/spill.py
@@ -4,8 +4,8 @@
 from enum import Enum, auto
 
 from pearwell.clock import Clock
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.placement import TargetState
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
 
 __all__ = ["SpillOver", "SpillState", "candidates"]
 
--- a/pearwell/weights.py
+++ b/pearwell/targets/weights.py
@@ -12,11 +12,11 @@
 
 from pearwell.clock import Clock
 from pearwell.errors import Code, InvariantError
-from pearwell.expected_load import ExpectedLoad, SheddingDetector
-from pearwell.group import TargetSpec
-from pearwell.load_report import LoadReport
-from pearwell.service import Preference
-from pearwell.weight_bounds import round_to_sum, split_weights
+from pearwell.model.group import TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.model.service import Preference
+from pearwell.targets.expected_load import ExpectedLoad, SheddingDetector
+from pearwell.targets.weight_bounds import round_to_sum, split_weights
 
 __all__ = ["POLICIES", "WeightController", "WeightPolicy"]
 
--- a/pearwell/zone_health.py
+++ b/pearwell/targets/zone_health.py
@@ -5,15 +5,15 @@
 
 import msgspec
 
+from pearwell.agreement.rendezvous import rank
 from pearwell.clock import Clock
-from pearwell.configuration import Configuration
-from pearwell.group import HealthCheck, TargetSpec
-from pearwell.health import PROBERS_PER_TARGET, GroupHealth
-from pearwell.membership import MemberState, View
 from pearwell.messages.gossip import Entry
 from pearwell.messages.targets import SilenceVerdict, TargetVerdict
-from pearwell.placement import TargetState
-from pearwell.rendezvous import rank
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import HealthCheck, TargetSpec
+from pearwell.model.membership import MemberState, View
+from pearwell.model.placement import TargetState
+from pearwell.targets.health import PROBERS_PER_TARGET, GroupHealth
 
 __all__ = [
     "Assignment",
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from pearwell.health import PROBERS_PER_TARGET
+from pearwell.targets.health import PROBERS_PER_TARGET
 
 ROOT = Path(__file__).resolve().parent.parent
 SLOPES = ROOT / "docs" / "capacity-slopes.jsonl"
--- a/tests/test_admin.py
+++ b/tests/admin/test_servicer.py
@@ -1,4 +1,4 @@
-"""Tests of the admin API: pearwell.admin, admin_server, porcelain and the command line."""
+"""Tests of the admin API: pearwell.admin.servicer, admin_server, porcelain and the command line."""
 
 import asyncio
 import contextlib
@@ -13,26 +13,26 @@
 from grpc_health.v1 import health_pb2, health_pb2_grpc
 from grpc_reflection.v1alpha import reflection_pb2, reflection_pb2_grpc
 
-from pearwell import porcelain
-from pearwell.admin import AdminServicer
-from pearwell.admin_client import AdminClient
-from pearwell.admin_server import AdminServer, AdminService
+from pearwell.admin import porcelain
+from pearwell.admin.client import AdminClient
+from pearwell.admin.instance_state import InstanceState
+from pearwell.admin.porcelain import Write
+from pearwell.admin.server import AdminServer, AdminService
+from pearwell.admin.servicer import AdminServicer
 from pearwell.cli import ctl
 from pearwell.cli.commands import COMMANDS
 from pearwell.clock import MonotonicClock
-from pearwell.configuration import Configuration, Kind
-from pearwell.editor import ConfigurationEditor
+from pearwell.configuration.editor import ConfigurationEditor
+from pearwell.configuration.in_force import ZoneReport
 from pearwell.errors import Code, PearwellError, SettingsError
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
-from pearwell.in_force import ZoneReport
-from pearwell.instance_state import InstanceState
 from pearwell.kernel import Kernel
-from pearwell.membership import Member, View
 from pearwell.messages import ConfigurationChanged, PlacementChanged, ViewChanged
+from pearwell.model.configuration import Configuration, Kind
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.model.membership import Member, View
+from pearwell.model.placement import Generation, Phase, PlacedTarget, Placement
+from pearwell.model.service import ServiceSpec, TransportProtocol
 from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore, RetryPolicy
-from pearwell.placement import Generation, Phase, PlacedTarget, Placement
-from pearwell.porcelain import Write
-from pearwell.service import ServiceSpec, TransportProtocol
 from pearwell.tls import TlsCredentials
 from tests.addresses import own_address
 from tests.certificates import Authority
--- a/tests/test_gossip.py
+++ b/tests/agreement/test_gossip.py
@@ -1,13 +1,13 @@
-"""Tests of pearwell.gossip in virtual time."""
+"""Tests of pearwell.agreement.gossip in virtual time."""
 
 import random
 
 import pytest
 
+from pearwell.agreement.gossip import Gossip
+from pearwell.agreement.transport import MemoryNetwork
 from pearwell.clock import ManualClock
-from pearwell.gossip import Gossip
 from pearwell.messages import Digest, Entry, EntryVersion, Push
-from pearwell.transport import MemoryNetwork
 
 TICK_S = 0.25
 
--- a/tests/test_instance_list.py
+++ b/tests/agreement/test_instance_list.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.instance_list."""
+"""Tests of pearwell.agreement.instance_list."""
 
 import asyncio
 import json
@@ -6,8 +6,7 @@
 
 import pytest
 
-from pearwell.errors import Code, PlatformError
-from pearwell.instance_list import (
+from pearwell.agreement.instance_list import (
     INSTANCE_LIST_KIND,
     InstanceEntry,
     InstanceList,
@@ -15,6 +14,7 @@
     ListedState,
     own_entry,
 )
+from pearwell.errors import Code, PlatformError
 from pearwell.kernel import Kernel
 from pearwell.object_store import MemoryObjectStore
 from pearwell.settings import Settings
@@ -74,7 +74,7 @@
 
 
 async def test_registration_waits_for_the_platform_and_withdraws(monkeypatch):
-    monkeypatch.setattr("pearwell.instance_list.REGISTER_RETRY_S", 0.0)
+    monkeypatch.setattr("pearwell.agreement.instance_list.REGISTER_RETRY_S", 0.0)
     settings = Settings.model_validate_json(json.dumps(VALID))
     store = MemoryObjectStore()
     store.faults.outage = True
--- a/tests/test_peers.py
+++ b/tests/agreement/test_peers.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.peers, membership_service, gossip_service and tls between real sockets."""
+"""Tests of peers, membership and gossip services, and TLS, between real sockets."""
 
 import asyncio
 
@@ -6,8 +6,8 @@
 import pytest
 
 from pearwell.errors import Code, SettingsError
-from pearwell.membership import Member
 from pearwell.messages import Entry, EntryAdopted, EntryVersion, Ping, Push, ViewRenewed, encode
+from pearwell.model.membership import Member
 from pearwell.tls import TlsCredentials
 from pearwell.v1 import peer_pb2, peer_pb2_grpc
 from tests.certificates import Authority
--- a/tests/test_ring.py
+++ b/tests/agreement/test_ring.py
@@ -1,8 +1,8 @@
-"""Tests of pearwell.ring."""
+"""Tests of pearwell.agreement.ring."""
 
 import pytest
 
-from pearwell.ring import RING_COUNT, successors
+from pearwell.agreement.ring import RING_COUNT, successors
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 5, 20, 173])
--- a/tests/test_swim.py
+++ b/tests/agreement/test_swim.py
@@ -1,15 +1,15 @@
-"""Tests of pearwell.swim in virtual time."""
+"""Tests of pearwell.agreement.swim in virtual time."""
 
 import random
 
 import msgspec
 import pytest
 
+from pearwell.agreement.swim import TICK_INTERVAL_S, Swim, SwimEvents
+from pearwell.agreement.transport import MemoryNetwork
 from pearwell.clock import ManualClock
-from pearwell.membership import Member, MemberState
 from pearwell.messages import MemberUpdates, Ping
-from pearwell.swim import TICK_INTERVAL_S, Swim, SwimEvents
-from pearwell.transport import MemoryNetwork
+from pearwell.model.membership import Member, MemberState
 
 
 def member(number):
--- a/tests/test_transport.py
+++ b/tests/agreement/test_transport.py
@@ -1,10 +1,10 @@
-"""Tests of pearwell.transport."""
+"""Tests of pearwell.agreement.transport."""
 
 import pytest
 
+from pearwell.agreement.transport import MemoryNetwork
 from pearwell.clock import ManualClock
 from pearwell.messages import Message, wire
-from pearwell.transport import MemoryNetwork
 
 
 @wire
--- a/tests/test_editor.py
+++ b/tests/configuration/test_editor.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.editor and pearwell.claims: every fault at every step of a write."""
+"""Tests of pearwell.configuration.editor and its claims: every fault at every step of a write."""
 
 import asyncio
 import random
@@ -7,18 +7,18 @@
 
 import pytest
 
-from pearwell import edits
-from pearwell.admin_client import DEFAULT_TIMEOUT_S
-from pearwell.audit import MAX_ENTRIES, Action, records
-from pearwell.claims import CLAIM_KIND
-from pearwell.configuration import Kind
-from pearwell.document import decode_document, encode_document
-from pearwell.editor import WRITE_DEADLINE_S, ConfigurationEditor, WriteRequest
+from pearwell.admin.client import DEFAULT_TIMEOUT_S
+from pearwell.configuration import edits
+from pearwell.configuration.audit import MAX_ENTRIES, Action, records
+from pearwell.configuration.claims import CLAIM_KIND
+from pearwell.configuration.document import decode_document, encode_document
+from pearwell.configuration.editor import WRITE_DEADLINE_S, ConfigurationEditor, WriteRequest
+from pearwell.configuration.validation import endpoint
 from pearwell.errors import Code, PearwellError, PlatformError
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.service import ServiceSpec, TransportProtocol
 from pearwell.object_store import Fault, MemoryObjectStore, RetryingObjectStore, RetryPolicy
-from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.validation import endpoint
 from tests.virtual_time import run
 
 TARGETS = tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 4))
--- a/tests/test_relay.py
+++ b/tests/configuration/test_relay.py
@@ -1,17 +1,17 @@
-"""Tests of pearwell.relay, applied and zone_status: versions only go up."""
+"""Tests of pearwell.configuration.relay, applied and zone_status: versions only go up."""
 
 import random
 
 import pytest
 
-from pearwell.applied import AppliedConfiguration, entry_of, key_of, tombstone
-from pearwell.configuration import Kind
+from pearwell.configuration.applied import AppliedConfiguration, entry_of, key_of, tombstone
+from pearwell.configuration.relay import RELAY_COUNT, Relay, relays
+from pearwell.configuration.zone_status import MAX_KEYS_PER_LOOK, RENEWAL_S, StatusReporter
 from pearwell.errors import Code, PearwellError
-from pearwell.membership import Member, MemberState, View
 from pearwell.messages.gossip import Entry, EntryVersion
+from pearwell.model.configuration import Kind
+from pearwell.model.membership import Member, MemberState, View
 from pearwell.object_store import ObjectList, StoredObject, WatchEvent, WatchEventType
-from pearwell.relay import RELAY_COUNT, Relay, relays
-from pearwell.zone_status import MAX_KEYS_PER_LOOK, RENEWAL_S, StatusReporter
 
 TARGET = {"name": "t1", "address": "10.0.0.1", "zone": "pnw-a"}
 ADDED, MODIFIED, DELETED, BOOKMARK = WatchEventType
--- a/tests/test_schema.py
+++ b/tests/configuration/test_schema.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.schema and pearwell.validation."""
+"""Tests of pearwell.configuration.schema and pearwell.configuration.validation."""
 
 import json
 
@@ -6,12 +6,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pearwell.configuration import Kind
+from pearwell.configuration.schema import from_document, to_document
+from pearwell.configuration.validation import check_group, check_group_unused
 from pearwell.errors import Code, ConfigurationError
-from pearwell.group import MAX_WEIGHT, GroupSpec, TargetIntent, TargetSpec
-from pearwell.schema import from_document, to_document
-from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
-from pearwell.validation import check_group, check_group_unused
+from pearwell.model.configuration import Kind
+from pearwell.model.group import MAX_WEIGHT, GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
 
 TARGET = {"name": "t1", "address": "10.0.0.1", "zone": "pnw-a"}
 SERVICE = {"name": "s", "address": "10.1.0.1", "port": 443, "protocol": "tcp", "group": "g"}
--- a/tests/test_configuration_service.py
+++ b/tests/configuration/test_service.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.configuration_service in virtual time: a zone of instances and its platform."""
+"""Tests of pearwell.configuration.service in virtual time: a zone of instances and its platform."""
 
 import asyncio
 import contextlib
@@ -8,18 +8,18 @@
 
 import pytest
 
-from pearwell import edits
-from pearwell.applied import key_of
-from pearwell.audit import Action
-from pearwell.configuration import Kind
-from pearwell.editor import WriteRequest
+from pearwell.configuration import edits
+from pearwell.configuration.applied import key_of
+from pearwell.configuration.audit import Action
+from pearwell.configuration.editor import WriteRequest
+from pearwell.configuration.in_force import wait_in_force
+from pearwell.configuration.relay import RELAY_COUNT
+from pearwell.configuration.tombstones import RETENTION_S
 from pearwell.errors import PearwellError, PlatformError
-from pearwell.in_force import wait_in_force
-from pearwell.membership import Member, View
 from pearwell.messages import ViewChanged
+from pearwell.model.configuration import Kind
+from pearwell.model.membership import Member, View
 from pearwell.object_store import Fault
-from pearwell.relay import RELAY_COUNT
-from pearwell.tombstones import RETENTION_S
 from tests.configuration_zone import (
     GROUP,
     IN_FORCE_S,
--- a/tests/configuration_zone.py
+++ b/tests/configuration_zone.py
@@ -3,18 +3,18 @@
 import asyncio
 import random
 
-from pearwell import edits
-from pearwell.audit import Action
-from pearwell.configuration import Kind
-from pearwell.configuration_service import ConfigurationService
-from pearwell.editor import ConfigurationEditor, WriteRequest
-from pearwell.gossip import Gossip
-from pearwell.group import GroupSpec, TargetSpec
+from pearwell.agreement.gossip import Gossip
+from pearwell.configuration import edits
+from pearwell.configuration.audit import Action
+from pearwell.configuration.editor import ConfigurationEditor, WriteRequest
+from pearwell.configuration.service import ConfigurationService
+from pearwell.configuration.status_store import PlatformInForce, StatusStore
 from pearwell.kernel import Kernel
-from pearwell.membership import Member, View
 from pearwell.messages import ConfigurationChanged, EntryAdopted, ViewChanged
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.membership import Member, View
 from pearwell.object_store import MemoryObjectStore, RetryingObjectStore
-from pearwell.status_store import PlatformInForce, StatusStore
 
 GROUP = GroupSpec("g", tuple(TargetSpec(f"t{n}", f"10.0.0.{n}", "pnw-a") for n in range(1, 4)))
 MESSAGE_DELAY_S = 0.02
--- a/tests/test_platform_client.py
+++ b/tests/object_store/test_platform_client.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.platform_client against the stand-in, on real sockets."""
+"""Tests of pearwell.object_store.platform_client against the stand-in, on real sockets."""
 
 import asyncio
 import contextlib
@@ -8,7 +8,7 @@
 
 from pearwell.errors import Code, PlatformError
 from pearwell.object_store import MemoryObjectStore, WatchEventType
-from pearwell.platform_client import PlatformClient
+from pearwell.object_store.platform_client import PlatformClient
 from pearwell.standins.platform import PlatformStandin
 from tests.addresses import own_address
 
--- a/tests/packets.py
+++ b/tests/packets.py
@@ -4,7 +4,7 @@
 
 import dpkt
 
-from pearwell.ip import build_packet
+from pearwell.steering.ip import build_packet
 
 CALLER = {4: "203.0.113.5", 6: "2001:db8:1::5"}
 SERVICE = {4: "198.51.100.10", 6: "2001:db8::20"}
--- a/tests/test_bucket.py
+++ b/tests/placement/test_bucket.py
@@ -1,9 +1,9 @@
-"""Tests of pearwell.bucket."""
+"""Tests of pearwell.placement.bucket."""
 
 import pytest
 
-from pearwell.bucket import BucketState, moving_buckets, reachable, state_of
-from pearwell.placement import Generation, Phase, PlacedTarget, Placement
+from pearwell.model.placement import Generation, Phase, PlacedTarget, Placement
+from pearwell.placement.bucket import BucketState, moving_buckets, reachable, state_of
 
 TARGETS = tuple(PlacedTarget(f"t{n}", f"127.9.1.{n}", 6080, 100) for n in range(3))
 
--- a/tests/test_change.py
+++ b/tests/placement/test_change.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.change."""
+"""Tests of pearwell.placement.change."""
 
 from collections import Counter
 
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pearwell.change import activate, fail, initial, prepare, release
-from pearwell.placement import Generation, Phase, PlacedTarget, TargetState
+from pearwell.model.placement import Generation, Phase, PlacedTarget, TargetState
+from pearwell.placement.change import activate, fail, initial, prepare, release
 
 
 def target(name, weight=100, state=TargetState.WORKING):
--- a/tests/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -1,17 +1,17 @@
-"""Tests of pearwell.planner, placement_codec and placement_store."""
+"""Tests of pearwell.placement.planner, placement_codec and placement_store."""
 
 import msgspec
 import pytest
 
-from pearwell import change
 from pearwell.clock import ManualClock
 from pearwell.errors import Code, PeerError, PlatformError
-from pearwell.membership import Member, MemberState, View
+from pearwell.model.membership import Member, MemberState, View
+from pearwell.model.placement import Generation, Phase, PlacedTarget, TargetState
 from pearwell.object_store import MemoryObjectStore
-from pearwell.placement import Generation, Phase, PlacedTarget, TargetState
-from pearwell.placement_codec import decode_entry, decode_stored, encode_entry
-from pearwell.placement_store import PlacementStore, SaveOutcome
-from pearwell.planner import GroupPlanner, Pace, Planners
+from pearwell.placement import change
+from pearwell.placement.codec import decode_entry, decode_stored, encode_entry
+from pearwell.placement.planner import GroupPlanner, Pace, Planners
+from pearwell.placement.store import PlacementStore, SaveOutcome
 from tests.virtual_time import run
 
 
--- a/tests/test_placement_service.py
+++ b/tests/placement/test_service.py
@@ -1,16 +1,16 @@
-"""Tests of pearwell.placement_service with its neighbours, in virtual time."""
+"""Tests of pearwell.placement.service with its neighbours, in virtual time."""
 
 import asyncio
 
 import pytest
 
 from bench.control_zone import ControlZone
-from pearwell.configuration import Kind
-from pearwell.document import Document, encode_document
+from pearwell.configuration.document import Document, encode_document
 from pearwell.errors import PlatformError
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
 from pearwell.messages import BucketsClear, TargetJudged
-from pearwell.placement import Phase, TargetState
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.placement import Phase, TargetState
 from tests.virtual_time import run
 
 
--- a/tests/test_table.py
+++ b/tests/placement/test_table.py
@@ -1,11 +1,11 @@
-"""Tests of pearwell.table."""
+"""Tests of pearwell.placement.table."""
 
 import random
 from collections import Counter
 
 import pytest
 
-from pearwell.table import assign, quotas, table_size
+from pearwell.placement.table import assign, quotas, table_size
 
 
 def _weights(count, weight=100):
--- a/tests/test_flow_meter.py
+++ b/tests/steering/test_flow_meter.py
@@ -1,10 +1,10 @@
-"""Tests of pearwell.flow_meter."""
+"""Tests of pearwell.steering.flow_meter."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.flow_meter import RECENT_LIMIT, FlowMeter, RecentHashes
 from pearwell.messages import FlowsStarted, SynRepeated
+from pearwell.steering.flow_meter import RECENT_LIMIT, FlowMeter, RecentHashes
 
 
 @pytest.mark.parametrize(("syns", "repeated"), [(1, 0), (2, 1), (4, 3)])
--- a/tests/test_forwarding.py
+++ b/tests/steering/test_forwarding.py
@@ -1,18 +1,18 @@
-"""Tests of pearwell.forwarding."""
+"""Tests of pearwell.steering.forwarding."""
 
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
 from pearwell.errors import Code
-from pearwell.flow_meter import FlowMeter
-from pearwell.forwarding import Forwarder
-from pearwell.ip import unpack_packet
-from pearwell.packet import service_key
-from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.verdict import Action, FlowEvent, Verdict
+from pearwell.model.configuration import Configuration
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.forwarding import Forwarder
+from pearwell.steering.ip import unpack_packet
+from pearwell.steering.packet import service_key
+from pearwell.steering.verdict import Action, FlowEvent, Verdict
 from tests.packets import SERVICE, tcp_packet, udp_packet
 
 SERVICES = (
--- a/tests/test_ownership.py
+++ b/tests/steering/test_ownership.py
@@ -1,13 +1,13 @@
-"""Tests of pearwell.ownership."""
+"""Tests of pearwell.steering.ownership."""
 
 import pytest
 
+from pearwell.agreement.transport import MemoryNetwork
 from pearwell.clock import ManualClock
-from pearwell.membership import Member, MemberState, View
 from pearwell.messages.steering import OwnershipGrant, OwnershipPull
-from pearwell.ownership import PULL_TIMEOUT_S, Ownership
-from pearwell.record import SHARDS
-from pearwell.transport import MemoryNetwork
+from pearwell.model.membership import Member, MemberState, View
+from pearwell.steering.ownership import PULL_TIMEOUT_S, Ownership
+from pearwell.steering.record import SHARDS
 
 LEASE_S = 1.0
 
--- a/tests/test_packet.py
+++ b/tests/steering/test_packet.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.packet."""
+"""Tests of pearwell.steering.packet."""
 
 import struct
 
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 
 from pearwell.errors import Code, PacketError
-from pearwell.ip import unpack_packet
-from pearwell.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
-from pearwell.verdict import FlowEvent
+from pearwell.steering.ip import unpack_packet
+from pearwell.steering.packet import caller_prefix, lower_ttl, parse, service_key, steady_flow
+from pearwell.steering.verdict import FlowEvent
 from tests.packets import SERVICE, tcp_packet, udp_packet
 
 
--- a/tests/test_packet_path.py
+++ b/tests/steering/test_packet_path.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.packet_path on loopback sockets."""
+"""Tests of pearwell.steering.packet_path on loopback sockets."""
 
 import asyncio
 import json
@@ -7,19 +7,19 @@
 
 import pytest
 
-from pearwell.admission import Admission
 from pearwell.clock import ManualClock
 from pearwell.errors import Code, SettingsError
-from pearwell.flow_meter import FlowMeter
 from pearwell.kernel import Kernel
-from pearwell.membership import Member, View
 from pearwell.messages import ConfigurationChanged, ViewChanged
-from pearwell.packet_path import PacketPath, bind_udp
+from pearwell.model.membership import Member, View
 from pearwell.settings import Settings
-from pearwell.verdict import Action, Verdict
+from pearwell.steering.flow_meter import FlowMeter
+from pearwell.steering.packet_path import PacketPath, bind_udp
+from pearwell.steering.verdict import Action, Verdict
+from pearwell.targets.admission import Admission
 from tests.packets import tcp_packet
+from tests.steering.test_forwarding import ADDRESSES, CONFIGURATION, FakeDecider
 from tests.test_entry import SETTINGS
-from tests.test_forwarding import ADDRESSES, CONFIGURATION, FakeDecider
 
 ADDRESS, PEER, STRANGER = "127.10.6.1", "127.10.6.2", "127.10.6.3"
 TARGET = ("127.10.6.4", 20207)
@@ -117,7 +117,7 @@
 async def test_the_lease_is_checked_again_after_a_pause_within_a_batch(start, monkeypatch):
     _, steering = await start()
     times = iter([0.0, 0.001, 0.002, 5.0, *[5.001] * 1000])
-    monkeypatch.setattr("pearwell.packet_path.monotonic", lambda: next(times))
+    monkeypatch.setattr("pearwell.steering.packet_path.monotonic", lambda: next(times))
     with bind_udp(STRANGER, 0) as fabric:
         for _ in range(3):
             fabric.sendto(tcp_packet(flags=0x10), (ADDRESS, SETTINGS["fabric_port"]))
--- a/tests/test_record.py
+++ b/tests/steering/test_record.py
@@ -1,10 +1,10 @@
-"""Tests of pearwell.record."""
+"""Tests of pearwell.steering.record."""
 
 import random
 
 import pytest
 
-from pearwell.record import (
+from pearwell.steering.record import (
     RECORD_BYTES,
     SHARDS,
     FlowRecords,
--- a/tests/test_replication.py
+++ b/tests/steering/test_replication.py
@@ -1,11 +1,11 @@
-"""Tests of pearwell.replication."""
+"""Tests of pearwell.steering.replication."""
 
 import pytest
 
 from pearwell.clock import ManualClock
 from pearwell.messages.steering import Forget, Replicate, ReplicateAck
-from pearwell.record import SHARDS, FlowRecords, RecordFlag, target_tag, unpack
-from pearwell.replication import FORGET_INTERVAL_S, RESEND_S, Replicator
+from pearwell.steering.record import SHARDS, FlowRecords, RecordFlag, target_tag, unpack
+from pearwell.steering.replication import FORGET_INTERVAL_S, RESEND_S, Replicator
 
 REPEATED_S = RESEND_S + 0.1
 FLOW = 0x1234_5678_9ABC_DEF0
--- a/tests/test_reply.py
+++ b/tests/steering/test_reply.py
@@ -1,10 +1,10 @@
-"""Tests of pearwell.reply."""
+"""Tests of pearwell.steering.reply."""
 
 import dpkt
 import pytest
 
-from pearwell.ip import unpack_packet
-from pearwell.reply import refusal
+from pearwell.steering.ip import unpack_packet
+from pearwell.steering.reply import refusal
 from tests.packets import tcp_packet, udp_packet
 
 
--- a/tests/test_retry.py
+++ b/tests/steering/test_retry.py
@@ -1,18 +1,18 @@
-"""Tests of pearwell.retry."""
+"""Tests of pearwell.steering.retry."""
 
 import random
 
 import pytest
 from msgspec.structs import replace
 
-from pearwell.change import activate, initial, prepare
 from pearwell.clock import ManualClock
 from pearwell.errors import InvariantError
-from pearwell.membership import Member, View
-from pearwell.placement import Generation, PlacedTarget, TargetState
-from pearwell.retry import MAX_TRACKED_FLOWS, FlowProgress, RetryRule
-from pearwell.steering import Steering
-from pearwell.verdict import FlowEvent
+from pearwell.model.membership import Member, View
+from pearwell.model.placement import Generation, PlacedTarget, TargetState
+from pearwell.placement.change import activate, initial, prepare
+from pearwell.steering.retry import MAX_TRACKED_FLOWS, FlowProgress, RetryRule
+from pearwell.steering.steering import Steering
+from pearwell.steering.verdict import FlowEvent
 
 
 def start(rule, flows):
--- a/tests/test_shard_rank.py
+++ b/tests/steering/test_shard_rank.py
@@ -1,9 +1,9 @@
-"""Tests of pearwell.shard_rank."""
+"""Tests of pearwell.steering.shard_rank."""
 
 from collections import Counter
 
-from pearwell.record import SHARDS
-from pearwell.shard_rank import outranks, rank_owners
+from pearwell.steering.record import SHARDS
+from pearwell.steering.shard_rank import outranks, rank_owners
 
 NAMES = tuple(f"i{number:02}" for number in range(18))
 
--- a/tests/test_steering.py
+++ b/tests/steering/test_steering.py
@@ -1,22 +1,22 @@
-"""Tests of pearwell.steering: decisions of single instances."""
+"""Tests of pearwell.steering.steering: decisions of single instances."""
 
 import random
 
 import pytest
 
-from pearwell.change import activate, fail, initial, prepare, release
+from pearwell.agreement.transport import MemoryNetwork
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
 from pearwell.errors import Code, InvariantError
-from pearwell.invariants import Invariant, Invariants
-from pearwell.membership import Member, View
 from pearwell.messages import BucketsClear
-from pearwell.placement import Generation, PlacedTarget
-from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.steered_group import SYN_SETTLE_S
-from pearwell.steering import BACKLOG_S, ISOLATION_S, Steering
-from pearwell.transport import MemoryNetwork
-from pearwell.verdict import Action, FlowEvent
+from pearwell.model.configuration import Configuration
+from pearwell.model.membership import Member, View
+from pearwell.model.placement import Generation, PlacedTarget
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.placement.change import activate, fail, initial, prepare, release
+from pearwell.steering.invariants import Invariant, Invariants
+from pearwell.steering.steered_group import SYN_SETTLE_S
+from pearwell.steering.steering import BACKLOG_S, ISOLATION_S, Steering
+from pearwell.steering.verdict import Action, FlowEvent
 
 START, NONE, END = FlowEvent.START, FlowEvent.NONE, FlowEvent.END
 RESET, DATAGRAM = FlowEvent.RESET, FlowEvent.DATAGRAM
--- a/tests/test_admission.py
+++ b/tests/targets/test_admission.py
@@ -1,18 +1,18 @@
-"""Tests of pearwell.admission and pearwell.rate_limit."""
+"""Tests of pearwell.targets.admission and pearwell.targets.rate_limit."""
 
 import random
 from dataclasses import replace
 
 import pytest
 
-from pearwell.admission import Admission
+from pearwell.agreement.rendezvous import rank
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
 from pearwell.errors import Code, InvariantError
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.rate_limit import ANSWERS_PER_GENERATION, RecentAnswers
-from pearwell.rendezvous import rank
-from pearwell.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.service import FlowLimits, ServiceSpec, TransportProtocol
+from pearwell.targets.admission import Admission
+from pearwell.targets.rate_limit import ANSWERS_PER_GENERATION, RecentAnswers
 
 GROUP = GroupSpec("g", tuple(TargetSpec(f"t{i}", f"10.0.0.{i}", "z") for i in range(7)))
 
--- a/tests/test_balancer.py
+++ b/tests/targets/test_balancer.py
@@ -1,14 +1,9 @@
-"""Tests of pearwell.balancer."""
+"""Tests of pearwell.targets.balancer."""
 
 import pytest
 
-from pearwell.balancer import Balancer
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
-from pearwell.group import GroupSpec, TargetSpec
 from pearwell.kernel import Kernel
-from pearwell.load_report import LoadReport
-from pearwell.membership import Member, View
 from pearwell.messages import (
     ConfigurationChanged,
     FlowsStarted,
@@ -20,9 +15,14 @@
 )
 from pearwell.messages.local import EntryAdopted
 from pearwell.messages.targets import LoadReported, OpenFlowsReported
-from pearwell.placement import TargetState
-from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
-from pearwell.zone_health import silence_key
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.model.membership import Member, View
+from pearwell.model.placement import TargetState
+from pearwell.model.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
+from pearwell.targets.balancer import Balancer
+from pearwell.targets.zone_health import silence_key
 
 NAMES = ("i0", "i1", "i2")
 GROUP = GroupSpec("g", tuple(TargetSpec(f"t{i}", f"10.0.0.{i}", "a") for i in range(7)))
--- a/tests/test_drain.py
+++ b/tests/targets/test_drain.py
@@ -1,10 +1,10 @@
-"""Tests of pearwell.drain."""
+"""Tests of pearwell.targets.drain."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.drain import TargetDrain, TargetDrainState
 from pearwell.errors import InvariantError
+from pearwell.targets.drain import TargetDrain, TargetDrainState
 
 T = TargetDrainState
 
--- a/tests/test_health.py
+++ b/tests/targets/test_health.py
@@ -1,11 +1,11 @@
-"""Tests of pearwell.health."""
+"""Tests of pearwell.targets.health."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.group import TargetIntent, TargetSpec
-from pearwell.health import VERDICT_LIFETIME_S, GroupHealth
-from pearwell.placement import TargetState
+from pearwell.model.group import TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.targets.health import VERDICT_LIFETIME_S, GroupHealth
 
 W, S, L, D = TargetState.WORKING, TargetState.SUSPECT, TargetState.LEAVING, TargetState.DEAD
 
--- a/tests/test_probe.py
+++ b/tests/targets/test_probe.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.probe, against real sockets."""
+"""Tests of pearwell.targets.probe, against real sockets."""
 
 import asyncio
 import contextlib
@@ -8,10 +8,10 @@
 import pytest
 from aiohttp import web
 
-from pearwell.group import HealthCheck, TargetSpec
-from pearwell.load_report import LoadReport
-from pearwell.probe import fetch_load, probe_health
-from pearwell.probe_history import Outcome
+from pearwell.model.group import HealthCheck, TargetSpec
+from pearwell.model.load_report import LoadReport
+from pearwell.targets.probe import fetch_load, probe_health
+from pearwell.targets.probe_history import Outcome
 from tests.addresses import own_address
 
 ADDRESS = own_address()
--- a/tests/test_probe_history.py
+++ b/tests/targets/test_probe_history.py
@@ -1,11 +1,11 @@
-"""Tests of pearwell.probe_history."""
+"""Tests of pearwell.targets.probe_history."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.group import HealthCheck
-from pearwell.placement import TargetState
-from pearwell.probe_history import Outcome, ProbeHistory
+from pearwell.model.group import HealthCheck
+from pearwell.model.placement import TargetState
+from pearwell.targets.probe_history import Outcome, ProbeHistory
 
 W, S, D = TargetState.WORKING, TargetState.SUSPECT, TargetState.DEAD
 OUTCOMES = {
--- a/tests/test_prober.py
+++ b/tests/targets/test_prober.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.prober, against real HTTP targets."""
+"""Tests of pearwell.targets.prober, against real HTTP targets."""
 
 import asyncio
 import random
@@ -7,14 +7,14 @@
 from aiohttp import web
 
 from pearwell.clock import MonotonicClock
-from pearwell.configuration import Configuration
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.kernel import Kernel
 from pearwell.messages import ConfigurationChanged, TargetJudged
 from pearwell.messages.local import EntryAdopted
 from pearwell.messages.targets import LoadReported
-from pearwell.placement import TargetState
-from pearwell.prober import Prober
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.targets.prober import Prober
 from tests.addresses import own_address
 
 PORT = 21180
--- a/tests/test_silence.py
+++ b/tests/targets/test_silence.py
@@ -1,9 +1,9 @@
-"""Tests of pearwell.silence."""
+"""Tests of pearwell.targets.silence."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.silence import SilenceDetector
+from pearwell.targets.silence import SilenceDetector
 
 
 @pytest.mark.parametrize(
--- a/tests/test_spill.py
+++ b/tests/targets/test_spill.py
@@ -1,11 +1,11 @@
-"""Tests of pearwell.spill."""
+"""Tests of pearwell.targets.spill."""
 
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.placement import TargetState
-from pearwell.spill import SpillOver, candidates
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.targets.spill import SpillOver, candidates
 
 GROUP = GroupSpec(
     "g",
--- a/tests/test_weights.py
+++ b/tests/targets/test_weights.py
@@ -1,4 +1,4 @@
-"""Tests of pearwell.weights, pearwell.expected_load and pearwell.load_report."""
+"""Tests of weights and expected load in pearwell.targets, and of load reports."""
 
 import random
 
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 
 from pearwell.clock import ManualClock
-from pearwell.group import TargetSpec
-from pearwell.load_report import LoadReport, LoadReportError, parse_load_report
-from pearwell.service import Preference
-from pearwell.weight_bounds import split_weights
-from pearwell.weights import POLICIES, SLOW_START_STEPS, WeightController
+from pearwell.model.group import TargetSpec
+from pearwell.model.load_report import LoadReport, LoadReportError, parse_load_report
+from pearwell.model.service import Preference
+from pearwell.targets.weight_bounds import split_weights
+from pearwell.targets.weights import POLICIES, SLOW_START_STEPS, WeightController
 
 
 @pytest.mark.parametrize(
--- a/tests/test_zone_health.py
+++ b/tests/targets/test_zone_health.py
@@ -1,16 +1,16 @@
-"""Tests of pearwell.zone_health."""
+"""Tests of pearwell.targets.zone_health."""
 
 import msgspec
 import pytest
 
 from pearwell.clock import ManualClock
-from pearwell.configuration import Configuration
-from pearwell.group import GroupSpec, HealthCheck, TargetSpec
 from pearwell.messages.gossip import Entry, EntryVersion
 from pearwell.messages.targets import SilenceVerdict, TargetVerdict
-from pearwell.placement import TargetState
-from pearwell.service import ServiceSpec, TransportProtocol
-from pearwell.zone_health import ZoneHealth, silence_key, verdict_key
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, HealthCheck, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.targets.zone_health import ZoneHealth, silence_key, verdict_key
 
 INSTANCES = tuple(f"i{i}" for i in range(9))
 TARGETS = tuple(TargetSpec(f"t{i}", f"10.0.0.{i}", "a" if i < 7 else "b") for i in range(10))
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -6,10 +6,7 @@
 import pytest
 
 from bench.control_zone import ControlZone
-from pearwell.configuration import Kind
-from pearwell.document import Document, encode_document
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.membership import MemberState
+from pearwell.configuration.document import Document, encode_document
 from pearwell.messages import (
     Ack,
     Digest,
@@ -22,9 +19,12 @@
     Pull,
     Push,
 )
+from pearwell.model.configuration import Kind
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.membership import MemberState
+from pearwell.model.placement import Phase
 from pearwell.object_store import Fault, RetryingObjectStore
-from pearwell.placement import Phase
-from pearwell.planner import Planners
+from pearwell.placement.planner import Planners
 from tests.virtual_time import run
 
 COUNT = 6
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -7,20 +7,20 @@
 
 import pytest
 
-from pearwell import porcelain
-from pearwell.admin_client import AdminClient
+from pearwell.admin import porcelain
+from pearwell.admin.client import AdminClient
+from pearwell.admin.porcelain import Write
+from pearwell.agreement.instance_list import InstanceList
 from pearwell.daemon import Daemon
-from pearwell.group import GroupSpec, TargetSpec
-from pearwell.instance_list import InstanceList
-from pearwell.packet_path import bind_udp
-from pearwell.platform_client import PlatformClient
-from pearwell.porcelain import Write
-from pearwell.service import ServiceSpec, TransportProtocol
+from pearwell.model.group import GroupSpec, TargetSpec
+from pearwell.model.service import ServiceSpec, TransportProtocol
+from pearwell.object_store.platform_client import PlatformClient
 from pearwell.settings import Settings
 from pearwell.standins.caller import CallerCore, CallerService, FlowOutcome, FlowPlan
 from pearwell.standins.fabric import Fabric
 from pearwell.standins.platform import PlatformStandin
 from pearwell.standins.target import TargetConfig, TargetCore
+from pearwell.steering.packet_path import bind_udp
 from tests.addresses import own_address
 from tests.test_entry import SETTINGS
 
--- a/tests/test_steering_zone.py
+++ b/tests/test_steering_zone.py
@@ -12,7 +12,7 @@
 
 from bench.steering_schemes import FlowTable, Pearwell, Stateless
 from bench.steering_zone import FlowPlan, Zone
-from pearwell.placement import Phase
+from pearwell.model.placement import Phase
 
 IDLE_TIMEOUT_S = 2.0
 TARGETS = [f"t{number:02}" for number in range(6)]
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -12,14 +12,14 @@
 
 from bench.balance_model import Model, Profile
 from bench.balance_schemes import Pearwell
-from pearwell.admission import Admission
-from pearwell.configuration import Configuration
 from pearwell.errors import Code
-from pearwell.group import GroupSpec, TargetIntent, TargetSpec
-from pearwell.placement import TargetState
-from pearwell.probe_history import Outcome
-from pearwell.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
-from pearwell.weights import POLICIES
+from pearwell.model.configuration import Configuration
+from pearwell.model.group import GroupSpec, TargetIntent, TargetSpec
+from pearwell.model.placement import TargetState
+from pearwell.model.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
+from pearwell.targets.admission import Admission
+from pearwell.targets.probe_history import Outcome
+from pearwell.targets.weights import POLICIES
 
 SMALL = Profile(targets=7, slots=3, flows=40, instances=5)
 TURNOVER_S = 60.0
--- a/tests/zone_processes.py
+++ b/tests/zone_processes.py
@@ -4,12 +4,12 @@
 import os
 import random
 
+from pearwell.agreement.gossip_service import GossipService
+from pearwell.agreement.membership_service import MembershipService
+from pearwell.agreement.peers import Peers
 from pearwell.clock import MonotonicClock
-from pearwell.gossip_service import GossipService
 from pearwell.kernel import Kernel
-from pearwell.membership_service import MembershipService
 from pearwell.messages import EntryAdopted, PeerMessage, ViewRenewed
-from pearwell.peers import Peers
 from pearwell.settings import Endpoint, PeerSettings, Settings
 from pearwell.tls import load_tls
 
