Notice a silent target again when its hold has ended

Cause: (1) the fabric sprays packets, so that the copies of one SYN reach several instances, each of which counted them as starts; the ratio of repeats stayed low. (2) Repeats of flows that had started before a hold prolonged it at the group's balancer, which had told the others its end already and told them nothing more; they gave the target flows that the balancer never judged. (3) Counts from before a hold stayed in the window after it.

Now instances send the flow hashes of a sample of SYNs, and only the balancer tells repeats; a hold ends when it was said to end and starts with fresh counts; a target that was just held needs less evidence.

--- a/pearwell/messages/local.py
+++ b/pearwell/messages/local.py
@@ -13,7 +13,7 @@
     "FlowsStarted",
     "PeerMessage",
     "PlacementChanged",
-    "SynRepeated",
+    "SynsSeen",
     "TargetJudged",
     "ViewChanged",
     "ViewRenewed",
@@ -75,12 +75,16 @@
     ended: tuple[tuple[str, int], ...]
 
 
-class SynRepeated(Message, frozen=True):
-    """Repeated SYNs towards a target, a sign of its silence; from "packets"."""
+class SynsSeen(Message, frozen=True):
+    """A sample of the SYNs sent to a target, in the order of their coming; from "packets".
+
+    Each SYN stands for itself, as the fabric may hand the repeats of one to different instances;
+    only the group's balancer, which hears of all of them, can tell repeats.
+    """
 
     group: str
     target: str
-    count: int
+    flow_hashes: tuple[int, ...]
 
 
 class TargetJudged(Message, frozen=True):
--- a/pearwell/messages/targets.py
+++ b/pearwell/messages/targets.py
@@ -53,13 +53,13 @@
         target: Name of the target.
         started: Flow starts sent to it.
         ended: Ends of flows seen.
-        repeated: Repeated SYNs seen.
+        syns: Sample of flow hashes, one for each SYN sent to it.
     """
 
     target: str
     started: int = 0
     ended: int = 0
-    repeated: int = 0
+    syns: tuple[int, ...] = ()
 
 
 @wire
--- /dev/null
+++ b/pearwell/model/recent_hashes.py
@@ -0,0 +1,38 @@
+"""Flow hashes seen lately."""
+
+from pearwell.clock import Clock
+
+__all__ = ["RecentHashes"]
+
+RECENT_S = 8.0
+RECENT_LIMIT = 20_000
+
+
+class RecentHashes:
+    """Tells which flow hashes were seen lately, in bounded memory.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._turned_at = clock.now()
+        self._current: set[int] = set()
+        self._previous: set[int] = set()
+
+    @property
+    def size(self) -> int:
+        """Hashes held."""
+        return len(self._current) + len(self._previous)
+
+    def add(self, flow_hash: int) -> bool:
+        """Notes a flow hash and returns whether it was seen before."""
+        now = self._clock.now()
+        if now - self._turned_at >= RECENT_S or len(self._current) >= RECENT_LIMIT:
+            self._previous = self._current if now - self._turned_at < 2 * RECENT_S else set()
+            self._current = set()
+            self._turned_at = now
+        seen = flow_hash in self._current or flow_hash in self._previous
+        self._current.add(flow_hash)
+        return seen
--- a/pearwell/steering/flow_meter.py
+++ b/pearwell/steering/flow_meter.py
@@ -1,44 +1,18 @@
-"""Flow meter: starts, ends and repeated SYNs by target, for the balancer and the prober."""
+"""Flow meter: starts, ends and a sample of SYNs by target, for the balancer."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from pearwell.clock import Clock
-from pearwell.messages import FlowsStarted, Message, SynRepeated
+from pearwell.messages import FlowsStarted, Message, SynsSeen
+from pearwell.model.recent_hashes import RecentHashes
 
-__all__ = ["FlowMeter", "RecentHashes"]
+__all__ = ["FlowMeter"]
 
-RECENT_S = 8.0
-RECENT_LIMIT = 20_000
-
-
-class RecentHashes:
-    """Tells which flow hashes were seen lately, in bounded memory.
-
-    Args:
-        clock: Source of monotonic time.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._turned_at = clock.now()
-        self._current: set[int] = set()
-        self._previous: set[int] = set()
-
-    @property
-    def size(self) -> int:
-        """Hashes held."""
-        return len(self._current) + len(self._previous)
-
-    def add(self, flow_hash: int) -> bool:
-        """Notes a flow hash and returns whether it was seen before."""
-        now = self._clock.now()
-        if now - self._turned_at >= RECENT_S or len(self._current) >= RECENT_LIMIT:
-            self._previous = self._current if now - self._turned_at < 2 * RECENT_S else set()
-            self._current = set()
-            self._turned_at = now
-        seen = flow_hash in self._current or flow_hash in self._previous
-        self._current.add(flow_hash)
-        return seen
+# SYNs for each target in a message: those of the smallest hashes, so that the samples of all
+# instances are of the same flows. 8 of 5 bytes each 2 s stay below the budget for agreement.
+SAMPLED_SYNS = 8
+# Bits of a flow hash that a sample keeps; they tell the flows of some seconds apart.
+SAMPLE_MASK = 0xFFFFFFFF
 
 
 class FlowMeter:
@@ -53,14 +27,16 @@
         self._ends = RecentHashes(clock)
         self._started: dict[str, Counter[str]] = {}
         self._ended: dict[str, Counter[str]] = {}
-        self._repeated: Counter[tuple[str, str]] = Counter()
+        self._syns: defaultdict[tuple[str, str], list[int]] = defaultdict(list)
 
     def start(self, group: str, target: str, flow_hash: int) -> None:
         """Notes a SYN that goes to a target."""
         if not self._starts.add(flow_hash):
             self._started.setdefault(group, Counter())[target] += 1
-        else:
-            self._repeated[group, target] += 1
+        sample = self._syns[group, target]
+        sample.append(flow_hash & SAMPLE_MASK)
+        if len(sample) > SAMPLED_SYNS:
+            sample.remove(max(sample))
 
     def end(self, group: str, target: str, flow_hash: int) -> bool:
         """Notes a FIN or RST that goes to a target; returns whether it is the flow's first."""
@@ -81,10 +57,10 @@
             for group in sorted(self._started.keys() | self._ended.keys())
         ]
         messages += [
-            SynRepeated(group, target, count)
-            for (group, target), count in sorted(self._repeated.items())
+            SynsSeen(group, target, tuple(sample))
+            for (group, target), sample in sorted(self._syns.items())
         ]
         self._started.clear()
         self._ended.clear()
-        self._repeated.clear()
+        self._syns.clear()
         return messages
--- a/pearwell/targets/balancer.py
+++ b/pearwell/targets/balancer.py
@@ -20,7 +20,7 @@
     FlowsStarted,
     Message,
     PeerMessage,
-    SynRepeated,
+    SynsSeen,
     TargetJudged,
     ViewChanged,
     WeightsChanged,
@@ -73,7 +73,7 @@
         EntryAdopted,
         FlowsStarted,
         PeerMessage,
-        SynRepeated,
+        SynsSeen,
         TargetJudged,
         ViewChanged,
     )
@@ -114,8 +114,8 @@
                 self._set_working(group)
             case FlowsStarted(group=group, started=started, ended=ended):
                 self._count_flows(group, dict(started), dict(ended))
-            case SynRepeated(group=group, target=target, count=count):
-                self._count(group, FlowCounts(target, repeated=count))
+            case SynsSeen(group=group, target=target, flow_hashes=flow_hashes):
+                self._count(group, FlowCounts(target, syns=flow_hashes))
             case LoadReported(group=group):
                 self._send(group, message)
             case PeerMessage(message=content):
@@ -190,7 +190,7 @@
             counts.target,
             held.started + counts.started,
             held.ended + counts.ended,
-            held.repeated + counts.repeated,
+            held.syns + counts.syns,
         )
 
     def _send_counts(self) -> None:
@@ -228,7 +228,8 @@
 
     def _spread(self, group: str, decisions: Decisions) -> None:
         for target, hold_s in decisions.silences.items():
-            _log.warning("target_silent", group=group, target=target, hold_s=round(hold_s, 1))
+            event = "target_silent" if hold_s else "target_tried_again"
+            _log.warning(event, group=group, target=target, hold_s=round(hold_s, 1))
             self._put(silence_key(group, target), SilenceVerdict(hold_s))
         if decisions.weights is not None:
             weights = tuple(sorted(decisions.weights.items()))
--- a/pearwell/targets/group_balance.py
+++ b/pearwell/targets/group_balance.py
@@ -85,8 +85,7 @@
             self._weights.take_starts(count.target, count.started, count.ended)
             detector = self._detectors.get(count.target)
             if detector is not None:
-                detector.started(count.started)
-                detector.repeated(count.repeated)
+                detector.take_syns(count.syns)
 
     def decide(self) -> Decisions:
         """Returns what changed since the last call."""
--- a/pearwell/targets/silence.py
+++ b/pearwell/targets/silence.py
@@ -1,19 +1,35 @@
 """Silence of targets: repeated SYNs as a sign that flow starts go unanswered."""
 
 import math
+from collections.abc import Iterable
+from typing import NamedTuple
 
 from pearwell.clock import Clock
+from pearwell.model.recent_hashes import RecentHashes
 
 __all__ = ["SilenceDetector"]
 
 RELAPSE_WINDOW_S = 120.0
 SILENCE_WINDOW_S = 10.0
-MIN_REPEATED_SYNS = 24
-MIN_REPEAT_RATIO = 0.3
 SILENCE_HOLD_S = 30.0
 MAX_SILENCE_HOLD_S = 480.0
 
 
+class _Evidence(NamedTuple):
+    """Repeats that show silence: at least so many, and so many for each flow start."""
+
+    min_repeats: int
+    min_ratio: float
+
+
+# A target that answers a part of its starts, among losses of the network; 24 keeps chance out.
+PARTLY_SILENT = _Evidence(24, 0.3)
+# A target that answers hardly any start: losses on the way don't reach this ratio.
+WHOLLY_SILENT = _Evidence(6, 0.6)
+# A target tried again after a hold: its earlier silence is known, so less shows that it lasts.
+RELAPSED = _Evidence(2, 0.6)
+
+
 class SilenceDetector:
     """Judges from repeated SYNs whether a target leaves flow starts unanswered.
 
@@ -27,6 +43,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._window_start = clock.now()
+        self._syns = RecentHashes(clock)
         self._started = 0
         self._repeated = 0
         self._silent_until = -math.inf
@@ -42,29 +59,45 @@
         """Time in seconds for which the target goes on to count as silent."""
         return max(0.0, self._silent_until - self._clock.now())
 
-    def started(self, count: int) -> None:
-        """Takes a number of flow starts towards the target."""
-        self._roll()
-        self._started += count
+    @property
+    def _tried_again(self) -> bool:
+        """Whether a hold ended so lately that silence now is a relapse."""
+        return 0 <= self._clock.now() - self._silent_until < RELAPSE_WINDOW_S
+
+    def take_syns(self, flow_hashes: Iterable[int]) -> None:
+        """Takes SYNs towards the target by flow hash; one that came before is a repeat.
 
-    def repeated(self, count: int) -> None:
-        """Takes a number of repeated SYNs towards the target."""
+        During a hold they are those of flows that started before it and don't prolong it: other
+        instances were told when it ends.
+        """
+        if self.silent:
+            return
         self._roll()
-        self._repeated += count
-        if self._repeated >= max(MIN_REPEATED_SYNS, MIN_REPEAT_RATIO * self._started):
+        for flow_hash in flow_hashes:
+            if self._syns.add(flow_hash):
+                self._repeated += 1
+            else:
+                self._started += 1
+        relapse = (RELAPSED,) if self._tried_again else ()
+        if any(self._shows(evidence) for evidence in (PARTLY_SILENT, WHOLLY_SILENT, *relapse)):
             self._mark_silent()
 
+    def _shows(self, evidence: _Evidence) -> bool:
+        enough = max(evidence.min_repeats, evidence.min_ratio * self._started)
+        return self._repeated >= enough
+
     def _mark_silent(self) -> None:
-        now = self._clock.now()
-        if not self.silent:
-            relapsed = now - self._silent_until < RELAPSE_WINDOW_S
-            doubled = min(self._hold_s * 2, MAX_SILENCE_HOLD_S)
-            self._hold_s = doubled if relapsed else SILENCE_HOLD_S
-        self._silent_until = now + self._hold_s
+        doubled = min(self._hold_s * 2, MAX_SILENCE_HOLD_S)
+        self._hold_s = doubled if self._tried_again else SILENCE_HOLD_S
+        self._silent_until = self._clock.now() + self._hold_s
 
     def _roll(self) -> None:
+        """Halves the counts with each window, and forgets them when a hold has ended."""
         now = self._clock.now()
-        if now - self._window_start >= SILENCE_WINDOW_S:
+        if self._window_start < self._silent_until <= now:
+            self._window_start = now
+            self._started = self._repeated = 0
+        elif now - self._window_start >= SILENCE_WINDOW_S:
             self._window_start = now
             self._started //= 2
             self._repeated //= 2
