--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,4 +1,4 @@
-"""Works out docs/CAPACITY.md from the measured slopes in docs/capacity-slopes.jsonl."""
+"""Works out docs/CAPACITY.md from the newest sweep and the slopes in docs/capacity-slopes.jsonl."""
 
 import json
 import sys
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from pearwell.targets.health import PROBERS_PER_TARGET
+from scripts.growth import Growth, Row, newest_sweep, read_growth
 
 ROOT = Path(__file__).resolve().parent.parent
 SLOPES = ROOT / "docs" / "capacity-slopes.jsonl"
@@ -81,14 +82,39 @@
 # Exponential lives: the last of some thousand flows ends after about so many mean lives.
 TAIL_OF_LIVES = 8.0
 
+# Limits of machines on the users' platform, from the pages of the deployments; 40 MB is our own.
+LINK_KB_PER_S = 625
+DESCRIPTORS = 1_535
+MEMORY_MB = 40
+
 HEADER = """# Capacity
 
-What one node spends at the size that decides the design, worked out by `scripts/capacity.py` from
-the slopes that `make bench-capacity` measured on one machine. Run `make capacity-page` to measure
-and work it out again. The budget of a node is 3.3% of a core, 128 MB and 25 KB a second of control.
+Worked out by `scripts/capacity.py`: the role on the users' platform from the newest sweep in
+`journal/`, `pearwell-entry` from the slopes in `docs/capacity-slopes.jsonl`. Run
+`make capacity-page` after a sweep, or to measure the slopes again.
+"""
+
+PLATFORM_HEADER = """## The role on the users' platform
+
+No rule was broken at any size. The middle instance grows with the targets that it lists; the
+busiest ones are the relays, each of which serves a third of the fleet. What would have to change
+beyond the sizes below: more than the three relays that the settings name, for example relays of a
+zone that followers find through these. It isn't built.
+
+Calls to the store come from the relays alone, about 4 a second in quiet times whatever the size:
+three relays watch two kinds, each watch waits for 1.5 s, so that a change made while the store was
+silent is in force 3 s after its return. 1 a second for each 30 instances is reached from 120
+instances on.
 """
 
-FOOTER = """## Not measured
+ENTRY_HEADER = """## pearwell-entry
+
+What one node spends at the size that decides the design, from the slopes that `make bench-capacity`
+measured on one machine. The budget of a node is 3.3% of a core, 128 MB and 25 KB a second of
+control.
+"""
+
+FOOTER = """### Not measured
 
 - Zones of 173 real processes: the cores' cost at that size is measured over an in-memory network,
   the daemon's on a zone of six over real sockets.
@@ -97,8 +123,6 @@
 - The platform itself: the stand-in answers from memory.
 - Regions that lose each other: a zone needs no other region to serve; its configuration waits for
   the platform.
-
-## Slopes
 """
 
 
@@ -240,28 +264,63 @@
     return size.flows / size.nodes * min(share, 1.0)
 
 
-def render(size: Size, slopes: Slopes) -> str:
+def render(size: Size, slopes: Slopes, growth: Growth) -> str:
     """Returns the page."""
     costs = roles(size, slopes)
     parts = [
         HEADER,
+        PLATFORM_HEADER,
+        _growth_table(growth),
+        _growth_limits(growth),
+        ENTRY_HEADER,
         _table(("what", "size"), _size_rows(size)),
-        "## Cost of each role on one node\n",
+        "### Cost of each role on one node\n",
         _table(("role", "mechanism", "memory MB", "bytes/s", "% of a core"), _role_rows(costs)),
         "\n".join(f"- {role.name}: {role.note}." for role in costs) + "\n",
         _verdict(size, costs),
-        "## Packets\n",
+        "### Packets\n",
         _packets(size, slopes),
-        "## Platform\n",
+        "### Platform\n",
         _platform(size, slopes),
-        "## Failures and replacements\n",
+        "### Failures and replacements\n",
         _failures(size, slopes),
         FOOTER,
-        _table(("slope", "value"), [(n, f"{v:,.4g}") for n, v in sorted(slopes.items())]),
     ]
     return "\n".join(parts)
 
 
+def _growth_table(growth: Growth) -> str:
+    titles = ("middle / busiest or longest", *(f"{n:,} instances" for n in growth.sizes))
+    rows = [
+        ("targets", *(f"{n:,}" for n in growth.targets)),
+        ("share of requests served", *(f"{share:.3f}" for share in growth.served)),
+        ("worth", *(f"{worth:.3f}" for worth in growth.worth)),
+    ]
+    for row in growth.rows:
+        cells = zip(row.middle, row.busiest, strict=True)
+        rows.append((row.name, *(f"{middle:,g} / {busiest:,g}" for middle, busiest in cells)))
+    return f"Sweep {growth.entry} of {growth.site}.\n\n{_table(titles, rows)}"
+
+
+def _growth_limits(growth: Growth) -> str:
+    limits = (
+        ("edge: kB a second", LINK_KB_PER_S, "the link of 5 Mbit/s that some machines have"),
+        ("edge: connections", DESCRIPTORS, "the descriptors of the smallest machines"),
+        ("edge: memory MB", MEMORY_MB, "the memory that an instance is wanted to stay under"),
+    )
+    lines = [
+        f"- {name}: {limit:,} ({what}) is reached by the busiest at about "
+        f"{_size_at(growth, growth.row(name), limit):,.0f} instances."
+        for name, limit, what in limits
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _size_at(growth: Growth, row: Row, limit: float) -> float:
+    """Returns the size of the fleet at which the busiest machine reaches a limit."""
+    return growth.sizes[-1] * (limit / row.busiest[-1]) ** (1 / row.power)
+
+
 def _size_rows(size: Size) -> list[tuple[str, str]]:
     return [
         ("nodes in a zone", f"{size.nodes_per_zone:.0f}"),
@@ -359,7 +418,7 @@
 
 def main() -> int:
     """Writes the page, or checks with --check that it is current; returns an exit status."""
-    page = render(Size(), read_slopes())
+    page = render(Size(), read_slopes(), read_growth(newest_sweep()))
     if "--check" in sys.argv:
         return 0 if PAGE.read_text() == page else 1
     PAGE.write_text(page)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,10 +1,11 @@
 """Tests of scripts.capacity: the page is what the committed slopes give."""
 
 from scripts.capacity import PAGE, Size, read_slopes, render
+from scripts.growth import newest_sweep, read_growth
 
 
 def test_the_page_is_current():
-    assert PAGE.read_text() == render(Size(), read_slopes())
+    assert PAGE.read_text() == render(Size(), read_slopes(), read_growth(newest_sweep()))
 
 
 def test_the_size_follows_from_the_letter():
