Bind sockets in one place

Three pieces of code bound a socket and told of its failure. reactor.bind_socket serves the packet socket, the hint socket, the HTTP server and the packet path of pearwell-entry. On the platform an address that isn't the machine's own now gives SETTINGS_INVALID_VALUE, no longer SETTINGS_PORT_IN_USE, as in pearwell-entry. The type of an answer moves to http_message, so that the decisions of relays import no server.

--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -5,7 +5,7 @@
 from zlib import compress
 
 from pearwell.affinity.cache import ObjectCache
-from pearwell.http_server import Answer
+from pearwell.http_message import Answer
 from pearwell.reactor import Signal
 
 __all__ = ["PATH", "Relay"]
--- a/pearwell/http_message.py
+++ b/pearwell/http_message.py
@@ -6,13 +6,16 @@
 
 from pearwell.errors import Code, PlatformError
 
-__all__ = ["MAX_BODY_BYTES", "Message", "MessageReader", "encode_message"]
+__all__ = ["MAX_BODY_BYTES", "Answer", "Message", "MessageReader", "encode_message"]
 
 # A page of a list is about 1 MB at most (platform's page on its store); room for one object more.
 MAX_BODY_BYTES = 4_000_000
 MAX_HEAD_BYTES = 16_384
 _END = b"\r\n\r\n"
 
+# Status and body.
+Answer = tuple[int, bytes]
+
 
 class Message:
     """A request or an answer.
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -3,11 +3,11 @@
 import socket
 from collections.abc import Callable, Coroutine
 
-from pearwell.errors import Code, PlatformError, SettingsError
-from pearwell.http_message import Message, MessageReader, encode_message
-from pearwell.reactor import Reactor, Wait
+from pearwell.errors import PlatformError
+from pearwell.http_message import Answer, Message, MessageReader, encode_message
+from pearwell.reactor import Reactor, Wait, bind_socket
 
-__all__ = ["Answer", "HttpServer"]
+__all__ = ["HttpServer"]
 
 BACKLOG = 128
 # A connection without a request for this time is closed; relays' clients ask each second.
@@ -18,8 +18,6 @@
 
 _REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
 
-# Status and body.
-Answer = tuple[int, bytes]
 Handler = Callable[[str], Coroutine[Wait, bool, Answer]]
 
 
@@ -34,7 +32,7 @@
         on_caller: Takes the caller's IP address with each request.
 
     Raises:
-        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
+        SettingsError: If the address can't be bound, as bind_socket tells.
     """
 
     def __init__(
@@ -49,15 +47,7 @@
         self._on_caller = on_caller
         self._handle = handle
         self._headers = headers
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setblocking(False)
-        try:
-            self._sock.bind(address)
-        except OSError as error:
-            self._sock.close()
-            detail = f"{address[0]}:{address[1]}: {error}"
-            raise SettingsError(Code.SETTINGS_PORT_IN_USE, detail) from error
+        self._sock = bind_socket(socket.SOCK_STREAM, address)
         self._sock.listen(BACKLOG)
         reactor.add_reader(self._sock, self._accept)
 
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -13,7 +13,8 @@
 from pearwell.affinity.target import Target
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog, stdout_writer
-from pearwell.http_server import Answer, HttpServer
+from pearwell.http_message import Answer
+from pearwell.http_server import HttpServer
 from pearwell.platform.hint_socket import HintSocket
 from pearwell.platform.objects import ConfigObjects, TargetObjects
 from pearwell.platform.packet_socket import PacketSocket
--- a/pearwell/platform/hint_socket.py
+++ b/pearwell/platform/hint_socket.py
@@ -1,12 +1,12 @@
 """The socket on which instances tell each other of targets that are gone."""
 
+import socket
 from collections.abc import Callable
 
 from pearwell.affinity.hints import Followers, decode_hint, encode_hint
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog
-from pearwell.platform.packet_socket import bind_udp
-from pearwell.reactor import Reactor
+from pearwell.reactor import Reactor, bind_socket
 
 __all__ = ["HintSocket"]
 
@@ -45,7 +45,7 @@
         if port is None:
             return
         try:
-            self._sock = bind_udp((ip, port))
+            self._sock = bind_socket(socket.SOCK_DGRAM, (ip, port))
         except SettingsError as error:
             # Hints save some requests; traffic goes on without them.
             log.event("hints_unavailable", code=int(error.code), detail=error.detail)
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -7,7 +7,7 @@
 from pearwell.affinity.serving import is_stale_backlog
 from pearwell.affinity.target import Target
 from pearwell.affinity.token import NO_TOKEN
-from pearwell.errors import Code, PacketError, SettingsError
+from pearwell.errors import Code, PacketError
 from pearwell.event_log import EventLog
 from pearwell.platform.packet import (
     client_ip,
@@ -16,10 +16,10 @@
     encode_reset,
     flow_packet,
 )
-from pearwell.reactor import Reactor
+from pearwell.reactor import Reactor, bind_socket
 from pearwell.text_metrics import Histogram
 
-__all__ = ["PacketSocket", "bind_udp"]
+__all__ = ["PacketSocket"]
 
 # Most packets read before timers and other sockets get their turn.
 BATCH_PACKETS = 64
@@ -42,7 +42,7 @@
         on_batch: Called after some packets were read.
 
     Raises:
-        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
+        SettingsError: If the address can't be bound, as bind_socket tells.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
         self._log = log
         self._times = times
         self._on_batch = on_batch
-        self._sock = bind_udp(address)
+        self._sock = bind_socket(socket.SOCK_DGRAM, address)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_at = reactor.now()
 
@@ -137,20 +137,3 @@
         except OSError as error:
             # A full link loses the packet as any network does; the client sends it again.
             self._log.flow("send_failed", to=address[0], error=error)
-
-
-def bind_udp(address: tuple[str, int]) -> socket.socket:
-    """Returns a non-blocking UDP socket.
-
-    Raises:
-        SettingsError: SETTINGS_PORT_IN_USE if the address can't be bound.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setblocking(False)
-    try:
-        sock.bind(address)
-    except OSError as error:
-        sock.close()
-        detail = f"UDP {address[0]}:{address[1]}: {error}"
-        raise SettingsError(Code.SETTINGS_PORT_IN_USE, detail) from error
-    return sock
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -4,12 +4,15 @@
 would add as a quarter of a second to the time in which it forwards nothing.
 """
 
+import errno
 import select
 import socket
 from collections.abc import Callable, Coroutine, Generator
 from heapq import heappop, heappush
 
-__all__ = ["Reactor", "Signal", "Wait"]
+from pearwell.errors import Code, SettingsError
+
+__all__ = ["Reactor", "Signal", "Wait", "bind_socket"]
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
@@ -211,3 +214,29 @@
         except FileNotFoundError:
             # The descriptor was closed, which has taken it out of the set.
             return
+
+
+def bind_socket(kind: int, address: tuple[str, int]) -> socket.socket:
+    """Returns a non-blocking socket that is bound.
+
+    Args:
+        kind: SOCK_DGRAM or SOCK_STREAM.
+        address: IP address and port.
+
+    Raises:
+        SettingsError: SETTINGS_PORT_IN_USE, or SETTINGS_INVALID_VALUE if it can't be bound.
+    """
+    ip, port = address
+    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, kind)
+    sock.setblocking(False)
+    if kind == socket.SOCK_STREAM:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        in_use = error.errno == errno.EADDRINUSE
+        code = Code.SETTINGS_PORT_IN_USE if in_use else Code.SETTINGS_INVALID_VALUE
+        protocol = "UDP" if kind == socket.SOCK_DGRAM else "TCP"
+        raise SettingsError(code, f"{protocol} {ip}:{port}: {error.strerror}") from error
+    return sock
--- a/pearwell/steering/packet_path.py
+++ b/pearwell/steering/packet_path.py
@@ -1,15 +1,13 @@
 """The packet path: owns the UDP sockets for inner packets of the fabric and of peers."""
 
 import asyncio
-import errno
-import ipaddress
 import socket
 from collections import Counter
 from time import monotonic
 
 import structlog
 
-from pearwell.errors import Code, SettingsError
+from pearwell.errors import Code
 from pearwell.kernel import Kernel, QueuedService
 from pearwell.messages import (
     ConfigurationChanged,
@@ -21,6 +19,7 @@
 )
 from pearwell.messages.targets import OpenFlowsReported
 from pearwell.model.configuration import Configuration
+from pearwell.reactor import bind_socket
 from pearwell.settings import Settings
 from pearwell.steering.flow_meter import FlowMeter
 from pearwell.steering.forwarding import Forwarder
@@ -49,18 +48,9 @@
     Raises:
         SettingsError: SETTINGS_PORT_IN_USE, or SETTINGS_INVALID_VALUE if it can't be bound.
     """
-    family = socket.AF_INET6 if ipaddress.ip_address(address).version == 6 else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_DGRAM)
-    sock.setblocking(False)
+    sock = bind_socket(socket.SOCK_DGRAM, (address, port))
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
-    try:
-        sock.bind((address, port))
-    except OSError as error:
-        sock.close()
-        in_use = error.errno == errno.EADDRINUSE
-        code = Code.SETTINGS_PORT_IN_USE if in_use else Code.SETTINGS_INVALID_VALUE
-        raise SettingsError(code, f"UDP {address}:{port}: {error.strerror}") from error
     return sock
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,8 +13,8 @@
 
 # From the bottom to the top; what stands on one line doesn't import each other.
 LAYERS = (
-    ("clock", "errors", "event_log", "logs", "reactor", "text_metrics", "v1"),
-    ("explanation", "http_message", "model", "object_store", "settings", "shutdown"),
+    ("clock", "errors", "event_log", "logs", "text_metrics", "v1"),
+    ("explanation", "http_message", "model", "object_store", "reactor", "settings", "shutdown"),
     ("http_server", "messages", "tls"),
     ("affinity", "kernel"),
     ("agreement", "platform"),
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from pearwell.reactor import Reactor, Signal
+from pearwell.errors import Code, SettingsError
+from pearwell.reactor import Reactor, Signal, bind_socket
 
 
 class SteppingClock:
@@ -146,3 +147,20 @@
     reactor.spawn(sleeper())
     reactor.run()
     assert order == [5, b"packet"]
+
+
+@pytest.mark.parametrize("kind", [socket.SOCK_DGRAM, socket.SOCK_STREAM])
+@pytest.mark.parametrize(
+    ("ip", "code"),
+    [
+        ("127.0.0.1", Code.SETTINGS_PORT_IN_USE),
+        ("192.0.2.1", Code.SETTINGS_INVALID_VALUE),
+    ],
+)
+def test_an_address_that_cannot_be_bound_is_a_coded_error(kind, ip, code):
+    with bind_socket(kind, ("127.0.0.1", 0)) as held:
+        if kind == socket.SOCK_STREAM:
+            held.listen()
+        with pytest.raises(SettingsError) as caught:
+            bind_socket(kind, (ip, held.getsockname()[1]))
+    assert caught.value.code is code
