Spill a burst in one zone to the targets of all zones

Spilling waited for two requests in flight at a target, which none of 35 instances a zone ever has there at once.

Now an instance looks at the responses of all targets of its zone together: when the middle of 12 within a second takes twice the usual time, new flows go to the least loaded targets of all zones, until 2 s after the latest sign.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from pearwell.affinity.chooser import choose_target
+from pearwell.affinity.chooser import ResponseTimes, choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_table import Flow, FlowTable
 from pearwell.affinity.routes import Route, RouteTable
@@ -85,6 +85,9 @@
         self._probes: list[Target] = []
         self._hints: list[str] = []
         self._counts: dict[str, int] = {}
+        # Of the own zone's targets, by service.
+        self._responses: dict[str, ResponseTimes] = {}
+        self._queueing: set[str] = set()
 
     @property
     def flows(self) -> FlowTable:
@@ -283,8 +286,30 @@
     def _choose(
         self, route: Route, tried: Iterable[Target], key: bytes, now: float
     ) -> Target | None:
-        targets = self._directory.of_service(route.service_of(key))
-        return choose_target(targets, self._zone, tried, key, now)
+        service = route.service_of(key)
+        targets = self._directory.of_service(service)
+        queues = self._zone_queues(service, now)
+        return choose_target(targets, self._zone, tried, key, now, zone_queues=queues)
+
+    def _zone_queues(self, service: str, now: float) -> bool:
+        """Whether requests seem to queue at the own zone's targets of a service."""
+        times = self._responses.get(service)
+        if times is None:
+            return False
+        queues = times.show_queues(now)
+        if queues != (service in self._queueing):
+            if queues:
+                self._queueing.add(service)
+            else:
+                self._queueing.remove(service)
+            self._log(
+                "zone_queues" if queues else "zone_queues_end",
+                service=service,
+                zone=self._zone,
+                response_ms=round(1000 * times.middle_s),
+                usual_ms=round(1000 * times.usual_s),
+            )
+        return queues
 
     def _resend_target(self, flow: Flow, route: Route, now: float) -> Target | None:
         """Returns another target for an unanswered SYN if one may be tried now."""
@@ -331,6 +356,9 @@
             target.alive(now)
         elif ack != flow.acked and _newer(ack, flow.acked):
             flow.acked = ack
+            if flow.waiting and target.zone == self._zone:
+                times = self._responses.setdefault(target.service, ResponseTimes())
+                times.take(now - flow.sent_at, now)
             flow.settle()
             target.alive(now)
             if target.gone and target.listed:
--- a/tests/affinity/test_chooser.py
+++ b/tests/affinity/test_chooser.py
@@ -4,8 +4,15 @@
 
 import pytest
 
-from pearwell.affinity.chooser import COLD_FACTOR, choose_target
+from pearwell.affinity.chooser import (
+    COLD_FACTOR,
+    QUEUE_HOLD_S,
+    SAMPLES,
+    ResponseTimes,
+    choose_target,
+)
 from tests.affinity.builders import flow_key, target
+from tests.affinity.burst import QUEUE, SERVICE_S, SLOTS, Burst
 
 
 def choose(targets, *, tried=(), number=1, now=100.0):
@@ -80,3 +87,47 @@
     for number in range(300):
         choose(targets, number=number).open_flows += 1
     assert targets[0].open_flows == pytest.approx(300 / (1 + 2 * COLD_FACTOR), rel=0.1)
+
+
+RESPONSES = [
+    # Seconds between responses, their times in seconds, whether they show queues.
+    (0.05, [0.15] * SAMPLES, True),
+    (0.05, [0.15] * (SAMPLES // 2 + 1) + [0.04] * (SAMPLES // 2 - 1), True),
+    (0.05, [0.15] * (SAMPLES // 2 - 1) + [0.04] * (SAMPLES // 2 + 1), False),
+    (0.05, [0.07] * SAMPLES, False),
+    (0.05, [0.15] * (SAMPLES - 1), False),
+    (0.15, [0.15] * SAMPLES, False),
+]
+
+
+@pytest.mark.parametrize(("gap_s", "times", "queues"), RESPONSES)
+def test_many_slow_responses_in_a_short_time_show_queues(gap_s, times, queues):
+    responses, now = ResponseTimes(), 100.0
+    for seconds in [0.04] * 50:
+        responses.take(seconds, now)
+    now += 60.0
+    for seconds in times:
+        now += gap_s
+        responses.take(seconds, now)
+    assert responses.show_queues(now) is queues
+    assert not responses.show_queues(now + QUEUE_HOLD_S)
+
+
+def test_usual_time_follows_slowly():
+    responses = ResponseTimes()
+    assert (responses.usual_s, responses.middle_s) == (0.0, 0.0)
+    for number in range(100):
+        responses.take(0.04 if number < 50 else 0.16, float(number))
+    assert responses.usual_s < 0.08
+    assert responses.middle_s == 0.16
+
+
+def test_replay_of_a_burst_in_one_zone():
+    """4 targets of the zone serve 200 requests a second, all 16 serve 800; 500 come."""
+    burst = Burst(instances=12, own=4, others=12)
+    burst.run(seconds=4, requests_per_s=60, start=100.0)
+    assert (burst.shed, burst.spilled) == (0, 0)
+    burst.run(seconds=4, requests_per_s=500, start=104.0)
+    # Time to see it: the queues fill, and an instance sees SAMPLES of 200 responses a second.
+    seen_s = (SLOTS + QUEUE) / SLOTS * SERVICE_S + SAMPLES / (200 / 12)
+    assert 0 < burst.shed < seen_s * 300
