Learn the usual response time from many responses

The first response, 8 ms, was taken for the usual time of a service whose requests take 8 to 60 ms, and the middle of twelve of these jumps between the two.

Now the usual time is a mean of at first all responses, and known from fifty on; the latest twelve count by their mean, each within one and four times the usual time, as a shed request is answered at once.

The row of slow responses among fast ones now holds for the mean: a third of them, however slow, tell nothing.

--- a/pearwell/affinity/chooser.py
+++ b/pearwell/affinity/chooser.py
@@ -31,14 +31,20 @@
 # hung when a zone was cut off; see docs/MEASUREMENTS.md.
 SAMPLES = 12
 FRESH_S = 1.0
-# Responses from queues take so many times the usual time. A full target (2 slots, 8 waiting)
-# sheds requests after about four times the usual one; without queues the middle one stays near it.
+# Responses from queues take so many times the usual time in the mean. Those of a full target (2
+# slots, 8 waiting) take up to five times as long; short and long requests are mixed.
 QUEUE_FACTOR = 2.0
+# A response counts for at most so many times the usual time: one that came after a pause of the
+# client or the network tells nothing of queues.
+MOST_TIMES_USUAL = 4.0
 # Time in seconds for which queues are taken to last after their latest sign: spilling empties them,
 # and the burst would fill them again at once.
 QUEUE_HOLD_S = 2.0
-# Share by which a response moves the usual time: a burst of seconds hardly changes it.
-USUAL_SHARE = 0.005
+# Responses whose mean the usual time is at first; later ones move it by the same share, so that a
+# burst of seconds hardly changes it.
+USUAL_SAMPLES = 200
+# Least responses that make a time usual.
+MIN_USUAL_SAMPLES = 50
 
 # Classes of preference, lower is better.
 _OWN_ZONE, _OTHER_ZONE, _SUSPECT, _TRIED = range(4)
@@ -52,10 +58,11 @@
     zones are idle. The responses that it sees from all of them together show it.
     """
 
-    __slots__ = ("_latest", "_queues_until", "_usual_s")
+    __slots__ = ("_latest", "_queues_until", "_taken", "_usual_s")
 
     def __init__(self) -> None:
         self._latest: deque[tuple[float, float]] = deque(maxlen=SAMPLES)
+        self._taken = 0
         self._usual_s = 0.0
         self._queues_until = float("-inf")
 
@@ -65,22 +72,28 @@
         return self._usual_s
 
     @property
-    def middle_s(self) -> float:
-        """The middle one of the latest response times in seconds; 0 before the first one."""
-        times = sorted(seconds for _, seconds in self._latest)
-        return times[len(times) // 2] if times else 0.0
+    def latest_s(self) -> float:
+        """Mean of the latest response times in seconds, each within its bounds.
+
+        A response faster than usual counts as usual: it may be that of a request that was shed.
+        """
+        most_s = MOST_TIMES_USUAL * self._usual_s
+        times = [min(max(seconds, self._usual_s), most_s) for _, seconds in self._latest]
+        return sum(times) / len(times) if times else 0.0
 
     def take(self, seconds: float, now: float) -> None:
         """Takes the time between a request and its response, which came now."""
         self._latest.append((now, seconds))
-        change_s = (seconds - self._usual_s) * USUAL_SHARE
-        self._usual_s = self._usual_s + change_s if self._usual_s else seconds
+        self._taken = min(self._taken + 1, USUAL_SAMPLES)
+        moves = USUAL_SAMPLES if self.show_queues(now) else self._taken
+        self._usual_s += (seconds - self._usual_s) / moves
         many = len(self._latest) == SAMPLES and now - self._latest[0][0] <= FRESH_S
-        if many and self.middle_s > QUEUE_FACTOR * self._usual_s:
+        known = self._taken >= MIN_USUAL_SAMPLES
+        if many and known and self.latest_s > QUEUE_FACTOR * self._usual_s:
             self._queues_until = now + QUEUE_HOLD_S
 
     def show_queues(self, now: float) -> bool:
-        """Whether many responses came lately and the middle one took far longer than usual."""
+        """Whether many responses came lately and took far longer than usual."""
         return now < self._queues_until
 
 
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -306,7 +306,7 @@
                 "zone_queues" if queues else "zone_queues_end",
                 service=service,
                 zone=self._zone,
-                response_ms=round(1000 * times.middle_s),
+                response_ms=round(1000 * times.latest_s),
                 usual_ms=round(1000 * times.usual_s),
             )
         return queues
