--- a/pearwell/messages/local.py
+++ b/pearwell/messages/local.py
@@ -76,7 +76,7 @@
 
 
 class SynsSeen(Message, frozen=True):
-    """A sample of the SYNs sent to a target, in the order of their coming; from "packets".
+    """A sample of the SYNs sent to a target; from "packets".
 
     Each SYN stands for itself, as the fabric may hand the repeats of one to different instances;
     only the group's balancer, which hears of all of them, can tell repeats.
--- a/pearwell/steering/flow_meter.py
+++ b/pearwell/steering/flow_meter.py
@@ -5,15 +5,10 @@
 from pearwell.clock import Clock
 from pearwell.messages import FlowsStarted, Message, SynsSeen
 from pearwell.model.recent_hashes import RecentHashes
+from pearwell.model.syn_sample import sample_syns
 
 __all__ = ["FlowMeter"]
 
-# SYNs for each target in a message: those of the smallest hashes, so that the samples of all
-# instances are of the same flows. 8 of 5 bytes each 2 s stay below the budget for agreement.
-SAMPLED_SYNS = 8
-# Bits of a flow hash that a sample keeps; they tell the flows of some seconds apart.
-SAMPLE_MASK = 0xFFFFFFFF
-
 
 class FlowMeter:
     """Counts at one instance; the counts are estimates, as repeats may pass by other instances.
@@ -27,16 +22,13 @@
         self._ends = RecentHashes(clock)
         self._started: dict[str, Counter[str]] = {}
         self._ended: dict[str, Counter[str]] = {}
-        self._syns: defaultdict[tuple[str, str], list[int]] = defaultdict(list)
+        self._syns: defaultdict[tuple[str, str], tuple[int, ...]] = defaultdict(tuple)
 
     def start(self, group: str, target: str, flow_hash: int) -> None:
         """Notes a SYN that goes to a target."""
         if not self._starts.add(flow_hash):
             self._started.setdefault(group, Counter())[target] += 1
-        sample = self._syns[group, target]
-        sample.append(flow_hash & SAMPLE_MASK)
-        if len(sample) > SAMPLED_SYNS:
-            sample.remove(max(sample))
+        self._syns[group, target] = sample_syns((*self._syns[group, target], flow_hash))
 
     def end(self, group: str, target: str, flow_hash: int) -> bool:
         """Notes a FIN or RST that goes to a target; returns whether it is the flow's first."""
@@ -57,7 +49,7 @@
             for group in sorted(self._started.keys() | self._ended.keys())
         ]
         messages += [
-            SynsSeen(group, target, tuple(sample))
+            SynsSeen(group, target, sample)
             for (group, target), sample in sorted(self._syns.items())
         ]
         self._started.clear()
--- a/pearwell/targets/balancer.py
+++ b/pearwell/targets/balancer.py
@@ -40,6 +40,7 @@
 from pearwell.model.group import TargetIntent, TargetSpec
 from pearwell.model.placement import TargetState
 from pearwell.model.service import ServiceSpec
+from pearwell.model.syn_sample import sample_syns
 from pearwell.targets.group_balance import Decisions, GroupBalance, policy_of
 from pearwell.targets.zone_health import live_instances, silence_key
 
@@ -190,7 +191,7 @@
             counts.target,
             held.started + counts.started,
             held.ended + counts.ended,
-            held.syns + counts.syns,
+            sample_syns((*held.syns, *counts.syns)),
         )
 
     def _send_counts(self) -> None:
--- a/tests/steering/test_flow_meter.py
+++ b/tests/steering/test_flow_meter.py
@@ -6,7 +6,8 @@
 
 from pearwell.clock import ManualClock
 from pearwell.messages import FlowsStarted, SynsSeen
-from pearwell.steering.flow_meter import SAMPLED_SYNS, FlowMeter
+from pearwell.model.syn_sample import SAMPLED_SYNS
+from pearwell.steering.flow_meter import FlowMeter
 
 
 @pytest.mark.parametrize("syns", [1, 2, 4])
--- a/tests/targets/test_balancer.py
+++ b/tests/targets/test_balancer.py
@@ -20,6 +20,7 @@
 from pearwell.model.membership import Member, View
 from pearwell.model.placement import TargetState
 from pearwell.model.service import FlowLimits, Preference, ServiceSpec, TransportProtocol
+from pearwell.model.syn_sample import SAMPLED_SYNS
 from pearwell.targets.balancer import Balancer
 from pearwell.targets.zone_health import silence_key
 
@@ -145,6 +146,15 @@
     assert silence_key("g", "t1") not in zone.entries
 
 
+async def test_counts_carry_a_bounded_sample_of_syns():
+    zone = Zone()
+    await zone.start()
+    balancer = zone.balancers["i0"]
+    for first in range(0, 400, 4):
+        await balancer.handle(SynsSeen("g", "t0", tuple(range(first, first + 4))))
+    assert balancer._counts["g"]["t0"].syns == tuple(range(SAMPLED_SYNS))
+
+
 @pytest.mark.parametrize(
     ("limits", "reported"),
     [(FlowLimits(), False), (FlowLimits(open_flows=50_000), True)],
