Judge queues with flow starts, not with each response

Cause: the mean of twelve was worked out with each response, and a ResponseTimes was made and thrown away. Now a response is noted, and the flow starts, which are fewer, judge.

--- a/pearwell/affinity/chooser.py
+++ b/pearwell/affinity/chooser.py
@@ -84,16 +84,21 @@
     def take(self, seconds: float, now: float) -> None:
         """Takes the time between a request and its response, which came now."""
         self._latest.append((now, seconds))
-        self._taken = min(self._taken + 1, USUAL_SAMPLES)
-        moves = USUAL_SAMPLES if self.show_queues(now) else self._taken
+        if self._taken < USUAL_SAMPLES:
+            self._taken += 1
+        moves = USUAL_SAMPLES if now < self._queues_until else self._taken
         self._usual_s += (seconds - self._usual_s) / moves
+
+    def show_queues(self, now: float) -> bool:
+        """Whether many responses came lately and took far longer than usual, or did at the latest
+        calls within the hold.
+
+        Asked with each flow start, as flows have many more responses than starts.
+        """
         many = len(self._latest) == SAMPLES and now - self._latest[0][0] <= FRESH_S
         known = self._taken >= MIN_USUAL_SAMPLES
         if many and known and self.latest_s > QUEUE_FACTOR * self._usual_s:
             self._queues_until = now + QUEUE_HOLD_S
-
-    def show_queues(self, now: float) -> bool:
-        """Whether many responses came lately and took far longer than usual."""
         return now < self._queues_until
 
 
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -357,7 +357,9 @@
         elif ack != flow.acked and _newer(ack, flow.acked):
             flow.acked = ack
             if flow.waiting and target.zone == self._zone:
-                times = self._responses.setdefault(target.service, ResponseTimes())
+                times = self._responses.get(target.service)
+                if times is None:
+                    times = self._responses[target.service] = ResponseTimes()
                 times.take(now - flow.sent_at, now)
             flow.settle()
             target.alive(now)
