Log and measure the era and revision of the store that an instance knows

Users saw a configuration handled by an older version than the acknowledged one.

Now the era is read, its change logged once a kind (store_restored, with both positions), listed and lost calls carry it, lost calls carry their duration, and three gauges give era, revision and age of the latest response. No decision depends on any of it yet. Tests of tests/affinity and tests/platform pass.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -113,6 +113,8 @@
         self._unavailable_until = [float("-inf")] * relays
         self._jitter = jitter
         self._revision: int | None = None
+        self._era: int | None = None
+        self._synced_at = float("-inf")
         self._failures = 0
         self._events_at = float("-inf")
         self._store_healthy_since = float("inf")
@@ -127,6 +129,16 @@
         """Revision up to which all changes are known; None if the next call is a list."""
         return self._revision
 
+    @property
+    def era(self) -> int | None:
+        """Era of the store in its latest response; None before the first one."""
+        return self._era
+
+    @property
+    def synced_at(self) -> float:
+        """Clock time in seconds of the latest response, of the store or a relay."""
+        return self._synced_at
+
     def next_call(self, now: float) -> Call:
         """Returns the next call with the delay before it."""
         if self._failures:
@@ -148,9 +160,11 @@
         self._failures = 0
         self._revision = revision
         self._events_at = now
+        self._synced_at = now
 
     def on_watch(self, event_count: int, revision: int, now: float) -> None:
         """Records the response to a watch; without events the next watch starts at once."""
+        self._synced_at = now
         if self._revision is None or revision > self._revision:
             self._revision = revision
         if event_count:
@@ -168,6 +182,10 @@
         self._zones[relay] = zone
         self._store_healthy_since = max(self._store_healthy_since, store_healthy_since)
 
+    def on_era(self, era: int) -> None:
+        """Records the era that the store reports."""
+        self._era = era
+
     def require_list(self) -> None:
         """Schedules a list of the store, as a relay announced a change without its object."""
         self._revision = None
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -109,6 +109,16 @@
                 max(0.0, now - self.target_scheduler.store_healthy_since),
             ),
         ]
+        for kind, scheduler in (
+            ("config", self.config_scheduler),
+            ("targets", self.target_scheduler),
+        ):
+            labels = {"kind": kind}
+            found += [
+                ("store_era", "gauge", labels, _or_missing(scheduler.era)),
+                ("store_revision", "gauge", labels, _or_missing(scheduler.revision)),
+                ("store_sync_age_seconds", "gauge", labels, round(now - scheduler.synced_at, 3)),
+            ]
         found += [
             ("queue_wait_seconds", "gauge", {"service": service}, round(wait_s, 4))
             for service, wait_s in self.director.admission.median_waits(now).items()
@@ -147,6 +157,10 @@
     )
 
 
+def _or_missing(number: int | None) -> int:
+    return -1 if number is None else number
+
+
 def _watch_limits(is_relay: bool, apply_s: float, bounds: Bounds) -> WatchLimits:
     return (
         WatchLimits.for_relay() if is_relay else WatchLimits.for_bounds(apply_s, bounds.contact_s)
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -48,9 +48,10 @@
         healthy_s: Time in seconds for which no call of the relay to the store has failed; None from
             the store itself.
         zone: Availability zone of the relay; "" from the store itself.
+        era: Number of times that the store was restored from a copy; 0 if it does not tell.
     """
 
-    __slots__ = ("healthy_s", "items", "more", "revision", "zone")
+    __slots__ = ("era", "healthy_s", "items", "more", "revision", "zone")
 
     def __init__(
         self,
@@ -59,7 +60,9 @@
         more: bool = False,
         healthy_s: float | None = None,
         zone: str = "",
+        era: int = 0,
     ) -> None:
+        self.era = era
         self.items = items
         self.revision = revision
         self.more = more
@@ -116,6 +119,7 @@
         call = self._scheduler.next_call(self._now())
         if call.delay_s > 0:
             await self._sleep(call.delay_s)
+        started = self._now()
         try:
             if call.revision is None:
                 await self._list()
@@ -123,7 +127,7 @@
                 await self._watch(call, call.revision)
         except PlatformError as error:
             self._scheduler.on_failure(call, error.code, self._now())
-            self._log_failure(call, error)
+            self._log_failure(call, error, self._now() - started)
         else:
             self._log_recovery(call)
         self._on_change()
@@ -134,6 +138,7 @@
         while more:
             after = self._handler.name_of(items[-1]) if items else ""
             response = await self._store.list(self._handler.kind, after)
+            self._observe_era(response)
             items.extend(response.items)
             revision = response.revision if revision < 0 else min(revision, response.revision)
             more = response.more and bool(response.items)
@@ -142,11 +147,19 @@
         self._handler.replace(by_name, now)
         self._cache.reset(revision, now)
         self._scheduler.on_list(revision, now)
-        self._log("listed", kind=self._handler.kind, objects=len(items), revision=revision)
+        self._log(
+            "listed",
+            kind=self._handler.kind,
+            objects=len(items),
+            revision=revision,
+            era=self._scheduler.era,
+        )
 
     async def _watch(self, call: Call, revision: int) -> None:
         source = self._store if call.relay is None else self._relays[call.relay]
         response = await source.watch(self._handler.kind, revision, call.wait_s)
+        if call.relay is None:
+            self._observe_era(response)
         now = self._now()
         changes = [self._decode_event(event) for event in response.items]
         if None in changes:
@@ -162,6 +175,21 @@
         if call.relay is None:
             self._cache.append_events(response.items, response.revision, now)
 
+    def _observe_era(self, response: StoreResponse) -> None:
+        previous = self._scheduler.era
+        if response.era == previous:
+            return
+        self._scheduler.on_era(response.era)
+        if previous is not None:
+            self._log(
+                "store_restored",
+                kind=self._handler.kind,
+                era=response.era,
+                previous_era=previous,
+                revision=response.revision,
+                previous_revision=self._scheduler.revision,
+            )
+
     def _decode_event(self, event: object) -> tuple[str, object | None] | None:
         if event is None:
             return None
@@ -170,7 +198,7 @@
         item = event.get("Object")
         return self._handler.name_of(item), None if event.get("Deleted") is True else item
 
-    def _log_failure(self, call: Call, error: PlatformError) -> None:
+    def _log_failure(self, call: Call, error: PlatformError, waited_s: float) -> None:
         failures = self._failure_counts.get(call.relay, 0)
         self._failure_counts[call.relay] = failures + 1
         if failures:
@@ -180,6 +208,8 @@
             kind=self._handler.kind,
             relay="-" if call.relay is None else call.relay,
             revision=call.revision,
+            era=self._scheduler.era,
+            waited_s=round(waited_s, 3),
             code=int(error.code),
             detail=error.detail,
         )
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -23,6 +23,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 RECEIVE_BYTES = 262_144
+# Counts how often the store was restored from a copy; in all its responses.
+ERA_HEADER = "store-era"
 
 _CODES = {
     404: Code.PLATFORM_NOT_FOUND,
@@ -171,9 +173,17 @@
         payload.get("HasMore") is True,
         healthy_s if isinstance(healthy_s, int | float) else None,
         zone if isinstance(zone, str) else "",
+        _era(response),
     )
 
 
+def _era(response: Message) -> int:
+    text = response.headers.get(ERA_HEADER, "0")
+    if not text.isdecimal():
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {text[:20]!r}")
+    return int(text)
+
+
 def _body(response: Message) -> bytes:
     """Returns the body of a response; relays compress theirs."""
     if response.headers.get("content-encoding") != "deflate":
--- a/tests/affinity/test_instance.py
+++ b/tests/affinity/test_instance.py
@@ -50,11 +50,17 @@
     instance.routes.apply(Routes(7, {ROUTE: Route("r", (("intake", 1),))}), 1.0)
     instance.directory.replace([target(1)], 1.0)
     instance.director.on_packet(syn(1), b"", 2.0)
+    instance.config_scheduler.on_era(3)
+    instance.config_scheduler.on_list(17, 1.5)
     page = render_samples(instance.samples(3.0))
     for line in (
         'pearwell_decisions_total{decision="flows_started"} 1',
         "pearwell_configuration_version 7",
         "pearwell_configuration_age_seconds 2",
+        'pearwell_store_era{kind="config"} 3',
+        'pearwell_store_revision{kind="config"} 17',
+        'pearwell_store_revision{kind="targets"} -1',
+        'pearwell_store_sync_age_seconds{kind="config"} 1.5',
         'pearwell_target_open_flows{service="intake",target="i-00000001"} 1',
     ):
         assert line in page
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -20,12 +20,12 @@
     return {"meta": {"Name": "main"}, "spec": {"Version": version, "Routes": []}}
 
 
-def listed(revision, *versions):
-    return StoreResponse([config(version) for version in versions], revision)
+def listed(revision, *versions, era=0):
+    return StoreResponse([config(version) for version in versions], revision, era=era)
 
 
-def events(revision, *versions):
-    return StoreResponse([{"Object": config(version)} for version in versions], revision)
+def events(revision, *versions, era=0):
+    return StoreResponse([{"Object": config(version)} for version in versions], revision, era=era)
 
 
 class SyncHarness:
@@ -97,6 +97,13 @@
     assert transitions == ["store_lost", "store_regained", "store_lost"]
 
 
+def test_a_store_restored_from_a_copy_is_logged_once():
+    script = listed(5, 1, era=3), events(6, 2, era=3), EXPIRED, listed(4, 1, era=4)
+    harness = SyncHarness(FakeStore(*script))
+    harness.steps(4)
+    assert harness.logged.count("store_restored") == 1
+
+
 def test_a_relay_that_is_lost_and_regained_is_logged_once_each():
     relay = FakeStore(DOWN, DOWN, events(8), events(9))
     harness = SyncHarness(FakeStore(listed(5, 1), listed(6, 2), listed(7, 2)), relay)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,6 +39,20 @@
     assert (response.revision, response.more) == (3, False)
 
 
+@pytest.mark.parametrize(
+    ("headers", "era"), [({}, 0), ({"Store-Era": "7"}, 7), ({"store-era": "12"}, 12)]
+)
+def test_the_era_of_the_store_is_read(headers, era):
+    assert decode(b'{"items":[],"AsOf":3}', **headers).era == era
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1.5"])
+def test_an_invalid_era_has_a_code(text):
+    with pytest.raises(PlatformError) as caught:
+        decode(b'{"items":[],"AsOf":3}', **{"Store-Era": text})
+    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
+
+
 def test_a_compressed_response_is_decoded():
     body = compress(b'{"items":[{"meta":{"Name":"i-2"}}],"AsOf":3}')
     assert len(decode(body, **{"Content-Encoding": "deflate"}).items) == 1
