--- a/pearwell/standins/object_server.py
+++ b/pearwell/standins/object_server.py
@@ -1,16 +1,16 @@
 """Stand-in for the platform's store, with fault switches and the API that its role uses."""
 
 import asyncio
-from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
-__all__ = ["Faults", "ObjectServer"]
+from pearwell.standins.object_history import Copy, ObjectHistory, RevisionConflictError
 
-PAGE_SIZE = 50
+__all__ = ["Faults", "ObjectServer"]
 
 
 @dataclass(slots=True)
@@ -33,21 +33,24 @@
 
 
 class ObjectServer:
-    """Stores objects by kind and name, and serves lists and watches of them over HTTP."""
+    """Stores objects by kind and name, and serves lists and watches of them over HTTP.
+
+    Attributes:
+        faults: Fault switches.
+        calls: Number of lists and watches.
+        history: The objects.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.calls = 0
-        self._revision = 1
-        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
-        self._events: deque[tuple[int, str, dict[str, Any], bool]] = deque()
-        self._compacted_revision = 0
+        self.history = ObjectHistory()
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
 
     async def start(self, ip: str, port: int) -> None:
         """Starts the HTTP server."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._handle])
         app.router.add_get("/objects/{kind}", self._list_or_watch)
         app.router.add_put("/objects/{kind}/{name}", self._put)
         app.router.add_delete("/objects/{kind}/{name}", self._delete)
@@ -60,46 +63,67 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def write(self, kind: str, name: str, spec: Any) -> None:
-        """Creates or replaces an object."""
-        objects = self._objects.setdefault(kind, {})
-        if name in objects and objects[name]["spec"] == spec:
-            return
-        await self._record_event(kind, {"meta": {"Name": name}, "spec": spec}, False)
+    async def write(self, kind: str, name: str, spec: Any, expected: int | None = None) -> None:
+        """Creates or replaces an object; see ObjectHistory.write()."""
+        if self.history.write(kind, name, spec, expected):
+            await self._wake_watches()
 
     async def remove(self, kind: str, name: str) -> None:
         """Removes an object."""
-        item = self._objects.get(kind, {}).get(name)
-        if item is not None:
-            await self._record_event(kind, item, True)
+        if self.history.remove(kind, name):
+            await self._wake_watches()
 
     def compact(self) -> None:
         """Drops the event history, which expires watches from earlier revisions."""
-        self._events.clear()
-        self._compacted_revision = self._revision
-
-    async def _record_event(self, kind: str, item: dict[str, Any], deleted: bool) -> None:
-        self._revision += 1
-        item["meta"]["Revision"] = self._revision
-        objects = self._objects.setdefault(kind, {})
-        name = item["meta"]["Name"]
-        if deleted:
-            objects.pop(name, None)
-        else:
-            objects[name] = item
-        self._events.append((self._revision, kind, item, deleted))
+        self.history.compact()
+
+    async def restore(self, copy: Copy) -> None:
+        """Replaces the data with an earlier copy and cuts the watches that are waiting."""
+        self.history.restore(copy)
+        await self._wake_watches()
+
+    async def list_page(self, kind: str, after: str) -> dict[str, Any]:
+        """Returns the fields of a list's page, which starts behind a name."""
+        return self.history.page(kind, after)
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> dict[str, Any] | None:
+        """Returns the fields of a watch's response once there is an event or the wait ends.
+
+        The result is None if the history does not have the revision.
+        """
+        loop = asyncio.get_running_loop()
+        deadline, era = loop.time() + wait_s, self.history.era
+        while True:
+            events = self.history.events_after(kind, revision)
+            if events is None or era != self.history.era:
+                return None
+            if self.faults.stale:
+                events = []
+            remaining_s = deadline - loop.time()
+            if events or remaining_s <= 0:
+                return {"events": events, "AsOf": self.history.revision}
+            try:
+                async with asyncio.timeout(remaining_s), self._changed:
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _wake_watches(self) -> None:
         async with self._changed:
             self._changed.notify_all()
 
-    async def _list_or_watch(self, request: web.Request) -> web.StreamResponse:
-        self.calls += 1
-        error_response = await self._apply_faults(request)
-        if error_response is not None:
-            return error_response
-        kind, query = request.match_info["kind"], request.query
-        if "Watch" not in query:
-            return self._list(kind, query.get("after", ""))
-        return await self._watch(kind, int(query["Watch"]), int(query.get("WaitMs", 0)) / 1000)
+    @web.middleware
+    async def _handle(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Applies the faults, and adds the era to each response."""
+        if request.method == "GET":
+            self.calls += 1
+        response = await self._apply_faults(request) or await handler(request)
+        response.headers["Store-Era"] = str(self.history.era)
+        return response
 
     async def _apply_faults(self, request: web.Request) -> web.Response | None:
         if self.faults.silent:
@@ -110,51 +134,30 @@
             return web.Response(status=503)
         return web.Response(status=self.faults.status) if self.faults.status else None
 
-    def _list(self, kind: str, after: str) -> web.Response:
-        objects = self._objects.get(kind, {})
-        names = sorted(name for name in objects if name > after)
-        return _json(
-            {
-                "items": [objects[name] for name in names[:PAGE_SIZE]],
-                "HasMore": len(names) > PAGE_SIZE,
-                "AsOf": self._revision,
-            }
-        )
-
-    async def _watch(self, kind: str, revision: int, wait_s: float) -> web.Response:
-        deadline = asyncio.get_running_loop().time() + wait_s
-        while True:
-            if revision < self._compacted_revision:
-                return web.Response(status=410)
-            events = [
-                {"Object": item, "Deleted": deleted}
-                for event_revision, event_kind, item, deleted in self._events
-                if event_revision > revision and event_kind == kind and not self.faults.stale
-            ]
-            remaining_s = deadline - asyncio.get_running_loop().time()
-            if events or remaining_s <= 0:
-                return _json({"events": events, "AsOf": self._revision})
-            try:
-                async with asyncio.timeout(remaining_s), self._changed:
-                    await self._changed.wait()
-            except TimeoutError:
-                continue
+    async def _list_or_watch(self, request: web.Request) -> web.StreamResponse:
+        kind, query = request.match_info["kind"], request.query
+        if "Watch" not in query:
+            return _json(await self.list_page(kind, query.get("after", "")))
+        wait_s = int(query.get("WaitMs", 0)) / 1000
+        found = await self.watch(kind, int(query["Watch"]), wait_s)
+        return web.Response(status=410) if found is None else _json(found)
 
     async def _put(self, request: web.Request) -> web.StreamResponse:
-        error_response = await self._apply_faults(request)
-        if error_response is not None:
-            return error_response
-        spec = msgspec.json.decode(await request.read())["spec"]
-        await self.write(request.match_info["kind"], request.match_info["name"], spec)
+        body = msgspec.json.decode(await request.read())
+        expected = body.get("meta", {}).get("Revision")
+        try:
+            await self.write(
+                request.match_info["kind"], request.match_info["name"], body["spec"], expected
+            )
+        except RevisionConflictError as conflict:
+            return _json(conflict.item, 409)
         return _json({})
 
     async def _delete(self, request: web.Request) -> web.StreamResponse:
-        error_response = await self._apply_faults(request)
-        if error_response is not None:
-            return error_response
         await self.remove(request.match_info["kind"], request.match_info["name"])
         return _json({})
 
 
-def _json(value: Any) -> web.Response:
-    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
+def _json(value: Any, status: int = 200) -> web.Response:
+    body = msgspec.json.encode(value)
+    return web.Response(body=body, status=status, content_type="application/json")
--- /dev/null
+++ b/tests/platform/store_fleet.py
@@ -0,0 +1,303 @@
+"""A fleet of instances in virtual time: store, relays and their clients, without sockets.
+
+Calls pass through the real clients, relays and schedulers; only the exchange of bytes is replaced.
+"""
+
+import asyncio
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from pearwell.affinity.instance import Bounds, Instance
+from pearwell.affinity.relay import Relay
+from pearwell.affinity.sync import ObjectSync
+from pearwell.errors import Code, PlatformError
+from pearwell.http_message import MessageReader, encode_message
+from pearwell.platform.edge import RELAY_HEADERS
+from pearwell.platform.objects import ConfigHandler, TargetHandler
+from pearwell.platform.store import StoreClient
+from pearwell.standins.object_server import ObjectServer
+
+BOUNDS = Bounds(drain_s=3.0, config_s=3.0, contact_s=4.0, grace_s=6.0)
+LATENCY_S = 0.004
+HEARTBEAT_S = 0.77
+ROUTE = {"Name": "r", "Host": "198.18.0.1", "PathPrefix": "/8443/", "Service": "intake"}
+
+
+def config(version):
+    return {"Version": version, "Routes": [ROUTE], "Limits": {}}
+
+
+def entry(number, state="ready", born=1):
+    return {
+        "Service": "intake",
+        "Address": f"10.0.0.{number}:8000",
+        "Zone": "a",
+        "State": state,
+        "WarmupLeftMs": 0,
+        "born": born,
+    }
+
+
+class Trigger:
+    """The reactor's trigger on asyncio."""
+
+    def __init__(self):
+        self._event = asyncio.Event()
+
+    async def wait(self, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
+            return True
+        except TimeoutError:
+            return False
+
+    def fire(self):
+        self._event.set()
+        self._event = asyncio.Event()
+
+
+class LocalClient(StoreClient):
+    """A client whose calls reach their server without a socket.
+
+    Args:
+        node: The calling instance.
+        respond: Returns status, headers and body of the response to a path.
+    """
+
+    def __init__(self, node, respond, **options):
+        super().__init__(node, ("10.200.1.7", 80), **options)
+        self._node = node
+        self._respond = respond
+
+    async def _exchange(self, path, timeout_s):
+        self._calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(LATENCY_S / 2)
+                await self._node.linked.wait()
+                status, headers, body = await self._respond(path)
+                await self._node.linked.wait()
+                await asyncio.sleep(LATENCY_S / 2)
+        except TimeoutError as error:
+            await self._node.running.wait()
+            raise PlatformError(Code.PLATFORM_TIMEOUT, "no response") from error
+        await self._node.running.wait()
+        return MessageReader().feed(encode_message(f"HTTP/1.1 {status} -", headers, body))
+
+
+class VirtualStore:
+    """The store, whose calls a test can hook into.
+
+    Attributes:
+        server: The objects.
+        away: Whether calls are refused.
+        on_call: Called with the number of the call and "request" or "response".
+    """
+
+    def __init__(self):
+        self.server = ObjectServer()
+        self.away = False
+        self.calls = 0
+        self.on_call = None
+
+    async def respond(self, path):
+        number, self.calls = self.calls, self.calls + 1
+        await self._hook(number, "request")
+        if self.away:
+            return self._message(503)
+        url = urlsplit(path)
+        kind, query = url.path.rsplit("/", 1)[1], parse_qs(url.query)
+        if "Watch" not in query:
+            fields = await self.server.list_page(kind, query.get("after", [""])[0])
+        else:
+            wait_s = int(query["WaitMs"][0]) / 1000
+            fields = await self.server.watch(kind, int(query["Watch"][0]), wait_s)
+        message = self._message(410) if fields is None else self._message(200, fields)
+        await self._hook(number, "response")
+        return message
+
+    def _message(self, status, fields=None):
+        body = b"" if fields is None else msgspec.json.encode(fields)
+        return status, {"Store-Era": str(self.server.history.era)}, body
+
+    async def _hook(self, number, stage):
+        if self.on_call is not None:
+            await self.on_call(number, stage)
+
+
+class Node:
+    """One instance.
+
+    Attributes:
+        running: Cleared while the instance is frozen.
+        linked: Cleared while it is cut off.
+        versions: Configurations that came into force, with their times.
+        events: Names of its log events.
+    """
+
+    def __init__(self, store, relays, is_relay):
+        self._loop = asyncio.get_running_loop()
+        self.running, self.linked = asyncio.Event(), asyncio.Event()
+        self.running.set()
+        self.linked.set()
+        self.events = []
+        self.versions = []
+        self._changed = Trigger()
+        self.instance = Instance(
+            "a", BOUNDS, len(relays), is_relay, lambda: 0.5, self._log, self._log
+        )
+        instance = self.instance
+        caches = {"config": instance.config_cache, "servers": instance.target_cache}
+        self._relay = Relay(
+            "a",
+            caches,
+            lambda: instance.target_scheduler.store_healthy_since,
+            self._changed,
+            self.now,
+        )
+        targets = TargetHandler(instance.directory, instance.trusts_listing, self._log)
+        pairs = (
+            (ConfigHandler(instance.routes, self._log), instance.config_scheduler),
+            (targets, instance.target_scheduler),
+        )
+        self._tasks = [asyncio.ensure_future(self._tick())]
+        for handler, scheduler in pairs:
+            sync = ObjectSync(
+                handler,
+                scheduler,
+                caches[handler.kind],
+                LocalClient(self, store.respond),
+                [relay.client_for(self) for relay in relays],
+                self.now,
+                asyncio.sleep,
+                self._on_change,
+                self._log,
+            )
+            self._tasks.append(asyncio.ensure_future(sync.run()))
+
+    def now(self):
+        return self._loop.time()
+
+    def client_for(self, node):
+        return LocalClient(node, self._respond)
+
+    async def freeze(self, seconds):
+        self.running.clear()
+        await asyncio.sleep(seconds)
+        self.running.set()
+
+    async def cut(self, seconds):
+        self.linked.clear()
+        await asyncio.sleep(seconds)
+        self.linked.set()
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        errors = [error for error in results if not isinstance(error, asyncio.CancelledError)]
+        assert errors == []
+
+    async def _respond(self, path):
+        await self.running.wait()
+        await self.linked.wait()
+        status, body = await self._relay.respond(path)
+        await self.running.wait()
+        await self.linked.wait()
+        return status, RELAY_HEADERS, body
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(1.0)
+            await self.running.wait()
+            self.instance.tick(self.now())
+
+    def _on_change(self):
+        version = self.instance.routes.version
+        if not self.versions or self.versions[-1][1] != version:
+            self.versions.append((self.now(), version))
+        self._changed.fire()
+
+    def _log(self, event, **fields):
+        self.events.append((round(self.now(), 3), event, fields))
+
+
+class Fleet:
+    """Store, relays and clients, with the operator and the hosts that write to the store.
+
+    Hosts write their entries at an interval, so entries lost in a restore are back after it. The
+    operator finds its latest configuration lost and writes it again.
+    """
+
+    def __init__(self, relays, clients):
+        self.store = VirtualStore()
+        self.relays = [Node(self.store, [], True) for _ in range(relays)]
+        self.clients = [Node(self.store, self.relays, False) for _ in range(clients)]
+        self.entries = {}
+        self.version = 0
+        self._copies = []
+        self._restored_at = float("-inf")
+        self._tasks = [asyncio.ensure_future(self._write_entries())]
+
+    @property
+    def nodes(self):
+        return [*self.relays, *self.clients]
+
+    async def configure(self):
+        """Writes the next configuration."""
+        self.version += 1
+        await self.store.server.write("config", "main", config(self.version))
+
+    async def put_target(self, number, **fields):
+        """Adds or changes a target."""
+        self.entries[f"i-{number:08x}"] = entry(number, **fields)
+        await self._write_entry(f"i-{number:08x}")
+
+    async def remove_target(self, number):
+        """Ends a target, which removes its entry."""
+        del self.entries[f"i-{number:08x}"]
+        await self.store.server.remove("servers", f"i-{number:08x}")
+
+    def copy(self):
+        """Takes the copy that the next restore uses."""
+        self._copies.append(self.store.server.history.copy())
+
+    async def restore(self, away_s=0.0, rewrite_s=0.3):
+        """Brings the store back from the latest copy; lost objects are written again later."""
+        self.store.away = away_s > 0
+        await asyncio.sleep(away_s)
+        self.store.away = False
+        self._restored_at = asyncio.get_running_loop().time()
+        await self.store.server.restore(self._copies[-1])
+        self._tasks.append(asyncio.ensure_future(self._rewrite(rewrite_s)))
+
+    async def stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for node in self.nodes:
+            await node.stop()
+
+    async def _rewrite(self, delay_s):
+        await asyncio.sleep(delay_s)
+        await self.store.server.write("config", "main", config(self.version))
+        for name in [*self.entries]:
+            await self._write_entry(name)
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        # Entries that nobody has written again lapse.
+        for kind, name in self.store.server.history.unconfirmed:
+            if kind == "servers" and name not in self.entries:
+                await self.store.server.remove(kind, name)
+
+    async def _write_entry(self, name):
+        if not self.store.away:
+            await self.store.server.write("servers", name, self.entries[name])
+
+    async def _write_entries(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if asyncio.get_running_loop().time() - self._restored_at > HEARTBEAT_S:
+                for name in [*self.entries]:
+                    await self._write_entry(name)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -178,5 +178,22 @@
         )
 
 
+def test_a_restored_store_refuses_later_revisions_and_tells_its_era():
+    async def query(client):
+        listed = await client.list("servers", "")
+        try:
+            await client.watch("servers", 2, 0.1)
+        except PlatformError as error:
+            return listed.revision, listed.era, error.code
+        return None
+
+    with StoreThread() as store_thread:
+        server = store_thread.server
+        copy = server.history.copy()
+        store_thread.call(server.write("servers", "i-1", {}))
+        store_thread.call(server.restore(copy))
+        assert run_query(query) == (1, 2, Code.PLATFORM_WATCH_EXPIRED)
+
+
 def test_a_refused_connection_has_a_code():
     assert run_query(lambda client: client.list("servers", "")) == Code.PLATFORM_UNAVAILABLE
--- /dev/null
+++ b/tests/platform/test_store_restore.py
@@ -0,0 +1,91 @@
+"""Tests of instances and relays while the store comes back from an older copy, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from tests.platform.store_fleet import BOUNDS, Fleet
+from tests.virtual_time import run
+
+# More than one page of a list.
+TARGETS = 60
+LAST_TARGET = 200
+
+
+async def started_fleet(relays=2, clients=2):
+    fleet = Fleet(relays, clients)
+    await fleet.configure()
+    for number in range(TARGETS):
+        await fleet.put_target(number)
+    await asyncio.sleep(2.0)
+    return fleet
+
+
+async def change_everything(fleet, step):
+    """Makes one change of each kind; the revision increases by three."""
+    await fleet.configure()
+    await fleet.put_target(LAST_TARGET - step)
+    await fleet.put_target(step, state="draining")
+
+
+async def check_bound(fleet, nodes):
+    """Checks that a new configuration is in force in time and that all targets are known."""
+    await asyncio.sleep(BOUNDS.contact_s)
+    await change_everything(fleet, 30)
+    await asyncio.sleep(BOUNDS.config_s)
+    history = fleet.store.server.history
+    listed, after, more = {}, "", True
+    while more:
+        page = history.page("servers", after)
+        listed |= {item["meta"]["Name"]: item["spec"]["State"] for item in page["items"]}
+        after, more = max(listed), page["HasMore"]
+    for node in nodes:
+        versions = [version for _, version in node.versions]
+        assert versions == sorted(versions)
+        assert versions[-1] == fleet.version
+        states = {
+            target.name: "draining" if target.draining else "ready"
+            for target in node.instance.directory
+        }
+        assert states == listed
+    await fleet.stop()
+
+
+@pytest.mark.parametrize("away_s", [0.0, 0.5, 3.0])
+@pytest.mark.parametrize("relays", [0, 2])
+def test_changes_after_a_restore_reach_all_instances_in_time(relays, away_s):
+    """A relay that keeps the higher revision of the lost history never forwards them."""
+
+    async def scenario():
+        fleet = await started_fleet(relays)
+        fleet.copy()
+        for step in range(10):
+            await change_everything(fleet, step)
+            await asyncio.sleep(0.2)
+        await fleet.restore(away_s)
+        await check_bound(fleet, fleet.nodes)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("relays", [0, 2])
+def test_a_watch_whose_revision_was_issued_again_is_not_resumed(relays):
+    """The new revisions pass the old one between two calls: no 410, only the era tells.
+
+    What was written between the copy and the old revision would otherwise never be seen.
+    """
+
+    async def scenario():
+        fleet = await started_fleet(relays)
+        fleet.copy()
+        await change_everything(fleet, 1)
+        # Each instance has the events and pauses before its next call.
+        await asyncio.sleep(0.05)
+        await fleet.restore(rewrite_s=0.0)
+        await fleet.put_target(2, state="draining")
+        await asyncio.sleep(0.0)
+        for number in range(TARGETS, TARGETS + 20):
+            await fleet.put_target(number)
+        await check_bound(fleet, fleet.nodes)
+
+    run(scenario())
