Compare positions in the store's history only within an era

Users saw a configuration handled by an older version than the one acknowledged more than the bound before.

Cause: a position was a bare revision. A store that comes back from a copy issues revisions again. A relay's cache took the lower revision of the new list for an old response, ignored it and all events up to the old revision, and still counted each response as fresh: its clients waited without a failure until the revisions had passed, and never saw the changes in between. A watch resumed where the new revisions had already passed the old one was answered without 410, and an instance missed what lay between copy and old revision for good. Pages of a list could come from two histories.

Change: a position is (era, revision). A list of another era replaces the cache whatever its revision; a response of another era to a watch, or to a later page, is followed by a list; after a restore entries may reappear, as after an outage. Relays take the client's era and pass on their own: a client of an earlier era is told to list, one of a later era is turned away, one that sends no era gets 410. Lists that a relay requires are spaced, so that a relay and a store that disagree don't cause a storm.

--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -8,7 +8,7 @@
 import json
 from collections import deque
 
-__all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache"]
+__all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache", "Position"]
 
 # Maximum age of the store's latest response for a relay to serve its cache. Relays call the store
 # at least every 1.5 s; a slow response (0.35 s) and a pause stay within this limit.
@@ -19,6 +19,10 @@
 # Event batches kept for clients that lag behind; about one batch arrives every half second.
 MAX_BATCHES = 64
 
+# Position in the store's history: era and revision. A store that is restored from a copy raises its
+# era and issues revisions again, so a revision alone does not identify a state.
+Position = tuple[int, int]
+
 
 class ObjectCache:
     """The latest events of one kind, as decoded from JSON.
@@ -29,13 +33,14 @@
 
     def __init__(self) -> None:
         self._batches: deque[tuple[int, int, list[object]]] = deque(maxlen=MAX_BATCHES)
+        self._era = -1
         self._revision = -1
         self._verified_at = float("-inf")
 
     @property
-    def revision(self) -> int:
-        """Revision up to which the cache is complete; -1 before the first list."""
-        return self._revision
+    def position(self) -> Position:
+        """Position up to which the cache is complete; (-1, -1) before the first list."""
+        return self._era, self._revision
 
     def is_fresh(self, now: float) -> bool:
         """Whether the store has responded within the last MAX_AGE_S seconds."""
@@ -45,23 +50,31 @@
         """Returns the clock time in seconds at which the cache becomes stale."""
         return self._verified_at + MAX_AGE_S
 
-    def reset(self, revision: int, now: float) -> bool:
-        """Records a list of the store; returns whether it is newer than the cached revision."""
+    def is_behind(self, position: Position) -> bool:
+        """Whether a client's position is in a later era, of which the cache knows nothing yet."""
+        return position[0] > self._era
+
+    def reset(self, position: Position, now: float) -> bool:
+        """Records a list of the store; returns whether it replaces the cached state."""
+        era, revision = position
         self._verified_at = now
-        if revision <= self._revision:
+        if era == self._era and revision <= self._revision:
             return False
         self._batches.clear()
-        self._revision = revision
+        self._era, self._revision = position
         return True
 
-    def append_events(self, events: list[object], revision: int, now: float) -> bool:
-        """Adds the response to a watch from the cached revision; returns whether it had new events.
+    def append_events(self, events: list[object], position: Position, now: float) -> bool:
+        """Adds the response to a watch from the cached position; returns whether it had new events.
 
         Args:
             events: The events as decoded from JSON.
-            revision: Revision up to which the response is complete.
+            position: Position up to which the response is complete, in the era of the cache.
             now: Current time in seconds of the clock.
         """
+        era, revision = position
+        if era != self._era:
+            raise ValueError(f"events of era {era} for a cache of era {self._era}")
         self._verified_at = now
         if revision <= self._revision:
             return False
@@ -76,12 +89,16 @@
         self._revision = revision
         return bool(events)
 
-    def events_after(self, revision: int) -> list[object] | None:
-        """Returns the events after a revision, or None if they are no longer cached.
+    def events_after(self, position: Position) -> list[object] | None:
+        """Returns the events after a position, or None if they are no longer cached.
 
-        The result may include events before the revision. They are in order and without gaps, so a
-        client that applies all of them ends in the state of the cache.
+        The result may include events before the position. They are in order and without gaps, so a
+        client that applies all of them ends in the state of the cache. No events lead from an
+        earlier era to the cached one; a change without its object is announced then.
         """
+        era, revision = position
+        if era < self._era:
+            return [None]
         if revision >= self._revision:
             return []
         if not self._batches or revision < self._batches[0][0]:
--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 
+from pearwell.affinity.cache import Position
 from pearwell.errors import Code
 
 __all__ = ["Call", "FetchScheduler", "WatchLimits"]
@@ -73,18 +74,18 @@
     Attributes:
         delay_s: Delay in seconds before the call.
         relay: Index of the relay to call; None for the store.
-        revision: Revision to watch from; None for a list.
+        position: Position to watch from; None for a list.
         wait_s: Maximum time in seconds that a watch waits for events.
     """
 
-    __slots__ = ("delay_s", "relay", "revision", "wait_s")
+    __slots__ = ("delay_s", "position", "relay", "wait_s")
 
     def __init__(
-        self, delay_s: float, relay: int | None, revision: int | None, wait_s: float
+        self, delay_s: float, relay: int | None, position: Position | None, wait_s: float
     ) -> None:
         self.delay_s = delay_s
         self.relay = relay
-        self.revision = revision
+        self.position = position
         self.wait_s = wait_s
 
 
@@ -112,11 +113,12 @@
         self._zones: list[str | None] = [None] * relays
         self._unavailable_until = [float("-inf")] * relays
         self._jitter = jitter
-        self._revision: int | None = None
+        self._position: Position | None = None
         self._era: int | None = None
         self._synced_at = float("-inf")
         self._failures = 0
         self._events_at = float("-inf")
+        self._list_at = float("-inf")
         self._store_healthy_since = float("inf")
 
     @property
@@ -125,9 +127,9 @@
         return self._store_healthy_since
 
     @property
-    def revision(self) -> int | None:
-        """Revision up to which all changes are known; None if the next call is a list."""
-        return self._revision
+    def position(self) -> Position | None:
+        """Position up to which all changes are known; None if the next call is a list."""
+        return self._position
 
     @property
     def era(self) -> int | None:
@@ -145,28 +147,29 @@
             first = FIRST_BACKOFF_WITH_RELAYS_S if self._unavailable_until else FIRST_BACKOFF_S
             bound = min(MAX_BACKOFF_S, first * 2 ** min(self._failures - 1, 10))
             return Call(bound * (0.5 + 0.5 * self._jitter()), None, None, 0.0)
-        if self._revision is None:
-            return Call(0.0, None, None, 0.0)
+        if self._position is None:
+            return Call(max(0.0, self._list_at - now), None, None, 0.0)
         relay = self._select_relay(now)
         if relay is not None:
-            return Call(0.0, relay, self._revision, WATCH_AT_RELAY_S)
+            return Call(0.0, relay, self._position, WATCH_AT_RELAY_S)
         delay = max(0.0, self._events_at + self._limits.min_interval_s - now)
-        return Call(delay, None, self._revision, self._limits.max_wait_s)
+        return Call(delay, None, self._position, self._limits.max_wait_s)
 
-    def on_list(self, revision: int, now: float) -> None:
+    def on_list(self, position: Position, now: float) -> None:
         """Records a complete list of the store."""
         if self._failures or self._store_healthy_since > now:
             self._store_healthy_since = now
         self._failures = 0
-        self._revision = revision
+        self._position = position
         self._events_at = now
+        self._list_at = now + self._limits.min_interval_s
         self._synced_at = now
 
-    def on_watch(self, event_count: int, revision: int, now: float) -> None:
+    def on_watch(self, event_count: int, position: Position, now: float) -> None:
         """Records the response to a watch; without events the next watch starts at once."""
         self._synced_at = now
-        if self._revision is None or revision > self._revision:
-            self._revision = revision
+        if self._position is None or position > self._position:
+            self._position = position
         if event_count:
             self._events_at = now
 
@@ -182,13 +185,25 @@
         self._zones[relay] = zone
         self._store_healthy_since = max(self._store_healthy_since, store_healthy_since)
 
-    def on_era(self, era: int) -> None:
-        """Records the era that the store reports."""
+    def on_era(self, era: int) -> bool:
+        """Records the era that the store reports; returns whether the store was restored.
+
+        After a restore, no watch can be resumed, and objects that were written since the copy are
+        missing until they are written again, as after an outage.
+        """
+        restored = self._era is not None and era != self._era
         self._era = era
+        if restored:
+            self._position = None
+            self._store_healthy_since = float("inf")
+        return restored
 
     def require_list(self) -> None:
-        """Schedules a list of the store, as a relay announced a change without its object."""
-        self._revision = None
+        """Schedules a list of the store, as a relay announced a change without its object.
+
+        Lists that are required one after the other keep the interval between watches.
+        """
+        self._position = None
 
     def on_failure(self, call: Call, code: Code, now: float) -> None:
         """Records a failure; the next call goes to another relay, else it lists the store."""
@@ -197,9 +212,11 @@
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
             self._unavailable_until[call.relay] = now + penalty * (0.75 + 0.5 * self._jitter())
             if self._select_relay(now) is None:
-                self._revision = None
+                self._position = None
+                self._list_at = now
             return
-        self._revision = None
+        self._position = None
+        self._list_at = now
         if code is not Code.PLATFORM_WATCH_EXPIRED:
             self._failures += 1
             self._store_healthy_since = float("inf")
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -115,8 +115,8 @@
         ):
             labels = {"kind": kind}
             found += [
-                ("store_era", "gauge", labels, _or_missing(scheduler.era)),
-                ("store_revision", "gauge", labels, _or_missing(scheduler.revision)),
+                ("store_era", "gauge", labels, -1 if scheduler.era is None else scheduler.era),
+                ("store_revision", "gauge", labels, (scheduler.position or (-1, -1))[1]),
                 ("store_sync_age_seconds", "gauge", labels, round(now - scheduler.synced_at, 3)),
             ]
         found += [
@@ -157,10 +157,6 @@
     )
 
 
-def _or_missing(number: int | None) -> int:
-    return -1 if number is None else number
-
-
 def _watch_limits(is_relay: bool, apply_s: float, bounds: Bounds) -> WatchLimits:
     return (
         WatchLimits.for_relay() if is_relay else WatchLimits.for_bounds(apply_s, bounds.contact_s)
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from zlib import compress
 
-from pearwell.affinity.cache import ObjectCache
+from pearwell.affinity.cache import ObjectCache, Position
 from pearwell.http_message import Response
 from pearwell.reactor import Trigger
 
@@ -43,50 +43,63 @@
         self._store_healthy_since = store_healthy_since
         self._changed = changed
         # Latest response with events by kind, which most clients share.
-        self._encoded: dict[str, tuple[int, int, bytes]] = {}
+        self._encoded: dict[str, tuple[Position, Position, bytes]] = {}
         self._now = now
 
     async def respond(self, path: str) -> Response:
         """Returns status and compressed body for a path with its query.
 
-        The status is 503 if the cache is stale, 410 if the events are no longer cached.
+        The status is 503 if the cache is stale or of an earlier era than the client, 410 if the
+        events are no longer cached.
         """
-        kind, revision, wait_s = _parse(path)
+        kind, position, wait_s = _parse(path)
         cache = self._caches.get(kind)
-        if cache is None or revision is None:
+        if cache is None or position is None:
             return 404, b""
+        if position[0] < 0:
+            # An instance of an earlier release, which can't tell a later era from a large event.
+            if cache.position[0] > 0:
+                return 410, b""
+            position = (0, position[1])
         end = self._now() + min(wait_s, MAX_WAIT_S)
-        while cache.is_fresh(self._now()):
-            events = cache.events_after(revision)
+        while cache.is_fresh(self._now()) and not cache.is_behind(position):
+            events = cache.events_after(position)
             if events is None:
                 return 410, b""
             left = min(end, cache.stale_at()) - self._now()
             if events or left <= 0:
-                return 200, self._encode(kind, revision, cache.revision, events)
+                return 200, self._encode(kind, position, cache.position, events)
             await self._changed.wait(left)
         return 503, b""
 
-    def _encode(self, kind: str, revision: int, until: int, events: list[object]) -> bytes:
-        first, last, body = self._encoded.get(kind, (0, 0, b""))
-        if not events or (first, last) != (revision, until):
+    def _encode(
+        self, kind: str, position: Position, until: Position, events: list[object]
+    ) -> bytes:
+        first, last, body = self._encoded.get(kind, (None, None, b""))
+        if not events or (first, last) != (position, until):
             healthy_s = max(0.0, self._now() - self._store_healthy_since())
             payload = {
                 "events": events,
-                "AsOf": until,
+                "Era": until[0],
+                "AsOf": until[1],
                 "GoodS": round(healthy_s, 3),
                 "Zone": self._zone,
             }
             body = compress(json.dumps(payload).encode(), COMPRESSION)
             if events:
-                self._encoded[kind] = (revision, until, body)
+                self._encoded[kind] = (position, until, body)
         return body
 
 
-def _parse(path: str) -> tuple[str, int | None, float]:
-    """Returns kind, revision and wait in seconds; the revision is None if the path is malformed."""
+def _parse(path: str) -> tuple[str, Position | None, float]:
+    """Returns kind, position and wait in seconds; the position is None if the path is malformed.
+
+    Its era is -1 if the path has none.
+    """
     kind, _, query = path.removeprefix(PATH).partition("?")
     fields = dict(part.partition("=")[::2] for part in query.split("&"))
-    revision, wait_ms = fields.get("Watch", ""), fields.get("WaitMs", "0")
-    if not (path.startswith(PATH) and revision.isdecimal() and wait_ms.isdecimal()):
+    numbers = fields.get("Era", "0"), fields.get("Watch", ""), fields.get("WaitMs", "0")
+    if not path.startswith(PATH) or not all(number.isdecimal() for number in numbers):
         return kind, None, 0.0
-    return kind, int(revision), int(wait_ms) / 1000
+    era, revision, wait_ms = map(int, numbers)
+    return kind, (era if "Era" in fields else -1, revision), wait_ms / 1000
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-from pearwell.affinity.cache import ObjectCache
+from pearwell.affinity.cache import ObjectCache, Position
 from pearwell.affinity.fetch_scheduler import Call, FetchScheduler
 from pearwell.errors import Code, PlatformError
 
@@ -17,8 +17,8 @@
         async def list(self, kind: str, after: str) -> "StoreResponse":
             """Returns one page of the objects of a kind after a name."""
 
-        async def watch(self, kind: str, revision: int, wait_s: float) -> "StoreResponse":
-            """Returns the events after a revision once there is one, or none after the wait."""
+        async def watch(self, kind: str, position: Position, wait_s: float) -> "StoreResponse":
+            """Returns the events after a position once there is one, or none after the wait."""
 
     class ObjectHandler(Protocol):
         """Receives the objects of a kind as decoded from JSON."""
@@ -69,6 +69,11 @@
         self.healthy_s = healthy_s
         self.zone = zone
 
+    @property
+    def position(self) -> Position:
+        """Position in the store's history up to which the response is complete."""
+        return self.era, self.revision
+
 
 class ObjectSync:
     """Synchronizes the objects of one kind.
@@ -121,10 +126,12 @@
             await self._sleep(call.delay_s)
         started = self._now()
         try:
-            if call.revision is None:
+            if call.position is None:
                 await self._list()
+            elif call.relay is None:
+                await self._watch_store(call.position, call.wait_s)
             else:
-                await self._watch(call, call.revision)
+                await self._watch_relay(call.relay, call.position, call.wait_s)
         except PlatformError as error:
             self._scheduler.on_failure(call, error.code, self._now())
             self._log_failure(call, error, self._now() - started)
@@ -134,65 +141,74 @@
 
     async def _list(self) -> None:
         items: list[object] = []
-        revision, more = -1, True
+        position: Position | None = None
+        more = True
         while more:
             after = self._handler.name_of(items[-1]) if items else ""
             response = await self._store.list(self._handler.kind, after)
-            self._observe_era(response)
+            if self._observe_era(response) and position is not None:
+                # Pages of two histories are no complete list of either.
+                return
             items.extend(response.items)
-            revision = response.revision if revision < 0 else min(revision, response.revision)
+            position = min(position or response.position, response.position)
             more = response.more and bool(response.items)
+        assert position is not None
         now = self._now()
         by_name = {self._handler.name_of(item): item for item in items}
         self._handler.replace(by_name, now)
-        self._cache.reset(revision, now)
-        self._scheduler.on_list(revision, now)
+        self._cache.reset(position, now)
+        self._scheduler.on_list(position, now)
         self._log(
             "listed",
             kind=self._handler.kind,
             objects=len(items),
-            revision=revision,
-            era=self._scheduler.era,
+            revision=position[1],
+            era=position[0],
         )
 
-    async def _watch(self, call: Call, revision: int) -> None:
-        source = self._store if call.relay is None else self._relays[call.relay]
-        response = await source.watch(self._handler.kind, revision, call.wait_s)
-        if call.relay is None:
-            self._observe_era(response)
+    async def _watch_store(self, position: Position, wait_s: float) -> None:
+        response = await self._store.watch(self._handler.kind, position, wait_s)
+        if self._observe_era(response):
+            # The events follow the same revision of another history.
+            return
         now = self._now()
-        changes = [self._decode_event(event) for event in response.items]
-        if None in changes:
-            # A relay announced a change without its object.
+        self._apply_events(response, now)
+        self._cache.append_events(response.items, response.position, now)
+
+    async def _watch_relay(self, relay: int, position: Position, wait_s: float) -> None:
+        response = await self._relays[relay].watch(self._handler.kind, position, wait_s)
+        if None in response.items:
+            # A change without its object, or a later era.
             self._scheduler.require_list()
             return
-        if call.relay is not None and response.healthy_s is not None:
-            self._scheduler.on_relay_status(call.relay, response.zone, now - response.healthy_s)
-        objects = [change for change in changes if change is not None]
-        for name, item in objects:
+        if response.era != position[0]:
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"relay responded for era {response.era}")
+        now = self._now()
+        if response.healthy_s is not None:
+            self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
+        self._apply_events(response, now)
+
+    def _apply_events(self, response: StoreResponse, now: float) -> None:
+        for name, item in [self._decode_event(event) for event in response.items]:
             self._handler.apply(name, item, now)
-        self._scheduler.on_watch(len(objects), response.revision, now)
-        if call.relay is None:
-            self._cache.append_events(response.items, response.revision, now)
+        self._scheduler.on_watch(len(response.items), response.position, now)
 
-    def _observe_era(self, response: StoreResponse) -> None:
-        previous = self._scheduler.era
-        if response.era == previous:
-            return
-        self._scheduler.on_era(response.era)
-        if previous is not None:
+    def _observe_era(self, response: StoreResponse) -> bool:
+        """Records the era of a response of the store; returns whether the store was restored."""
+        previous_era, previous = self._scheduler.era, self._scheduler.position
+        restored = self._scheduler.on_era(response.era)
+        if restored:
             self._log(
                 "store_restored",
                 kind=self._handler.kind,
                 era=response.era,
-                previous_era=previous,
+                previous_era=previous_era,
                 revision=response.revision,
-                previous_revision=self._scheduler.revision,
+                previous_revision=_revision(previous),
             )
+        return restored
 
-    def _decode_event(self, event: object) -> tuple[str, object | None] | None:
-        if event is None:
-            return None
+    def _decode_event(self, event: object) -> tuple[str, object | None]:
         if not isinstance(event, dict):
             raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"event {str(event)[:80]}")
         item = event.get("Object")
@@ -207,7 +223,7 @@
             "store_lost" if call.relay is None else "relay_lost",
             kind=self._handler.kind,
             relay="-" if call.relay is None else call.relay,
-            revision=call.revision,
+            revision=_revision(call.position),
             era=self._scheduler.era,
             waited_s=round(waited_s, 3),
             code=int(error.code),
@@ -222,6 +238,10 @@
             "store_regained" if call.relay is None else "relay_regained",
             kind=self._handler.kind,
             relay="-" if call.relay is None else call.relay,
-            revision=self._scheduler.revision,
+            revision=_revision(self._scheduler.position),
             failures=failures,
         )
+
+
+def _revision(position: Position | None) -> int | None:
+    return None if position is None else position[1]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -125,7 +125,9 @@
         self, handler: "ObjectHandler", scheduler: FetchScheduler, cache: ObjectCache
     ) -> None:
         store = StoreClient(self._reactor, self._settings.store, self._list_times)
-        relays = [StoreClient(self._reactor, address) for address in self._relay_addresses]
+        relays = [
+            StoreClient(self._reactor, address, is_relay=True) for address in self._relay_addresses
+        ]
         self._stores.append(store)
         self._relays.extend(relays)
         sync = ObjectSync(
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -4,6 +4,7 @@
 import socket
 import zlib
 
+from pearwell.affinity.cache import Position
 from pearwell.affinity.sync import StoreResponse
 from pearwell.errors import Code, PlatformError
 from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
@@ -44,6 +45,7 @@
         reactor: Event loop.
         address: Address of the store or relay.
         list_times: Histogram of the duration of lists in seconds.
+        is_relay: Whether the address is a relay's, which needs the era of a position.
     """
 
     def __init__(
@@ -51,7 +53,9 @@
         reactor: Reactor,
         address: tuple[str, int],
         list_times: Histogram | None = None,
+        is_relay: bool = False,
     ) -> None:
+        self._is_relay = is_relay
         self._reactor = reactor
         self._address = address
         self._list_times = list_times
@@ -73,9 +77,12 @@
             self._list_times.observe(self._reactor.now() - started)
         return _decode(response, "items")
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> StoreResponse:
-        """Returns the events after a revision once there is one, or none after the wait."""
+    async def watch(self, kind: str, position: Position, wait_s: float) -> StoreResponse:
+        """Returns the events after a position once there is one, or none after the wait."""
+        era, revision = position
         query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
+        if self._is_relay:
+            query += f"&Era={era}"
         response = await self._call(f"/objects/{kind}{query}", wait_s + RESPONSE_TIMEOUT_S)
         return _decode(response, "events")
 
@@ -173,12 +180,13 @@
         payload.get("HasMore") is True,
         healthy_s if isinstance(healthy_s, int | float) else None,
         zone if isinstance(zone, str) else "",
-        _era(response),
+        _era(response, payload),
     )
 
 
-def _era(response: Message) -> int:
-    text = response.headers.get(ERA_HEADER, "0")
+def _era(response: Message, payload: dict[str, object]) -> int:
+    """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
+    text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
     if not text.isdecimal():
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {text[:20]!r}")
     return int(text)
--- a/tests/affinity/test_cache.py
+++ b/tests/affinity/test_cache.py
@@ -7,40 +7,40 @@
 from pearwell.affinity.cache import MAX_AGE_S, MAX_BATCHES, ObjectCache
 
 
-def put(cache, revision, *names, now=0.0):
+def put(cache, revision, *names, now=0.0, era=0):
     events = [{"Object": {"meta": {"Name": name}, "spec": revision}} for name in names]
-    return cache.append_events(events, revision, now)
+    return cache.append_events(events, (era, revision), now)
 
 
 def test_clients_get_only_the_events_after_their_revision():
     cache = ObjectCache()
-    cache.reset(5, 0.0)
+    cache.reset((0, 5), 0.0)
     assert put(cache, 8, "a", "b")
     assert not put(cache, 12)
     assert not put(cache, 14)
     assert put(cache, 15, "c")
-    assert len(cache.events_after(5)) == 3
-    assert len(cache.events_after(8)) == 1
-    assert len(cache.events_after(12)) == 1
-    assert cache.events_after(15) == cache.events_after(99) == []
-    assert cache.events_after(4) is None
+    assert len(cache.events_after((0, 5))) == 3
+    assert len(cache.events_after((0, 8))) == 1
+    assert len(cache.events_after((0, 12))) == 1
+    assert cache.events_after((0, 15)) == cache.events_after((0, 99)) == []
+    assert cache.events_after((0, 4)) is None
 
 
 def test_an_older_response_changes_nothing():
     cache = ObjectCache()
-    cache.reset(5, 0.0)
-    assert not cache.reset(4, 1.0)
+    cache.reset((0, 5), 0.0)
+    assert not cache.reset((0, 4), 1.0)
     assert not put(cache, 5, "b")
-    assert cache.revision == 5
-    assert cache.events_after(5) == []
+    assert cache.position == (0, 5)
+    assert cache.events_after((0, 5)) == []
 
 
 def test_a_list_discards_earlier_events():
     cache = ObjectCache()
-    cache.reset(5, 0.0)
+    cache.reset((0, 5), 0.0)
     put(cache, 6, "a")
-    cache.reset(9, 0.0)
-    assert cache.events_after(6) is None
+    cache.reset((0, 9), 0.0)
+    assert cache.events_after((0, 6)) is None
 
 
 @pytest.mark.parametrize(("routes", "whole"), [(45, True), (1400, False)])
@@ -48,15 +48,38 @@
     route = {"Name": "r-a3hwrr6", "Host": "198.18.0.1", "PathPrefix": "/8443/", "Service": "a"}
     event = {"Object": {"meta": {"Name": "main"}, "spec": {"Routes": [route] * routes}}}
     cache = ObjectCache()
-    cache.reset(5, 0.0)
-    cache.append_events([event], 6, 0.0)
-    assert cache.events_after(5) == [event if whole else None]
+    cache.reset((0, 5), 0.0)
+    cache.append_events([event], (0, 6), 0.0)
+    assert cache.events_after((0, 5)) == [event if whole else None]
+
+
+@pytest.mark.parametrize("revision", [2, 5, 9])
+def test_a_list_of_another_era_replaces_the_cache_whatever_its_revision(revision):
+    """A cache that keeps the higher revision of a lost history forwards nothing for a while."""
+    cache = ObjectCache()
+    cache.reset((3, 5), 0.0)
+    put(cache, 6, "a", era=3)
+    assert cache.is_behind((4, 1)) and not cache.is_behind((3, 9))
+    assert cache.reset((4, revision), 1.0)
+    assert cache.position == (4, revision)
+    assert cache.events_after((3, 6)) == [None]
+    assert cache.events_after((4, revision - 1)) is None
+    put(cache, revision + 1, "b", era=4)
+    assert len(cache.events_after((4, revision))) == 1
+    assert cache.events_after((3, 6)) == cache.events_after((3, 99)) == [None]
+
+
+def test_events_of_another_era_are_no_continuation():
+    cache = ObjectCache()
+    cache.reset((3, 5), 0.0)
+    with pytest.raises(ValueError, match="era 4"):
+        put(cache, 6, "a", era=4)
 
 
 def test_freshness_depends_on_the_latest_response():
     cache = ObjectCache()
     assert not cache.is_fresh(0.0)
-    cache.reset(5, 10.0)
+    cache.reset((0, 5), 10.0)
     assert cache.is_fresh(10.0 + MAX_AGE_S) and not cache.is_fresh(10.1 + MAX_AGE_S)
     put(cache, 5, now=20.0)
     assert cache.is_fresh(20.0)
@@ -65,14 +88,14 @@
 @given(st.lists(st.integers(0, 3), max_size=3 * MAX_BATCHES), st.integers(0, 400))
 def test_a_client_of_the_cache_never_misses_an_event(sizes, start):
     cache = ObjectCache()
-    cache.reset(0, 0.0)
+    cache.reset((0, 0), 0.0)
     revision, all_events = 0, []
     for index, size in enumerate(sizes):
         names = [f"{index}-{number}" for number in range(size)]
         put(cache, revision + size + 1, *names)
         all_events += [(revision + size + 1, name) for name in names]
         revision += size + 1
-    found = cache.events_after(start)
+    found = cache.events_after((0, start))
     if found is not None:
         expected = {name for at, name in all_events if at > start}
         assert expected <= {event["Object"]["meta"]["Name"] for event in found}
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -15,54 +15,54 @@
 
 def test_a_list_comes_first_and_a_watch_after_it():
     scheduler = make()
-    assert scheduler.next_call(0.0).revision is None
-    scheduler.on_list(7, 0.0)
+    assert scheduler.next_call(0.0).position is None
+    scheduler.on_list((0, 7), 0.0)
     call = scheduler.next_call(0.2)
-    assert (call.revision, call.relay) == (7, None)
+    assert (call.position, call.relay) == ((0, 7), None)
     assert call.delay_s == pytest.approx(0.8)
 
 
 @pytest.mark.parametrize(("events", "delay_s"), [(0, 0.0), (1, 1.0), (40, 1.0)])
 def test_events_are_followed_by_a_pause(events, delay_s):
     scheduler = make()
-    scheduler.on_list(7, 0.0)
-    scheduler.on_watch(events, 9, 5.0)
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_watch(events, (0, 9), 5.0)
     call = scheduler.next_call(5.0)
-    assert (call.delay_s, call.revision) == (delay_s, 9)
+    assert (call.delay_s, call.position) == (delay_s, (0, 9))
 
 
 def test_a_revision_never_decreases():
     scheduler = make()
-    scheduler.on_list(9, 0.0)
-    scheduler.on_watch(0, 7, 1.0)
-    assert scheduler.revision == 9
+    scheduler.on_list((0, 9), 0.0)
+    scheduler.on_watch(0, (0, 7), 1.0)
+    assert scheduler.position == (0, 9)
 
 
 @pytest.mark.parametrize("code", [Code.PLATFORM_UNAVAILABLE, Code.PLATFORM_TIMEOUT])
 def test_a_failure_of_the_store_is_followed_by_a_list_with_backoff(code):
     scheduler = make()
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     delays = []
     for _ in range(8):
         scheduler.on_failure(scheduler.next_call(1.0), code, 1.0)
         call = scheduler.next_call(1.0)
-        assert call.revision is None
+        assert call.position is None
         delays.append(call.delay_s)
     assert delays == sorted(delays)
     assert delays[0] == module.FIRST_BACKOFF_S and delays[-1] == module.MAX_BACKOFF_S
     assert scheduler.store_healthy_since == float("inf")
-    scheduler.on_list(9, 20.0)
+    scheduler.on_list((0, 9), 20.0)
     assert scheduler.store_healthy_since == 20.0
-    scheduler.on_list(9, 30.0)
+    scheduler.on_list((0, 9), 30.0)
     assert scheduler.store_healthy_since == 20.0
 
 
 def test_an_expired_watch_is_followed_by_a_list_at_once():
     scheduler = make()
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     scheduler.on_failure(scheduler.next_call(0.0), Code.PLATFORM_WATCH_EXPIRED, 1.0)
     call = scheduler.next_call(1.0)
-    assert (call.delay_s, call.revision) == (0.0, None)
+    assert (call.delay_s, call.position) == (0.0, None)
     assert scheduler.store_healthy_since == 0.0
 
 
@@ -77,16 +77,16 @@
 def test_relays_are_called_in_order_and_the_store_when_all_have_failed():
     scheduler = make(relays=2)
     assert scheduler.next_call(0.0).relay is None
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     first = scheduler.next_call(0.0)
-    assert (first.relay, first.revision, first.delay_s) == (0, 7, 0.0)
+    assert (first.relay, first.position, first.delay_s) == (0, (0, 7), 0.0)
     scheduler.on_failure(first, Code.PLATFORM_UNAVAILABLE, 1.0)
     second = scheduler.next_call(1.0)
-    assert (second.relay, second.revision) == (1, 7)
+    assert (second.relay, second.position) == (1, (0, 7))
     scheduler.on_failure(second, Code.PLATFORM_TIMEOUT, 1.0)
     third = scheduler.next_call(1.0)
-    assert (third.relay, third.revision, third.delay_s) == (None, None, 0.0)
-    scheduler.on_list(8, 1.1)
+    assert (third.relay, third.position, third.delay_s) == (None, None, 0.0)
+    scheduler.on_list((0, 8), 1.1)
     assert scheduler.next_call(1.2).relay is None
     assert scheduler.next_call(1.0 + 1.25 * module.RELAY_DOWN_RETRY_S).relay == 0
     assert scheduler.store_healthy_since == 0.0
@@ -94,16 +94,38 @@
 
 def test_a_change_announced_by_a_relay_is_listed_from_the_store():
     scheduler = make(relays=1)
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     scheduler.require_list()
     call = scheduler.next_call(1.0)
-    assert (call.relay, call.revision, call.delay_s) == (None, None, 0.0)
+    assert (call.relay, call.position, call.delay_s) == (None, None, 0.0)
+
+
+def test_lists_that_a_relay_requires_are_spaced():
+    """A relay and a store that disagree must not cause a list after each other."""
+    scheduler = make(relays=1)
+    scheduler.on_list((0, 7), 1.0)
+    scheduler.require_list()
+    assert scheduler.next_call(1.2).delay_s == pytest.approx(0.8)
+
+
+@pytest.mark.parametrize(("era", "restored"), [(3, False), (4, True), (2, True)])
+def test_a_restored_store_is_listed_and_its_entries_may_reappear(era, restored):
+    scheduler = make()
+    assert not scheduler.on_era(3)
+    scheduler.on_list((3, 7), 0.0)
+    assert scheduler.on_era(era) == restored
+    assert scheduler.store_healthy_since == (float("inf") if restored else 0.0)
+    call = scheduler.next_call(5.0)
+    assert (call.position, call.delay_s) == (None if restored else (3, 7), 0.0)
+    scheduler.on_list((era, 2), 5.0)
+    assert scheduler.position == (era, 2)
+    assert scheduler.store_healthy_since == (5.0 if restored else 0.0)
 
 
 def test_a_relay_reports_since_when_the_store_is_healthy():
     """Instances that did not call the store themselves can also detect lapsed entries."""
     scheduler = make(relays=1)
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     scheduler.on_relay_status(0, "a", 5.0)
     assert scheduler.store_healthy_since == 5.0
     scheduler.on_relay_status(0, "a", 2.0)
@@ -120,19 +142,19 @@
 )
 def test_a_relay_in_the_local_zone_is_found_and_kept(zones, called):
     scheduler = make(relays=3)
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     found = []
     for step in range(5):
         call = scheduler.next_call(1.0 + step)
         found.append(call.relay)
         scheduler.on_relay_status(call.relay, zones[call.relay], 0.0)
-        scheduler.on_watch(0, 7, 1.0 + step)
+        scheduler.on_watch(0, (0, 7), 1.0 + step)
     assert found == called
 
 
 def test_a_relay_in_another_zone_is_called_while_the_local_one_is_down():
     scheduler = make(relays=2)
-    scheduler.on_list(7, 0.0)
+    scheduler.on_list((0, 7), 0.0)
     scheduler.on_relay_status(0, "b", 0.0)
     scheduler.on_relay_status(1, "a", 0.0)
     scheduler.on_failure(scheduler.next_call(1.0), Code.PLATFORM_TIMEOUT, 1.0)
--- a/tests/affinity/test_instance.py
+++ b/tests/affinity/test_instance.py
@@ -37,7 +37,7 @@
 def test_a_tick_expires_unlisted_targets():
     instance, events = make()
     instance.directory.replace([target(1)], 0.0)
-    instance.target_scheduler.on_list(5, 0.0)
+    instance.target_scheduler.on_list((0, 5), 0.0)
     instance.directory.remove("i-00000001", 10.0)
     instance.tick(11.0)
     assert events == []
@@ -51,7 +51,7 @@
     instance.directory.replace([target(1)], 1.0)
     instance.director.on_packet(syn(1), b"", 2.0)
     instance.config_scheduler.on_era(3)
-    instance.config_scheduler.on_list(17, 1.5)
+    instance.config_scheduler.on_list((3, 17), 1.5)
     page = render_samples(instance.samples(3.0))
     for line in (
         'pearwell_decisions_total{decision="flows_started"} 1',
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -27,13 +27,13 @@
         self.now = 100.0
         self.on_wait = lambda: None
         self.cache = ObjectCache()
-        self.cache.reset(5, self.now)
+        self.cache.reset((0, 5), self.now)
         self.relay = Relay(
             "a", {"servers": self.cache}, lambda: 98.5, AdvancingTrigger(self), lambda: self.now
         )
 
     def change(self):
-        self.cache.append_events([{"Object": {"meta": {"Name": "b"}}}], 6, self.now)
+        self.cache.append_events([{"Object": {"meta": {"Name": "b"}}}], (0, 6), self.now)
 
     def request(self, path):
         status, body = run(self.relay.respond(path))
@@ -52,7 +52,7 @@
     harness = RelayHarness()
     assert harness.request("/objects/servers?Watch=5&WaitMs=300") == (
         200,
-        {"events": [], "AsOf": 5, "GoodS": 1.8, "Zone": "a"},
+        {"events": [], "Era": 0, "AsOf": 5, "GoodS": 1.8, "Zone": "a"},
     )
 
 
@@ -76,6 +76,8 @@
         ("/objects/servers", 404),
         ("/objects/servers?Watch=x", 404),
         ("/objects/servers?Watch=5&WaitMs=x", 404),
+        ("/objects/servers?Watch=5&WaitMs=0&Era=x", 404),
+        ("/objects/servers?Watch=5&WaitMs=0&Era=1", 503),
         ("/objects/other?Watch=5", 404),
         ("/ready", 404),
         ("", 404),
@@ -91,6 +93,33 @@
     _, one = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
     _, two = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
     assert one is two
-    harness.cache.append_events([{"Object": {"meta": {"Name": "c"}}}], 7, harness.now)
+    harness.cache.append_events([{"Object": {"meta": {"Name": "c"}}}], (0, 7), harness.now)
     _, three = harness.request("/objects/servers?Watch=5&WaitMs=1000")
     assert [event["Object"]["meta"]["Name"] for event in three["events"]] == ["b", "c"]
+
+
+@pytest.mark.parametrize(
+    ("query", "status", "events"),
+    [
+        ("Watch=9&Era=3", 200, [None]),
+        ("Watch=2&Era=3", 200, [None]),
+        ("Watch=2&Era=4", 200, []),
+        ("Watch=2&Era=5", 503, None),
+        ("Watch=2", 410, None),
+    ],
+    ids=["earlier era", "reissued revision", "same era", "later era", "earlier release"],
+)
+def test_positions_of_other_eras(query, status, events):
+    """An earlier era needs a list; in a later era another relay may be further."""
+    harness = RelayHarness()
+    harness.cache.reset((4, 2), harness.now)
+    found, payload = harness.request(f"/objects/servers?{query}&WaitMs=0")
+    assert found == status
+    assert payload is None or (payload["events"], payload["Era"], payload["AsOf"]) == (events, 4, 2)
+
+
+def test_a_waiting_watch_learns_that_the_store_was_restored():
+    harness = RelayHarness()
+    harness.on_wait = lambda: harness.cache.reset((1, 2), harness.now)
+    status, payload = harness.request("/objects/servers?Watch=5&WaitMs=1000&Era=0")
+    assert (status, payload["events"], payload["Era"]) == (200, [None], 1)
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -87,7 +87,51 @@
     first = StoreResponse([config(1)], 5, more=True)
     harness = SyncHarness(FakeStore(first, listed(7, 2), events(8)))
     harness.steps(2)
-    assert harness.store.calls == [("list", ""), ("list", "main"), ("watch", 5)]
+    assert harness.store.calls == [("list", ""), ("list", "main"), ("watch", (0, 5))]
+
+
+@pytest.mark.parametrize(
+    ("script", "versions"),
+    [
+        ((listed(9, 4, era=1), EXPIRED, listed(5, 3, era=2), events(6, 6, era=2)), [4, 4, 4, 6]),
+        ((listed(9, 4, era=1), events(12, 5, era=2), listed(12, 6, era=2)), [4, 4, 6]),
+        ((listed(9, 4, era=1), events(9, era=2), listed(9, 6, era=2)), [4, 4, 6]),
+        (
+            (
+                listed(9, 4, era=1),
+                DOWN,
+                listed(5, 3, era=2),
+                events(9, 5, era=3),
+                listed(6, 6, era=3),
+            ),
+            [4, 4, 4, 4, 6],
+        ),
+    ],
+    ids=["expired", "reissued revision", "no events", "twice"],
+)
+def test_a_restored_store_is_listed_again(script, versions):
+    """The events after a restore follow a revision of another history."""
+    assert SyncHarness(FakeStore(*script)).steps(len(script)) == versions
+
+
+def test_pages_of_two_eras_are_not_joined():
+    script = (
+        StoreResponse([config(5)], 9, more=True, era=1),
+        listed(6, 3, era=2),
+        listed(6, 7, era=2),
+        events(7, 8, era=2),
+    )
+    harness = SyncHarness(FakeStore(*script))
+    assert harness.steps(3) == [-1, 7, 8]
+    assert harness.store.calls[1:] == [("list", "main"), ("list", ""), ("watch", (2, 6))]
+
+
+@pytest.mark.parametrize("era", [1, 3])
+def test_a_relay_that_responds_for_another_era_is_not_applied(era):
+    store = FakeStore(listed(9, 4, era=2), listed(10, 5, era=2))
+    harness = SyncHarness(store, FakeStore(events(12, 9, era=era)))
+    assert harness.steps(3) == [4, 4, 5]
+    assert "relay_lost" in harness.logged
 
 
 def test_an_outage_and_its_end_are_logged():
@@ -119,7 +163,7 @@
     harness = SyncHarness(FakeStore(listed(5, 1)), relay)
     harness.steps(4)
     assert harness.store.calls == [("list", "")]
-    assert relay.calls == [("watch", 5), ("watch", 5), ("watch", 6)]
+    assert relay.calls == [("watch", (0, 5)), ("watch", (0, 5)), ("watch", (0, 6))]
 
 
 def test_a_large_configuration_announced_by_a_relay_is_listed_from_the_store():
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -181,7 +181,7 @@
         return self._loop.time()
 
     def client_for(self, node):
-        return LocalClient(node, self._respond)
+        return LocalClient(node, self._respond, is_relay=True)
 
     async def freeze(self, seconds):
         self.running.clear()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -141,7 +141,7 @@
     async def query(client):
         first = await client.list("servers", "")
         rest = await client.list("servers", first.items[-1]["meta"]["Name"])
-        watched = await client.watch("servers", first.revision - 1, 0.0)
+        watched = await client.watch("servers", (0, first.revision - 1), 0.0)
         return len(first.items), first.more, len(rest.items), rest.more, len(watched.items)
 
     with StoreThread() as store_thread:
@@ -174,7 +174,8 @@
         store_thread.call(store_thread.server.write("servers", "i-1", {}))
         store_thread.server.compact()
         assert (
-            run_query(lambda client: client.watch("servers", 1, 0.1)) == Code.PLATFORM_WATCH_EXPIRED
+            run_query(lambda client: client.watch("servers", (0, 1), 0.1))
+            == Code.PLATFORM_WATCH_EXPIRED
         )
 
 
@@ -182,7 +183,7 @@
     async def query(client):
         listed = await client.list("servers", "")
         try:
-            await client.watch("servers", 2, 0.1)
+            await client.watch("servers", (1, 2), 0.1)
         except PlatformError as error:
             return listed.revision, listed.era, error.code
         return None
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -89,3 +89,59 @@
         await check_bound(fleet, fleet.nodes)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("call", range(0, 24, 2))
+@pytest.mark.parametrize("stage", ["request", "response"])
+@pytest.mark.parametrize("rewrite_s", [0.0, 1.0])
+def test_a_restore_at_any_stage_of_a_call(call, stage, rewrite_s):
+    """Lists of two pages and watches are cut at each stage, twice in a row, from the start on."""
+
+    async def scenario():
+        fleet = Fleet(1, 1)
+        await fleet.configure()
+        for number in range(TARGETS):
+            await fleet.put_target(number)
+        fleet.copy()
+        restored_at = []
+
+        async def on_call(number, at):
+            if (number, at) in ((call, stage), (call + 1, stage)):
+                restored_at.append(number)
+                await fleet.restore(rewrite_s=rewrite_s)
+
+        fleet.store.on_call = on_call
+        step = 0
+        while len(restored_at) < 2:
+            step += 1
+            await change_everything(fleet, step)
+            await asyncio.sleep(0.2)
+        await check_bound(fleet, fleet.nodes)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["freeze", "cut"])
+@pytest.mark.parametrize("victims", [[0], [1], [2], [3], [0, 1], [2, 3], [0, 2]])
+@pytest.mark.parametrize("duration_s", [1.0, 5.0])
+def test_a_restore_while_instances_are_cut_off_or_frozen(fault, victims, duration_s):
+    async def scenario():
+        fleet = await started_fleet()
+        fleet.copy()
+        for step in range(5):
+            await change_everything(fleet, step)
+            await asyncio.sleep(0.2)
+        faults = [
+            asyncio.ensure_future(getattr(fleet.nodes[victim], fault)(duration_s))
+            for victim in victims
+        ]
+        await asyncio.sleep(0.5)
+        await fleet.restore(0.3)
+        for step in range(5, 10):
+            await change_everything(fleet, step)
+            await asyncio.sleep(0.2)
+        await fleet.restore(0.3)
+        await asyncio.gather(*faults)
+        await check_bound(fleet, fleet.nodes)
+
+    run(scenario())
