Ask the store for changes after a relay timed out

Users may see a configuration older than the acknowledged one at instances that are well and in touch, while relays hang: a watch at a relay ends after 2 s (1 s of wait, 1 s of time-out), the next relay may hang as well, and the bound is 3 s.

Cause: failures of relays were tried one after the other, each with a whole time-out; only when all had failed was the store called. Change: after a relay timed out, the store is asked at once for the changes since the known position, without waiting; then the next relay is called. A store that fails at this call leaves the other relays in use.

Two tests said that a relay in another zone is called directly after a time-out; they now demand the store's answer first, and then that relay.

--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -132,6 +132,26 @@
     assert scheduler.store_healthy_since == 5.0
 
 
+@pytest.mark.parametrize(
+    ("code", "position"),
+    [
+        (Code.PLATFORM_UNAVAILABLE, (0, 7)),
+        (Code.PLATFORM_TIMEOUT, (0, 7)),
+        (Code.PLATFORM_WATCH_EXPIRED, None),
+    ],
+)
+def test_a_store_that_fails_after_a_relay_leaves_the_other_relays(code, position):
+    """The store may turn away an instance that other relays still serve."""
+    scheduler = make(relays=2)
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_failure(scheduler.next_call(1.0), Code.PLATFORM_TIMEOUT, 1.0)
+    scheduler.on_failure(scheduler.next_call(1.0), code, 1.0)
+    call = scheduler.next_call(1.0)
+    assert (call.position, call.delay_s) == (position, 0.0)
+    assert call.relay == (None if position is None else 1)
+    assert scheduler.store_healthy_since == 0.0
+
+
 @pytest.mark.parametrize(
     ("zones", "called"),
     [
@@ -158,5 +178,8 @@
     scheduler.on_relay_status(0, "b", 0.0)
     scheduler.on_relay_status(1, "a", 0.0)
     scheduler.on_failure(scheduler.next_call(1.0), Code.PLATFORM_TIMEOUT, 1.0)
+    catch_up = scheduler.next_call(1.0)
+    assert (catch_up.relay, catch_up.position, catch_up.wait_s) == (None, (0, 7), 0.0)
+    scheduler.on_watch(0, (0, 7), 1.0)
     assert scheduler.next_call(1.0).relay == 0
     assert scheduler.next_call(1.0 + 1.25 * module.RELAY_TIMEOUT_RETRY_S).relay == 1
