Keep what is known of targets against entries of an older copy

After the store comes back from a copy, clients could see resets of open flows on targets that live, and new flows on targets that leave.

Cause: an entry in the copy was taken for news. A target that had restarted under its name got the entry of its earlier incarnation and was marked gone; a target at a reused address, its own entry missing in the copy, was marked gone as the entry of the address's earlier user was back; a leaving target was ready again.

Change: until the store has been available long enough for entries to be written again, an entry doesn't end a drain, and one whose target started earlier replaces neither a later incarnation nor a later user of its address. Nothing changes while the listing is trusted.

Evidence: four new cases (three of test_directory.py, one of the fleet in virtual time) failed before and pass.

--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -2,7 +2,8 @@
 
 A target that the platform no longer lists keeps its flows until it is confirmed gone. Entries
 lapse during an outage of the platform's store while their targets keep serving, so a missing entry
-alone does not prove that its target is gone.
+alone does not prove that its target is gone. A store that is restored from a copy may list entries
+from before their targets left, restarted or got a reused address.
 """
 
 from collections.abc import Iterable, Iterator
@@ -90,15 +91,23 @@
             for change in self.remove(name, now, trusted)
         ]
         for target in listed_targets.values():
-            changes.extend(self.put(target))
+            changes.extend(self.put(target, trusted))
         self._known = True
         return changes
 
-    def put(self, target: Target) -> list[Change]:
-        """Adds or updates one listed target and returns the changes."""
+    def put(self, target: Target, trusted: bool = True) -> list[Change]:
+        """Adds or updates one listed target and returns the changes.
+
+        Args:
+            target: The listed target.
+            trusted: Whether the store has been available long enough for entries to be written
+                again; until then an entry may be older than what is known.
+        """
         current = self._by_name.get(target.name) or self._unlisted.get(target.name)
         if current is not None and current.same_incarnation(target):
-            return self._update(current, target)
+            return self._update(current, target, trusted)
+        if current is not None and not trusted and current.started_after(target):
+            return []
         changes: list[Change] = []
         if current is not None:
             self._by_name.pop(current.name, None)
@@ -112,7 +121,8 @@
         self._by_service.setdefault(target.service, []).append(target)
         self._claim_token(target)
         for other in self._unlisted.values():
-            if other.address == target.address and not other.gone:
+            is_earlier = trusted or not other.started_after(target)
+            if other.address == target.address and not other.gone and is_earlier:
                 self.mark_gone(other)
                 changes.append(("target_address_reused", other))
         return changes
@@ -164,8 +174,9 @@
                 self._release_token(target)
         return changes
 
-    def _update(self, current: Target, update: Target) -> list[Change]:
+    def _update(self, current: Target, update: Target, trusted: bool) -> list[Change]:
         changes: list[Change] = []
+        draining = update.draining or (current.draining and not trusted)
         if not current.listed:
             del self._unlisted[current.name]
             if not current.lapsed:
@@ -176,9 +187,9 @@
             self._by_name[current.name] = current
             self._claim_token(current)
             changes.append(("target_listed", current))
-        if current.draining != update.draining:
-            changes.append(("target_draining" if update.draining else "target_ready", update))
-        current.draining = update.draining
+        if current.draining != draining:
+            changes.append(("target_draining" if draining else "target_ready", update))
+        current.draining = draining
         current.warmup_ends_at = update.warmup_ends_at
         current.zone = update.zone
         return changes
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -104,6 +104,10 @@
             and self.service == other.service
         )
 
+    def started_after(self, other: "Target") -> bool:
+        """Whether it started after another target, or after another incarnation of its own."""
+        return self.started_ms > other.started_ms
+
     def record_response(self, now: float) -> None:
         """Records that the target has responded."""
         self.last_response_at = now
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -57,7 +57,7 @@
         if target is None:
             self._log_changes(self._directory.remove(name, now, self._trusts_listing(now)))
         else:
-            self._log_changes(self._directory.put(target))
+            self._log_changes(self._directory.put(target, self._trusts_listing(now)))
 
     def _decode(self, item: object, now: float) -> Target | None:
         try:
--- a/tests/affinity/test_directory.py
+++ b/tests/affinity/test_directory.py
@@ -153,6 +153,46 @@
     assert earlier.gone
 
 
+@pytest.mark.parametrize(
+    ("trusted", "draining"), [(True, False), (False, True)], ids=["stable", "restored"]
+)
+def test_a_copy_of_the_store_does_not_undo_a_drain(trusted, draining):
+    """The copy may hold the entry from before the target announced that it leaves."""
+    directory = Directory()
+    directory.put(target(1, draining=True))
+    directory.put(target(1), trusted)
+    assert directory.find_by_name("i-00000001").draining == draining
+
+
+@pytest.mark.parametrize(
+    ("trusted", "started_ms", "gone"),
+    [(True, 1, True), (False, 1, False), (False, 3, True)],
+    ids=["stable", "restored", "restarted meanwhile"],
+)
+def test_an_earlier_incarnation_in_a_copy_does_not_reset_flows(trusted, started_ms, gone):
+    directory = Directory()
+    directory.put(target(1, started_ms=2))
+    current = directory.find_by_name("i-00000001")
+    directory.put(target(1, started_ms=started_ms, ip="10.9.9.9"), trusted)
+    assert current.gone == gone
+    assert (directory.find_by_name("i-00000001") is current) == (not gone)
+
+
+@pytest.mark.parametrize(
+    ("trusted", "started_ms", "gone"),
+    [(True, 1, True), (False, 1, False), (False, 3, True)],
+    ids=["stable", "restored", "reused meanwhile"],
+)
+def test_the_earlier_user_of_an_address_in_a_copy_does_not_reset_flows(trusted, started_ms, gone):
+    """The present user's entry is missing in the copy, and that of the target before it is back."""
+    directory = Directory()
+    directory.put(target(1, started_ms=2))
+    current = directory.find_by_name("i-00000001")
+    directory.remove(current.name, 5.0, trusted=False)
+    directory.put(target(2, started_ms=started_ms, ip="10.0.0.1"), trusted)
+    assert current.gone == gone
+
+
 def test_unlisted_targets_are_removed_after_the_maximum_flow_lifetime():
     directory = Directory()
     directory.put(target(1))
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.store_fleet import BOUNDS, Fleet
+from tests.platform.store_fleet import BOUNDS, Fleet, entry
 from tests.virtual_time import run
 
 # More than one page of a list.
@@ -145,3 +145,30 @@
         await check_bound(fleet, fleet.nodes)
 
     run(scenario())
+
+
+def test_targets_that_changed_since_the_copy_keep_their_flows():
+    """One has restarted, one has taken over an address, one is leaving; each has flows."""
+
+    async def scenario():
+        fleet = await started_fleet()
+        fleet.copy()
+        await fleet.put_target(1, born=2)
+        await fleet.remove_target(2)
+        await asyncio.sleep(2.0)
+        fleet.entries["i-000000c8"] = entry(2, born=2)
+        await fleet.put_target(3, state="draining")
+        await asyncio.sleep(2.0)
+        names = ("i-00000001", "i-000000c8", "i-00000003")
+        live = [
+            [node.instance.directory.find_by_name(name) for name in names] for node in fleet.nodes
+        ]
+        await fleet.restore()
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            for restarted, successor, leaving in live:
+                assert not restarted.gone and not successor.gone and not leaving.gone
+                assert leaving.draining
+        await check_bound(fleet, fleet.nodes)
+
+    run(scenario())
