Do not use connections again that have been idle

An instance's first call to the store or to another relay after a relay has failed went over a connection from minutes ago. Relays close connections that are idle for 10 s, so such a call failed and the relay was passed over; one that had gone silent cost a whole time-out, in which a change is not known.

Change: a connection that had no response for 5 s is closed, and the call opens a new one. The case of test_store.py failed before (one connection instead of two) and passes.

--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -23,6 +23,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Time after which a connection is not used again. Relays close connections that are idle for 10 s,
+# and one that went silent meanwhile would cost a timeout; between two watches it is at most 1 s idle.
+MAX_IDLE_S = 5.0
 RECEIVE_BYTES = 262_144
 # Counts how often the store was restored from a copy; in all its responses.
 ERA_HEADER = "store-era"
@@ -61,6 +64,7 @@
         self._list_times = list_times
         self._sock: socket.socket | None = None
         self._reader = MessageReader()
+        self._used_at = float("-inf")
         self._calls = 0
 
     @property
@@ -114,6 +118,8 @@
         return response
 
     async def _exchange(self, path: str, timeout_s: float) -> Message:
+        if self._reactor.now() - self._used_at > MAX_IDLE_S:
+            self.close()
         sock = self._sock or await self._connect()
         host = f"{self._address[0]}:{self._address[1]}"
         self._calls += 1
@@ -129,6 +135,7 @@
                 raise PlatformError(Code.PLATFORM_UNAVAILABLE, "connection closed by peer")
             response = self._reader.feed(data)
             if response is not None:
+                self._used_at = self._reactor.now()
                 return response
 
     async def _connect(self) -> socket.socket:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -198,3 +198,20 @@
 
 def test_a_refused_connection_has_a_code():
     assert run_query(lambda client: client.list("servers", "")) == Code.PLATFORM_UNAVAILABLE
+
+
+@pytest.mark.parametrize(("max_idle_s", "connections"), [(LONG_S, 1), (-1.0, 2)])
+def test_an_idle_connection_is_not_used_again(max_idle_s, connections, monkeypatch):
+    """The other side may have closed it, or it may have gone silent, which costs a timeout."""
+    monkeypatch.setattr(module, "MAX_IDLE_S", max_idle_s)
+    found = set()
+
+    async def query(client):
+        for _ in range(2):
+            await client.list("servers", "")
+            found.add(client._sock)
+        return None
+
+    with StoreThread():
+        run_query(query)
+    assert len(found) == connections
