--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -23,8 +23,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Time after which a connection is not used again. Relays close connections that are idle for 10 s,
-# and one that went silent meanwhile would cost a timeout; between two watches it is at most 1 s idle.
+# Time after which an idle connection is not used again: relays close theirs after 10 s, and one
+# that went silent would cost a timeout. Between two watches, a connection is idle for at most 1 s.
 MAX_IDLE_S = 5.0
 RECEIVE_BYTES = 262_144
 # Counts how often the store was restored from a copy; in all its responses.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -210,7 +210,6 @@
         for _ in range(2):
             await client.list("servers", "")
             found.add(client._sock)
-        return None
 
     with StoreThread():
         run_query(query)
