Let the soak restore its store from an older copy

Change: a fault that takes a copy, lets the store work, refuse or be silent, and restores it; hosts and the operator write again, entries of gone hosts lapse. Restores have a schedule of their own, so that the other faults of a seed stay. A last check in calm loses more revisions than follow and demands that the next configuration is in force everywhere within the bound (latest_configuration_in_force); the options moved to a module.

--- a/pearwell/soak/checks.py
+++ b/pearwell/soak/checks.py
@@ -23,6 +23,7 @@
     DRAIN = "no_new_flow_on_a_leaving_host"
     VERSIONS = "versions_only_rise"
     NO_UNEXPECTED_EXIT = "no_process_ends_by_itself"
+    CONFIGURATION = "latest_configuration_in_force"
     RECOVERY = "all_clients_served_after_the_faults"
 
 
@@ -90,6 +91,10 @@
         if outcome.status == "reset" and outcome.opened and flow_host:
             self.require(not unaffected, Guarantee.NO_RESET, f"{text}: on host {flow_host}")
 
+    def outdated(self, version: int) -> list[str]:
+        """Returns the instances at which a version of the configuration is not in force."""
+        return [name for name, applied in sorted(self._versions.items()) if applied != version]
+
     def check_log_line(self, instance: str, line: str) -> None:
         """Checks a log line of an instance."""
         if _STARTED.search(line):
--- a/pearwell/soak/schedule.py
+++ b/pearwell/soak/schedule.py
@@ -25,12 +25,13 @@
     STORE_SLOW = "store-slow"
     STORE_REFUSES = "store-refuses"
     STORE_COMPACT = "store-compact"
+    STORE_RESTORE = "store-restore"
     LINK = "link"
     CONFIG_CHANGE = "config-change"
     CONFIG_STORM = "config-storm"
 
 
-# Relative frequency of each kind.
+# Relative frequency of each kind; restores have a schedule of their own.
 _WEIGHTS = {
     FaultKind.INSTANCE_KILL: 3,
     FaultKind.INSTANCE_STOP: 3,
@@ -51,6 +52,9 @@
 }
 MIN_DURATION_S, MAX_DURATION_S = 0.5, 4.0
 MIN_GAP_S, MAX_GAP_S = 0.1, 2.0
+# Mean interval between restores of the store, and the share of them that another one follows.
+RESTORE_INTERVAL_S = 7.0
+SECOND_RESTORE_SHARE = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +77,10 @@
 
 
 def draw_faults(seed: int, length_s: float) -> list[Fault]:
-    """Returns faults in order of time; a fault that outlasts the gap overlaps the next one."""
+    """Returns faults in order of time; a fault that outlasts the gap overlaps the next one.
+
+    Restores are drawn separately, so that a seed's other faults are the same as without them.
+    """
     rng = random.Random(seed)
     kinds, weights = [*_WEIGHTS], [*_WEIGHTS.values()]
     links = [link for link in Link if link is not Link.OPEN]
@@ -83,4 +90,16 @@
         for_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
         faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s, rng.choice(links)))
         at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
-    return faults
+    return sorted([*faults, *_draw_restores(seed, length_s)], key=lambda fault: fault.at_s)
+
+
+def _draw_restores(seed: int, length_s: float) -> list[Fault]:
+    rng = random.Random(f"restores of {seed}")
+    restores: list[Fault] = []
+    at_s = rng.uniform(0, RESTORE_INTERVAL_S)
+    while at_s < length_s:
+        for_s, variant = rng.uniform(MIN_DURATION_S, MAX_DURATION_S), rng.randrange(1 << 16)
+        restores.append(Fault(at_s, FaultKind.STORE_RESTORE, variant, for_s, Link.OPEN))
+        is_followed = rng.random() < SECOND_RESTORE_SHARE
+        at_s += for_s if is_followed else rng.uniform(0, 2 * RESTORE_INTERVAL_S)
+    return restores
--- a/pearwell/soak/soak_harness.py
+++ b/pearwell/soak/soak_harness.py
@@ -6,16 +6,17 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 from zlib import crc32
 
 import msgspec
 
 from pearwell.soak.checks import Checker, Guarantee
+from pearwell.soak.options import SoakOptions
 from pearwell.soak.processes import ManagedProcess
 from pearwell.soak.proxy import Link, Proxy
 from pearwell.soak.schedule import Fault, FaultKind, draw_faults
+from pearwell.soak.store_faults import LEASE_S, restore_from_copy, switch_fault
 from pearwell.standins.object_server import ObjectServer
 from pearwell.standins.token_client import ClientFlow, Outcome, TokenClient
 from pearwell.standins.token_packet import flow_address
@@ -34,29 +35,8 @@
 DRAIN_MS, CONFIG_MS, CONTACT_MS, GRACE_S = 3000, 3000, 4000, 6
 CONTACT_S = CONTACT_MS / 1000
 DRAIN_SLACK_S = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class SoakOptions:
-    """Parameters of a run.
-
-    Attributes:
-        seed: Seed of the schedule and of the clients.
-        length_s: Duration of the phase with faults, in seconds.
-        instances: Number of instances.
-        hosts: Number of hosts of each service.
-        clients: Number of clients.
-        octet: Second octet of all loopback addresses, so that concurrent runs don't clash.
-        directory: Directory for settings and logs.
-    """
-
-    seed: int
-    length_s: float
-    instances: int
-    hosts: int
-    clients: int
-    octet: int
-    directory: Path
+# More than are written between the last restore and the check after it.
+LOST_CHANGES = 8
 
 
 @dataclass(slots=True)
@@ -122,6 +102,7 @@
         ]
         await _inject_faults(harness, draw_faults(options.seed, options.length_s))
         await asyncio.sleep(SETTLE_S)
+        await _check_configuration(harness)
         await _check_recovery(harness)
         for client in clients:
             client.cancel()
@@ -241,6 +222,11 @@
     await harness.store.write("config", "main", spec)
 
 
+async def _write_next_config(harness: _Harness, increment: int = 1) -> None:
+    harness.config_version += increment
+    await _write_config(harness)
+
+
 async def _probe_readiness(harness: _Harness, index: int) -> None:
     """Keeps an instance in rotation while its readiness endpoint answers 200."""
     failures = 0
@@ -309,6 +295,22 @@
     return outcome
 
 
+async def _check_configuration(harness: _Harness) -> None:
+    """Checks that a change after a restore is in force at all instances within the bound."""
+    restore = harness.spawn(
+        restore_from_copy(harness.store, 1.0, 0.0, 0, lambda: _write_config(harness))
+    )
+    for _ in range(LOST_CHANGES):
+        await _write_next_config(harness)
+        await asyncio.sleep(0.1)
+    await restore
+    await asyncio.sleep(CONTACT_S)
+    await _write_next_config(harness)
+    await asyncio.sleep(CONFIG_MS / 1000)
+    outdated = harness.checker.outdated(harness.config_version)
+    harness.checker.require(not outdated, Guarantee.CONFIGURATION, ", ".join(outdated))
+
+
 async def _check_recovery(harness: _Harness) -> None:
     """Checks that a new client of each service gets a response after the last fault."""
     for number, service in enumerate(SERVICES):
@@ -418,16 +420,14 @@
 
 
 async def _inject_store_fault(harness: _Harness, fault: Fault) -> None:
-    name, value = _STORE_FAULTS[fault.kind]
-    if fault.kind is FaultKind.STORE_REFUSES:
-        # Instances connect to the store from their proxy's address; it refuses every second one.
-        refused = range(fault.subject % 2, len(harness.proxies), 2)
-        value = frozenset(harness.ip(4, index + 1) for index in refused)
+    # Instances connect to the store from their proxy's address; it may refuse every second one.
+    indices = range(fault.subject % 2, len(harness.proxies), 2)
+    refused = frozenset(harness.ip(4, index + 1) for index in indices)
     harness.record_fault(fault.for_s)
-    before = getattr(harness.store.faults, name)
-    setattr(harness.store.faults, name, value)
-    await asyncio.sleep(fault.for_s)
-    setattr(harness.store.faults, name, type(before)())
+    only_refuses = fault.kind is FaultKind.STORE_REFUSES
+    await switch_fault(
+        harness.store, fault.kind, fault.for_s, refused if only_refuses else frozenset()
+    )
     harness.record_fault()
 
 
@@ -436,6 +436,15 @@
     harness.store.compact()
 
 
+async def _restore_store(harness: _Harness, fault: Fault) -> None:
+    away_s = fault.for_s / 2
+    harness.record_fault(fault.for_s + away_s + LEASE_S)
+    await restore_from_copy(
+        harness.store, fault.for_s, away_s, fault.subject, lambda: _write_config(harness)
+    )
+    harness.record_fault()
+
+
 async def _change_link(harness: _Harness, fault: Fault) -> None:
     proxy = harness.proxies[fault.subject % len(harness.proxies)]
     harness.record_fault(fault.for_s)
@@ -446,8 +455,7 @@
 
 
 async def _change_config(harness: _Harness, fault: Fault) -> None:
-    harness.config_version += 1 + fault.subject % 3
-    await _write_config(harness)
+    await _write_next_config(harness, 1 + fault.subject % 3)
 
 
 async def _change_config_repeatedly(harness: _Harness, fault: Fault) -> None:
@@ -457,13 +465,6 @@
         await asyncio.sleep(0.1)
 
 
-_STORE_FAULTS: dict[FaultKind, tuple[str, Any]] = {
-    FaultKind.STORE_DOWN: ("status", 503),
-    FaultKind.STORE_SILENT: ("silent", True),
-    FaultKind.STORE_SLOW: ("delay_s", 0.3),
-    FaultKind.STORE_REFUSES: ("refused", None),
-}
-
 _FAULT_HANDLERS: dict[FaultKind, Callable[[_Harness, Fault], Awaitable[None]]] = {
     FaultKind.INSTANCE_KILL: _kill_instance,
     FaultKind.INSTANCE_STOP: _stop_instance,
@@ -478,6 +479,7 @@
     FaultKind.STORE_SLOW: _inject_store_fault,
     FaultKind.STORE_REFUSES: _inject_store_fault,
     FaultKind.STORE_COMPACT: _compact_store,
+    FaultKind.STORE_RESTORE: _restore_store,
     FaultKind.LINK: _change_link,
     FaultKind.CONFIG_CHANGE: _change_config,
     FaultKind.CONFIG_STORM: _change_config_repeatedly,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -29,6 +29,15 @@
     assert [guarantee for guarantee, _ in checker.violations] == violated
 
 
+def test_instances_without_the_latest_configuration_are_outdated():
+    checker = Checker()
+    checker.check_log_line("a", APPLIED.format(4))
+    checker.check_log_line("b", APPLIED.format(3))
+    checker.check_log_line("c", APPLIED.format(4))
+    checker.check_log_line("c", "t=2.0 event=start instance=c")
+    assert checker.outdated(4) == ["b", "c"]
+
+
 @pytest.mark.parametrize(
     ("lines", "violated"),
     [
