Ask the store for changes after any failure of a relay

Users may see a configuration older than the acknowledged one while one relay has lost the store and the next one hangs: the first goes on serving its cache for up to 2.2 s before it turns its clients away, the second takes 2 s until its time-out, and the bound is 3 s.

Change: it is asked after any failure of a relay while another relay is left; if it fails then, it isn't asked again until something responded, so that an outage costs one call more a kind and instance.

The test of relays called in order demands the store's answer between them; the test of all relays failing holds for a store that fails in between as well.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -68,6 +68,14 @@
         return cls(apply_s, max(MIN_WATCH_S, recovery_s - RECOVERY_MARGIN_S))
 
 
+class _CatchUp:
+    """Whether the store has to be asked for changes that a failed relay may have withheld."""
+
+    NONE = "none"
+    DUE = "due"
+    FAILED = "failed"
+
+
 class Call:
     """The next call.
 
@@ -117,8 +125,7 @@
         self._era: int | None = None
         self._synced_at = float("-inf")
         self._failures = 0
-        # Whether changes may have been missed at a relay that timed out.
-        self._must_catch_up = False
+        self._catch_up = _CatchUp.NONE
         self._events_at = float("-inf")
         self._list_at = float("-inf")
         self._store_healthy_since = float("inf")
@@ -151,7 +158,7 @@
             return Call(bound * (0.5 + 0.5 * self._jitter()), None, None, 0.0)
         if self._position is None:
             return Call(max(0.0, self._list_at - now), None, None, 0.0)
-        if self._must_catch_up:
+        if self._catch_up == _CatchUp.DUE:
             return Call(0.0, None, self._position, 0.0)
         relay = self._select_relay(now)
         if relay is not None:
@@ -164,7 +171,7 @@
         if self._failures or self._store_healthy_since > now:
             self._store_healthy_since = now
         self._failures = 0
-        self._must_catch_up = False
+        self._catch_up = _CatchUp.NONE
         self._position = position
         self._events_at = now
         self._list_at = now + self._limits.min_interval_s
@@ -172,7 +179,7 @@
 
     def on_watch(self, event_count: int, position: Position, now: float) -> None:
         """Records the response to a watch; without events the next watch starts at once."""
-        self._must_catch_up = False
+        self._catch_up = _CatchUp.NONE
         self._synced_at = now
         if self._position is None or position > self._position:
             self._position = position
@@ -214,21 +221,22 @@
     def on_failure(self, call: Call, code: Code, now: float) -> None:
         """Records a failure; the next call goes to another relay, else it lists the store.
 
-        A relay that timed out has used up most of the time in which a change must be known. The
-        store is therefore asked for changes before another relay, which may time out as well.
+        A relay that times out or has lost the store may have used up most of the time in which a
+        change must be known. The store is therefore asked for changes before another relay, which
+        may fail as slowly; once, as relays may still respond where the store does not.
         """
         if call.relay is not None:
             timed_out = code is Code.PLATFORM_TIMEOUT
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
             self._unavailable_until[call.relay] = now + penalty * (0.75 + 0.5 * self._jitter())
-            self._must_catch_up = timed_out
             if self._select_relay(now) is None:
                 self._position = None
                 self._list_at = now
+            elif self._catch_up == _CatchUp.NONE:
+                self._catch_up = _CatchUp.DUE
             return
-        if self._must_catch_up and code is not Code.PLATFORM_WATCH_EXPIRED:
-            # Relays may still respond where the store does not.
-            self._must_catch_up = False
+        if self._catch_up == _CatchUp.DUE and code is not Code.PLATFORM_WATCH_EXPIRED:
+            self._catch_up = _CatchUp.FAILED
             return
         self._position = None
         self._list_at = now
--- a/pearwell/object_store/memory.py
+++ b/pearwell/object_store/memory.py
@@ -18,7 +18,7 @@
     copy_value,
 )
 
-__all__ = ["Fault", "FaultSwitches", "MemoryObjectStore", "Sleep"]
+__all__ = ["Fault", "FaultSwitches", "MemoryObjectStore", "Sleep", "StoreCopy"]
 
 _T = TypeVar("_T")
 _Objects = dict[tuple[str, str], StoredObject]
@@ -40,6 +40,15 @@
     SLOW = "slow"
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the objects with their history, from which a store can be restored."""
+
+    version: int
+    objects: _Objects
+    history: tuple[WatchEvent, ...]
+
+
 @dataclass(slots=True)
 class FaultSwitches:
     """Injected faults of the store; all are off by default.
@@ -86,6 +95,7 @@
         self._history: deque[WatchEvent] = deque(maxlen=history)
         self._wake_event = asyncio.Event()
         self._calls: Counter[str] = Counter()
+        self._restores = 0
 
     @property
     def version(self) -> int:
@@ -106,6 +116,18 @@
         """Takes the snapshot that stale reads return."""
         self._snapshot = (self._version, dict(self._objects))
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the objects and of the events that a watch can resume from."""
+        return StoreCopy(self._version, dict(self._objects), tuple(self._history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replaces the objects with an earlier copy; versions after it are issued again."""
+        self._version = copy.version
+        self._objects = dict(copy.objects)
+        self._history = deque(copy.history, maxlen=self._history.maxlen)
+        self._restores += 1
+        self._notify_watches()
+
     def wake_watches(self) -> None:
         """Wakes waiting watches, so that they apply changed fault switches."""
         self._notify_watches()
@@ -162,7 +184,10 @@
         await self._begin_call("watch")
         self._check_resumable(version)
         previous: WatchEvent | None = None
+        restores = self._restores
         while True:
+            if self._restores != restores:
+                raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, "restored from a copy")
             wake_event = self._wake_event
             for event in self._events(kind, version):
                 if self.faults.event_delay_s:
@@ -216,6 +241,8 @@
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "outage")
 
     def _check_resumable(self, version: int) -> None:
+        if version > self._version:
+            raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, f"{version} was never issued")
         if len(self._history) == self._history.maxlen:
             oldest = self._history[0].stored.version
             if version < oldest - 1:
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -81,6 +81,9 @@
     first = scheduler.next_call(0.0)
     assert (first.relay, first.position, first.delay_s) == (0, (0, 7), 0.0)
     scheduler.on_failure(first, Code.PLATFORM_UNAVAILABLE, 1.0)
+    catch_up = scheduler.next_call(1.0)
+    assert (catch_up.relay, catch_up.position, catch_up.wait_s) == (None, (0, 7), 0.0)
+    scheduler.on_watch(0, (0, 7), 1.0)
     second = scheduler.next_call(1.0)
     assert (second.relay, second.position) == (1, (0, 7))
     scheduler.on_failure(second, Code.PLATFORM_TIMEOUT, 1.0)
@@ -152,6 +155,19 @@
     assert scheduler.store_healthy_since == 0.0
 
 
+def test_a_store_that_failed_after_one_relay_is_not_asked_after_the_next():
+    """An outage of the store must not cost a call for each relay that has lost it."""
+    scheduler = make(relays=3)
+    scheduler.on_list((0, 7), 0.0)
+    called = []
+    for _ in range(5):
+        call = scheduler.next_call(1.0)
+        called.append(call.relay)
+        scheduler.on_failure(call, Code.PLATFORM_UNAVAILABLE, 1.0)
+    assert called == [0, None, 1, 2, None]
+    assert scheduler.store_healthy_since == float("inf")
+
+
 @pytest.mark.parametrize(
     ("zones", "called"),
     [
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -172,18 +172,22 @@
     assert harness.steps(3) == [1, 1, 2]
 
 
-def test_the_store_is_called_at_once_after_each_relay_that_timed_out():
+@pytest.mark.parametrize("error", [EXPIRED, DOWN, TIMED_OUT, INVALID])
+def test_the_store_is_called_at_once_after_each_relay_that_failed(error):
     store = FakeStore(listed(5, 1), events(7, 2), listed(8, 3))
-    harness = SyncHarness(store, FakeStore(TIMED_OUT), FakeStore(TIMED_OUT))
+    harness = SyncHarness(store, FakeStore(error), FakeStore(error))
     assert harness.steps(5) == [1, 1, 2, 2, 3]
     assert store.calls == [("list", ""), ("watch", (0, 5)), ("list", "")]
     assert harness.slept == 0.0
     assert harness.logged.count("relay_lost") == 2
 
 
-@pytest.mark.parametrize("error", [EXPIRED, DOWN, INVALID])
-def test_the_store_is_called_at_once_when_the_relays_have_failed(error):
-    harness = SyncHarness(FakeStore(listed(5, 1), listed(8, 2)), FakeStore(error), FakeStore(error))
-    assert harness.steps(4) == [1, 1, 1, 2]
+@pytest.mark.parametrize("error", [EXPIRED, DOWN, TIMED_OUT, INVALID])
+def test_the_store_is_listed_at_once_when_the_relays_have_failed(error):
+    """Although the store failed as well after the first relay."""
+    store = FakeStore(listed(5, 1), DOWN, listed(8, 2))
+    harness = SyncHarness(store, FakeStore(error), FakeStore(error))
+    assert harness.steps(5) == [1, 1, 1, 1, 2]
+    assert store.calls == [("list", ""), ("watch", (0, 5)), ("list", "")]
     assert harness.slept == 0.0
     assert harness.logged.count("relay_lost") == 2
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -64,21 +64,23 @@
     Args:
         node: The calling instance.
         respond: Returns status, headers and body of the response to a path.
+        link: Cleared while the server can't be reached.
     """
 
-    def __init__(self, node, respond, **options):
+    def __init__(self, node, respond, link, **options):
         super().__init__(node, ("10.200.1.7", 80), **options)
         self._node = node
         self._respond = respond
+        self._link = link
 
     async def _exchange(self, path, timeout_s):
         self._calls += 1
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(LATENCY_S / 2)
-                await self._node.linked.wait()
+                await self._link.wait()
                 status, headers, body = await self._respond(path)
-                await self._node.linked.wait()
+                await self._link.wait()
                 await asyncio.sleep(LATENCY_S / 2)
         except TimeoutError as error:
             await self._node.running.wait()
@@ -132,16 +134,17 @@
 
     Attributes:
         running: Cleared while the instance is frozen.
-        linked: Cleared while it is cut off.
+        linked: Cleared while it is cut off from the other instances.
+        store_linked: Cleared while it is cut off from the store.
         versions: Configurations that came into force, with their times.
         events: Names of its log events.
     """
 
     def __init__(self, store, relays, is_relay):
         self._loop = asyncio.get_running_loop()
-        self.running, self.linked = asyncio.Event(), asyncio.Event()
-        self.running.set()
-        self.linked.set()
+        self.running, self.linked, self.store_linked = (asyncio.Event() for _ in range(3))
+        for event in (self.running, self.linked, self.store_linked):
+            event.set()
         self.events = []
         self.versions = []
         self._changed = Trigger()
@@ -168,7 +171,7 @@
                 handler,
                 scheduler,
                 caches[handler.kind],
-                LocalClient(self, store.respond),
+                LocalClient(self, store.respond, self.store_linked),
                 [relay.client_for(self) for relay in relays],
                 self.now,
                 asyncio.sleep,
@@ -181,17 +184,16 @@
         return self._loop.time()
 
     def client_for(self, node):
-        return LocalClient(node, self._respond, is_relay=True)
+        return LocalClient(node, self._respond, node.linked, is_relay=True)
 
     async def freeze(self, seconds):
-        self.running.clear()
-        await asyncio.sleep(seconds)
-        self.running.set()
+        await _clear([self.running], seconds)
 
     async def cut(self, seconds):
-        self.linked.clear()
-        await asyncio.sleep(seconds)
-        self.linked.set()
+        await _clear([self.linked, self.store_linked], seconds)
+
+    async def cut_from_store(self, seconds):
+        await _clear([self.store_linked], seconds)
 
     async def stop(self):
         for task in self._tasks:
@@ -224,6 +226,14 @@
         self.events.append((round(self.now(), 3), event, fields))
 
 
+async def _clear(events, seconds):
+    for event in events:
+        event.clear()
+    await asyncio.sleep(seconds)
+    for event in events:
+        event.set()
+
+
 class Fleet:
     """Store, relays and clients, with the operator and the hosts that write to the store.
 
