Order versions of the daemon's platform across restores

Cause: versions of objects, watch cursors and conditions were bare revisions, which a restored platform issues again. Without the header nothing changes. The store in memory and the platform's stand-in can be restored from a copy.

Left: a client that has not yet heard of a restore may meet a revision that was issued again; the write then takes effect and is reported as a conflict, as the platform compares revisions only.

--- a/pearwell/object_store/__init__.py
+++ b/pearwell/object_store/__init__.py
@@ -11,9 +11,17 @@
     WatchEventType,
     check_size,
     collect_pages,
+    compose_version,
     copy_value,
+    split_version,
+)
+from pearwell.object_store.memory import (
+    Fault,
+    FaultSwitches,
+    MemoryObjectStore,
+    Sleep,
+    StoreCopy,
 )
-from pearwell.object_store.memory import Fault, FaultSwitches, MemoryObjectStore, Sleep
 from pearwell.object_store.retrying import RetryBudget, RetryingObjectStore, RetryPolicy
 
 __all__ = [
@@ -28,11 +36,14 @@
     "RetryPolicy",
     "RetryingObjectStore",
     "Sleep",
+    "StoreCopy",
     "StoredObject",
     "Value",
     "WatchEvent",
     "WatchEventType",
     "check_size",
     "collect_pages",
+    "compose_version",
     "copy_value",
+    "split_version",
 ]
--- a/pearwell/object_store/base.py
+++ b/pearwell/object_store/base.py
@@ -20,7 +20,9 @@
     "WatchEventType",
     "check_size",
     "collect_pages",
+    "compose_version",
     "copy_value",
+    "split_version",
 ]
 
 # Maximum size of an encoded value that the platform accepts.
@@ -28,6 +30,9 @@
 # Objects per page when all objects are listed.
 PAGE_SIZE = 100
 
+# Bits of a version that hold the platform's revision; those above hold its era.
+_REVISION_BITS = 40
+
 Value = Mapping[str, Any]
 
 
@@ -38,7 +43,8 @@
     Attributes:
         kind: Kind in lower case, such as "service".
         name: Unique name within the kind.
-        version: Platform version of its latest write; versions increase across all kinds.
+        version: Platform version of its latest write; versions increase across all kinds, also
+            when the platform is restored from a copy (see compose_version()).
         value: The JSON value.
     """
 
@@ -131,16 +137,35 @@
 
     Returns:
         All objects with the lowest version of any page, so that a watch from it misses no event.
+
+    Raises:
+        PlatformError: PLATFORM_UNAVAILABLE if the platform was restored between two pages.
     """
     found = await page("")
     items, version = list(found.items), found.version
     while found.next_token:
         found = await page(found.next_token)
+        if split_version(found.version)[0] != split_version(version)[0]:
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, "restored between two pages of a list")
         items.extend(found.items)
         version = min(version, found.version)
     return ObjectList(tuple(items), version)
 
 
+def compose_version(era: int, revision: int) -> int:
+    """Returns the version for a revision of the platform in an era.
+
+    A platform that is restored from a copy issues revisions again, so they increase only within an
+    era, which it raises with each restore. Versions increase across eras.
+    """
+    return era << _REVISION_BITS | revision
+
+
+def split_version(version: int) -> tuple[int, int]:
+    """Returns era and revision of a version."""
+    return version >> _REVISION_BITS, version & ((1 << _REVISION_BITS) - 1)
+
+
 def copy_value(value: Value) -> dict[str, Any]:
     """Returns a deep copy of a JSON value."""
     return msgspec.json.decode(msgspec.json.encode(value))
--- a/pearwell/object_store/memory.py
+++ b/pearwell/object_store/memory.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter, deque
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from typing import TypeVar
 
@@ -15,7 +15,9 @@
     WatchEvent,
     WatchEventType,
     check_size,
+    compose_version,
     copy_value,
+    split_version,
 )
 
 __all__ = ["Fault", "FaultSwitches", "MemoryObjectStore", "Sleep", "StoreCopy"]
@@ -95,7 +97,11 @@
         self._history: deque[WatchEvent] = deque(maxlen=history)
         self._wake_event = asyncio.Event()
         self._calls: Counter[str] = Counter()
-        self._restores = 0
+
+    @property
+    def era(self) -> int:
+        """Number of times that the store was restored from a copy."""
+        return split_version(self._version)[0]
 
     @property
     def version(self) -> int:
@@ -121,11 +127,18 @@
         return StoreCopy(self._version, dict(self._objects), tuple(self._history))
 
     def restore(self, copy: StoreCopy) -> None:
-        """Replaces the objects with an earlier copy; versions after it are issued again."""
-        self._version = copy.version
-        self._objects = dict(copy.objects)
-        self._history = deque(copy.history, maxlen=self._history.maxlen)
-        self._restores += 1
+        """Replaces the objects with an earlier copy; revisions after it are issued again."""
+        era = self.era + 1
+        self._version = _in_era(era, copy.version)
+        self._objects = {
+            key: replace(stored, version=_in_era(era, stored.version))
+            for key, stored in copy.objects.items()
+        }
+        events = (
+            replace(event, stored=replace(event.stored, version=_in_era(era, event.stored.version)))
+            for event in copy.history
+        )
+        self._history = deque(events, maxlen=self._history.maxlen)
         self._notify_watches()
 
     def wake_watches(self) -> None:
@@ -184,9 +197,9 @@
         await self._begin_call("watch")
         self._check_resumable(version)
         previous: WatchEvent | None = None
-        restores = self._restores
+        era = self.era
         while True:
-            if self._restores != restores:
+            if self.era != era:
                 raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, "restored from a copy")
             wake_event = self._wake_event
             for event in self._events(kind, version):
@@ -241,8 +254,8 @@
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "outage")
 
     def _check_resumable(self, version: int) -> None:
-        if version > self._version:
-            raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, f"{version} was never issued")
+        if version > self._version or split_version(version)[0] != self.era:
+            raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, f"{version} is not in the history")
         if len(self._history) == self._history.maxlen:
             oldest = self._history[0].stored.version
             if version < oldest - 1:
@@ -271,6 +284,10 @@
         self._wake_event = asyncio.Event()
 
 
+def _in_era(era: int, version: int) -> int:
+    return compose_version(era, split_version(version)[1])
+
+
 def _find(objects: _Objects, kind: str, name: str) -> StoredObject:
     stored = objects.get((kind, name))
     if stored is None:
--- a/pearwell/object_store/platform_client.py
+++ b/pearwell/object_store/platform_client.py
@@ -18,9 +18,18 @@
     WatchEventType,
     check_size,
     collect_pages,
+    compose_version,
+    split_version,
 )
 
-__all__ = ["API_GROUP", "API_VERSION", "PlatformClient", "collection_path", "to_resource"]
+__all__ = [
+    "API_GROUP",
+    "API_VERSION",
+    "ERA_HEADER",
+    "PlatformClient",
+    "collection_path",
+    "to_resource",
+]
 
 API_GROUP = "pearwell.io"
 API_VERSION = "v1"
@@ -36,6 +45,9 @@
 # Maximum length of a line in a watch: an object of the maximum size with its metadata.
 MAX_LINE_BYTES = 4_000_000
 
+# Counts how often the platform was restored from a copy; in all its responses.
+ERA_HEADER = "Store-Era"
+
 _HTTP_GONE = 410
 
 _CODES_BY_REASON: Mapping[str, Code] = {
@@ -76,6 +88,8 @@
         self._base_url = base_url.rstrip("/")
         self._headers = dict(headers or {})
         self._session: aiohttp.ClientSession | None = None
+        # Era of the latest response.
+        self._era: int | None = None
         self._calls: Counter[str] = Counter()
 
     @property
@@ -102,7 +116,8 @@
 
     async def get(self, kind: str, name: str) -> StoredObject:
         """Returns an object; raises PLATFORM_NOT_FOUND if there is none."""
-        return _from_resource(kind, await self._request("get", "GET", _object_path(kind, name)))
+        resource, era = await self._request("get", "GET", _object_path(kind, name))
+        return _from_resource(kind, resource, era)
 
     async def list(self, kind: str, *, limit: int = 0, token: str = "") -> ObjectList:
         """Returns the objects of a kind: one page if a limit is given, otherwise all pages."""
@@ -114,23 +129,27 @@
         """Creates an object; raises PLATFORM_ALREADY_EXISTS if there is one."""
         check_size(kind, name, value)
         body = to_resource(StoredObject(kind, name, 0, value))
-        path = collection_path(kind)
-        return _from_resource(kind, await self._request("create", "POST", path, body))
+        resource, era = await self._request("create", "POST", collection_path(kind), body)
+        return _from_resource(kind, resource, era)
 
     async def update(
         self, kind: str, name: str, value: Value, expected_version: int
     ) -> StoredObject:
         """Replaces an object; raises PLATFORM_CONFLICT unless it has the expected version."""
         check_size(kind, name, value)
+        self._check_expected_era(expected_version, self._era)
         body = to_resource(StoredObject(kind, name, expected_version, value))
-        path = _object_path(kind, name)
-        return _from_resource(kind, await self._request("update", "PUT", path, body))
+        resource, era = await self._request("update", "PUT", _object_path(kind, name), body)
+        self._check_expected_era(expected_version, era)
+        return _from_resource(kind, resource, era)
 
     async def delete(self, kind: str, name: str, expected_version: int) -> None:
         """Removes an object; raises PLATFORM_CONFLICT unless it has the expected version."""
-        precondition = {"resourceVersion": str(expected_version)}
+        self._check_expected_era(expected_version, self._era)
+        precondition = {"resourceVersion": str(split_version(expected_version)[1])}
         body = {"kind": "DeleteOptions", "apiVersion": "v1", "preconditions": precondition}
-        await self._request("delete", "DELETE", _object_path(kind, name), body)
+        _, era = await self._request("delete", "DELETE", _object_path(kind, name), body)
+        self._check_expected_era(expected_version, era)
 
     async def watch(self, kind: str, version: int) -> AsyncIterator[WatchEvent]:
         """Yields the events after a version until the platform ends the watch.
@@ -139,9 +158,10 @@
             PlatformError: PLATFORM_WATCH_EXPIRED if the version is too old to resume from.
         """
         self._calls["watch"] += 1
+        expected_era, revision = split_version(version)
         parameters = {
             "watch": "1",
-            "resourceVersion": str(version),
+            "resourceVersion": str(revision),
             "allowWatchBookmarks": "true",
             "timeoutSeconds": str(WATCH_DURATION_S),
         }
@@ -155,20 +175,22 @@
             ) as response:
                 if response.status != 200:
                     raise _response_error(response.status, await response.read())
+                self._era = era = _era_of(response)
+                if era != expected_era:
+                    raise PlatformError(Code.PLATFORM_WATCH_EXPIRED, f"watch in era {era}")
                 while line := await response.content.readline():
-                    yield _decode_event(kind, line)
+                    yield _decode_event(kind, line, era)
         except (TimeoutError, aiohttp.ClientError, ValueError) as error:
             raise _transport_error("watch", error) from error
 
     async def _list_page(self, kind: str, limit: int, token: str) -> ObjectList:
         parameters = {"limit": str(limit)} | ({"continue": token} if token else {})
-        body = await self._request("list", "GET", collection_path(kind), params=parameters)
+        body, era = await self._request("list", "GET", collection_path(kind), params=parameters)
         try:
             metadata = body["metadata"]
-            items = tuple(_from_resource(kind, item) for item in body["items"])
-            return ObjectList(
-                items, int(metadata["resourceVersion"]), str(metadata.get("continue", ""))
-            )
+            items = tuple(_from_resource(kind, item, era) for item in body["items"])
+            version = compose_version(era, int(metadata["resourceVersion"]))
+            return ObjectList(items, version, str(metadata.get("continue", "")))
         except (KeyError, TypeError, ValueError) as error:
             raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"list: {error!r}") from error
 
@@ -179,7 +201,8 @@
         path: str,
         body: Any = None,
         params: Mapping[str, str] | None = None,
-    ) -> Any:
+    ) -> tuple[Any, int]:
+        """Returns the body of a response and the era of the platform."""
         self._calls[operation] += 1
         data = None if body is None else msgspec.json.encode(body)
         try:
@@ -189,9 +212,18 @@
                 payload = await response.read()
         except (TimeoutError, aiohttp.ClientError) as error:
             raise _transport_error(operation, error) from error
+        self._era = era = _era_of(response)
         if response.status >= 300:
             raise _response_error(response.status, payload)
-        return _decode(payload)
+        return _decode(payload), era
+
+    def _check_expected_era(self, expected_version: int, era: int | None) -> None:
+        """Raises PLATFORM_CONFLICT if a condition names a version of another era.
+
+        The platform compares revisions only, and that of another era may have been issued again.
+        """
+        if era is not None and split_version(expected_version)[0] != era:
+            raise PlatformError(Code.PLATFORM_CONFLICT, f"restored since, now in era {era}")
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -214,7 +246,7 @@
     """Returns the custom resource of an object, without resourceVersion if its version is 0."""
     metadata: dict[str, Any] = {"name": stored.name, "namespace": NAMESPACE}
     if stored.version:
-        metadata["resourceVersion"] = str(stored.version)
+        metadata["resourceVersion"] = str(split_version(stored.version)[1])
     return {
         "apiVersion": f"{API_GROUP}/{API_VERSION}",
         "kind": stored.kind.capitalize(),
@@ -227,10 +259,17 @@
     return f"{collection_path(kind)}/{name}"
 
 
-def _from_resource(kind: str, resource: Any) -> StoredObject:
+def _era_of(response: aiohttp.ClientResponse) -> int:
+    text = response.headers.get(ERA_HEADER, "0")
+    if not text.isdecimal():
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {text[:20]!r}")
+    return int(text)
+
+
+def _from_resource(kind: str, resource: Any, era: int) -> StoredObject:
     try:
         metadata = resource["metadata"]
-        version = int(metadata["resourceVersion"])
+        version = compose_version(era, int(metadata["resourceVersion"]))
         value = resource.get("spec")
         return StoredObject(
             kind, metadata.get("name", ""), version, value if isinstance(value, dict) else {}
@@ -239,7 +278,7 @@
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{kind}: {error!r}") from error
 
 
-def _decode_event(kind: str, line: bytes) -> WatchEvent:
+def _decode_event(kind: str, line: bytes, era: int) -> WatchEvent:
     event = _decode(line)
     try:
         name, resource = event["type"], event["object"]
@@ -249,7 +288,7 @@
         raise _response_error(int(resource.get("code", _HTTP_GONE)), msgspec.json.encode(resource))
     if name not in WatchEventType.__members__:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"unknown watch event type {name!r}")
-    return WatchEvent(WatchEventType(name), _from_resource(kind, resource))
+    return WatchEvent(WatchEventType(name), _from_resource(kind, resource, era))
 
 
 def _decode(payload: bytes) -> Any:
--- a/pearwell/standins/platform.py
+++ b/pearwell/standins/platform.py
@@ -11,8 +11,15 @@
 from aiohttp import web
 
 from pearwell.errors import Code, PlatformError
-from pearwell.object_store import MemoryObjectStore, StoredObject, WatchEvent, WatchEventType
-from pearwell.object_store.platform_client import collection_path, to_resource
+from pearwell.object_store import (
+    MemoryObjectStore,
+    StoredObject,
+    WatchEvent,
+    WatchEventType,
+    compose_version,
+    split_version,
+)
+from pearwell.object_store.platform_client import ERA_HEADER, collection_path, to_resource
 
 __all__ = ["FaultModel", "PlatformStandin", "main"]
 
@@ -79,7 +86,7 @@
             self._runner = None
 
     def _application(self) -> web.Application:
-        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._add_era])
         collection = collection_path("{kind:[a-z]+}").removesuffix("s") + "s"
         item = collection + "/{name}"
         application.add_routes(
@@ -97,6 +104,16 @@
         )
         return application
 
+    @web.middleware
+    async def _add_era(self, request: web.Request, handler: _Handler) -> web.StreamResponse:
+        response = await handler(request)
+        if not response.prepared:
+            response.headers[ERA_HEADER] = str(self._store.era)
+        return response
+
+    def _version(self, text: str) -> int:
+        return compose_version(self._store.era, int(text))
+
     async def _get(self, request: web.Request) -> web.StreamResponse:
         stored = await self._store.get(*_kind_and_name(request))
         return _json(to_resource(stored))
@@ -107,7 +124,8 @@
         limit = int(request.query.get("limit", "0"))
         token = request.query.get("continue", "")
         page = await self._store.list(request.match_info["kind"], limit=limit, token=token)
-        metadata = {"resourceVersion": str(page.version), "continue": page.next_token}
+        revision = split_version(page.version)[1]
+        metadata = {"resourceVersion": str(revision), "continue": page.next_token}
         items = [to_resource(stored) for stored in page.items]
         return _json({"kind": "List", "metadata": metadata, "items": items})
 
@@ -119,20 +137,21 @@
 
     async def _update(self, request: web.Request) -> web.StreamResponse:
         body = msgspec.json.decode(await request.read())
-        expected = int(body["metadata"]["resourceVersion"])
+        expected = self._version(body["metadata"]["resourceVersion"])
         stored = await self._store.update(*_kind_and_name(request), body["spec"], expected)
         return _json(to_resource(stored))
 
     async def _delete(self, request: web.Request) -> web.StreamResponse:
         body = msgspec.json.decode(await request.read())
-        expected = int(body["preconditions"]["resourceVersion"])
+        expected = self._version(body["preconditions"]["resourceVersion"])
         await self._store.delete(*_kind_and_name(request), expected)
         return _json({"kind": "Status", "status": "Success"})
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        headers = {"Content-Type": "application/json", ERA_HEADER: str(self._store.era)}
+        response = web.StreamResponse(headers=headers)
         kind = request.match_info["kind"]
-        version = int(request.query.get("resourceVersion", "0"))
+        version = self._version(request.query.get("resourceVersion", "0"))
         duration = float(request.query.get("timeoutSeconds", DEFAULT_WATCH_TIMEOUT_S))
         try:
             async with asyncio.timeout(duration):
--- a/tests/object_store/test_platform_client.py
+++ b/tests/object_store/test_platform_client.py
@@ -106,3 +106,53 @@
             await anext(events)
         assert ended.value.code is Code.PLATFORM_UNAVAILABLE
         assert client.calls == {"watch": 2}
+
+
+async def restored_platform(standin, client):
+    """Loses two updates of an object, and updates another one up to their last revision."""
+    await client.create("group", "a", {"n": 1})
+    copy = standin.store.copy()
+    lost = await client.create("group", "b", {"n": 2})
+    lost = await client.update("group", "b", {"n": 3}, lost.version)
+    standin.store.restore(copy)
+    await standin.store.create("group", "b", {"n": 7})
+    await standin.store.update("group", "b", {"n": 8}, standin.store.version)
+    return lost
+
+
+async def test_versions_increase_across_a_restore():
+    async with platform() as (standin, client):
+        lost = await restored_platform(standin, client)
+        found = await client.get("group", "b")
+        assert found.version > lost.version
+        assert (await client.list("group")).version >= found.version
+
+
+async def test_a_watch_does_not_resume_in_another_era():
+    """The platform has issued the revision again, and would resume from it."""
+    async with platform() as (standin, client):
+        lost = await restored_platform(standin, client)
+        with pytest.raises(PlatformError) as caught:
+            await anext(client.watch("group", lost.version))
+        assert caught.value.code is Code.PLATFORM_WATCH_EXPIRED
+
+
+@pytest.mark.parametrize("era_known", [True, False])
+@pytest.mark.parametrize(
+    "write",
+    [
+        lambda client, version: client.update("group", "b", {"n": 9}, version),
+        lambda client, version: client.delete("group", "b", version),
+    ],
+    ids=["update", "delete"],
+)
+async def test_a_condition_on_a_lost_version_conflicts(write, era_known):
+    async with platform() as (standin, client):
+        lost = await restored_platform(standin, client)
+        if era_known:
+            await client.list("group")
+        with pytest.raises(PlatformError) as caught:
+            await write(client, lost.version)
+        assert caught.value.code is Code.PLATFORM_CONFLICT
+        if era_known:
+            assert (await client.get("group", "b")).value == {"n": 8}
