Play random restores with instances cut off or frozen in virtual time

The scenarios of test_store_restore.py are chosen by hand. A random one mixes changes, copies, restores and instances that are frozen or cut off, and then demands that a change in calm is known everywhere in time and that no version fell. Also: a frozen instance of the fleet sends no calls.

--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -74,6 +74,7 @@
         self._link = link
 
     async def _exchange(self, path, timeout_s):
+        await self._node.running.wait()
         self._calls += 1
         try:
             async with asyncio.timeout(timeout_s):
@@ -137,7 +138,7 @@
         linked: Cleared while it is cut off from the other instances.
         store_linked: Cleared while it is cut off from the store.
         versions: Configurations that came into force, with their times.
-        events: Names of its log events.
+        events: Log events with their times and fields.
     """
 
     def __init__(self, store, relays, is_relay):
@@ -247,7 +248,7 @@
         self.clients = [Node(self.store, self.relays, False) for _ in range(clients)]
         self.entries = {}
         self.version = 0
-        self._copies = []
+        self._copy = self.store.server.history.copy()
         self._restored_at = float("-inf")
         self._tasks = [asyncio.ensure_future(self._write_entries())]
 
@@ -272,7 +273,7 @@
 
     def copy(self):
         """Takes the copy that the next restore uses."""
-        self._copies.append(self.store.server.history.copy())
+        self._copy = self.store.server.history.copy()
 
     async def restore(self, away_s=0.0, rewrite_s=0.3):
         """Brings the store back from the latest copy; lost objects are written again later."""
@@ -280,7 +281,7 @@
         await asyncio.sleep(away_s)
         self.store.away = False
         self._restored_at = asyncio.get_running_loop().time()
-        await self.store.server.restore(self._copies[-1])
+        await self.store.server.restore(self._copy)
         self._tasks.append(asyncio.ensure_future(self._rewrite(rewrite_s)))
 
     async def stop(self):
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -1,6 +1,7 @@
 """Tests of instances and relays while the store comes back from an older copy, in virtual time."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -28,8 +29,8 @@
     await fleet.put_target(step, state="draining")
 
 
-async def check_bound(fleet, nodes):
-    """Checks that a new configuration is in force in time and that all targets are known."""
+async def check_next_change(fleet):
+    """Checks that a change in calm is known to all instances in time, and nothing else."""
     await asyncio.sleep(BOUNDS.contact_s)
     await change_everything(fleet, 30)
     await asyncio.sleep(BOUNDS.config_s)
@@ -39,7 +40,7 @@
         page = history.page("servers", after)
         listed |= {item["meta"]["Name"]: item["spec"]["State"] for item in page["items"]}
         after, more = max(listed), page["HasMore"]
-    for node in nodes:
+    for node in fleet.nodes:
         versions = [version for _, version in node.versions]
         assert versions == sorted(versions)
         assert versions[-1] == fleet.version
@@ -63,7 +64,7 @@
             await change_everything(fleet, step)
             await asyncio.sleep(0.2)
         await fleet.restore(away_s)
-        await check_bound(fleet, fleet.nodes)
+        await check_next_change(fleet)
 
     run(scenario())
 
@@ -86,7 +87,7 @@
         await asyncio.sleep(0.0)
         for number in range(TARGETS, TARGETS + 20):
             await fleet.put_target(number)
-        await check_bound(fleet, fleet.nodes)
+        await check_next_change(fleet)
 
     run(scenario())
 
@@ -116,7 +117,7 @@
             step += 1
             await change_everything(fleet, step)
             await asyncio.sleep(0.2)
-        await check_bound(fleet, fleet.nodes)
+        await check_next_change(fleet)
 
     run(scenario())
 
@@ -142,7 +143,7 @@
             await asyncio.sleep(0.2)
         await fleet.restore(0.3)
         await asyncio.gather(*faults)
-        await check_bound(fleet, fleet.nodes)
+        await check_next_change(fleet)
 
     run(scenario())
 
@@ -169,6 +170,41 @@
             for restarted, successor, leaving in live:
                 assert not restarted.gone and not successor.gone and not leaving.gone
                 assert leaving.draining
-        await check_bound(fleet, fleet.nodes)
+        await check_next_change(fleet)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_restores_with_instances_cut_off_or_frozen(seed):
+    async def scenario():
+        rng = random.Random(seed)
+        fleet = await started_fleet(rng.choice((1, 3)), 2)
+        running = []
+
+        def start(coroutine):
+            running.append(asyncio.ensure_future(coroutine))
+
+        def disturb():
+            node = rng.choice(fleet.nodes)
+            fault = rng.choice((node.freeze, node.cut, node.cut_from_store))
+            start(fault(rng.uniform(0.2, 4.0)))
+
+        def restore():
+            start(fleet.restore(rng.choice((0.0, 0.0, 1.0)), rng.uniform(0.0, 1.0)))
+
+        actions = (
+            lambda: start(fleet.configure()),
+            lambda: start(fleet.put_target(rng.randrange(TARGETS, 2 * TARGETS))),
+            lambda: start(fleet.put_target(rng.randrange(TARGETS), state="draining")),
+            fleet.copy,
+            disturb,
+            restore,
+        )
+        for _ in range(40):
+            rng.choices(actions, (6, 3, 3, 2, 2, 1))[0]()
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+        await asyncio.gather(*running)
+        await check_next_change(fleet)
 
     run(scenario())
