--- a/bench/overload.py
+++ b/bench/overload.py
@@ -44,11 +44,20 @@
         """The simulation after its end."""
         return self._simulation
 
-    def outcome(self, kind: str, start_s: float, end_s: float) -> Outcome:
-        """Returns the summed outcomes of a kind of request sent between two times."""
+    def outcome(
+        self, kind: str, start_s: float, end_s: float, zone: int | None = None
+    ) -> Outcome:
+        """Returns the summed outcomes of a kind of request sent between two times.
+
+        Args:
+            kind: Name of the kind.
+            start_s: First second.
+            end_s: Second after the last one.
+            zone: Zone of the clients; None for all.
+        """
         total = Outcome()
-        for (second, name), outcome in self._simulation.outcomes.items():
-            if name == kind and start_s <= second < end_s:
+        for (second, name, sender), outcome in self._simulation.outcomes.items():
+            if name == kind and start_s <= second < end_s and zone in (None, sender):
                 total.asked += outcome.asked
                 total.in_time += outcome.in_time
                 total.late += outcome.late
--- a/bench/overload_zone.py
+++ b/bench/overload_zone.py
@@ -140,7 +140,8 @@
         ]
         self._ports = count(1024)
         self._open: dict[bytes, _Flow] = {}
-        self.outcomes: dict[tuple[int, str], Outcome] = {}
+        # By second, name of the kind and zone of the client.
+        self.outcomes: dict[tuple[int, str, int], Outcome] = {}
         # Refused flows, by the second of the refusal.
         self.refusals: Counter[int] = Counter()
         self.refused_with_free_slots = self.sheds = 0
@@ -193,7 +194,7 @@
         self._try(request)
 
     def _outcome(self, request: _Request) -> Outcome:
-        key = (int(request.sent_at), request.kind.name)
+        key = (int(request.sent_at), request.kind.name, request.client.zone)
         return self.outcomes.setdefault(key, Outcome())
 
     def _try(self, request: _Request) -> None:
