Spill flows to zones with room before refusing them, and detect queues by shed requests

Ten times the traffic for 8 s on the large site: hosts of the zone with most clients stand full while those of other zones have room. Two causes, seen in the emulator with the sizes of that site: a full target sheds requests within milliseconds, which counted as fast responses, so that most instances never saw their zone queue; and admission refused flows that another zone's targets could have taken.

A shed request now counts as a slow response, and flows that would be late in the local zone go to all zones before any is refused. The wait that is expected is that of the flow's zone, a quantile that rises with the share shed (the median leaves half of the flows at the limit late); a single shed request among 20 responses no longer allows refusals.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -12,7 +12,7 @@
 
 from absl import app, flags
 
-from bench.overload_deployments import DEPLOYMENTS, grown
+from bench.overload_deployments import DEPLOYMENTS, LARGE_DEPLOYMENTS, grown
 from bench.overload_model import Deployment
 from bench.overload_zone import Outcome, Simulation
 
@@ -25,7 +25,11 @@
 # Time in which the last requests end.
 SETTLING_S = 1.0
 
-_DEPLOYMENT = flags.DEFINE_enum("deployment", "letters", sorted(DEPLOYMENTS), "Size and requests.")
+ALL_DEPLOYMENTS = DEPLOYMENTS | LARGE_DEPLOYMENTS
+
+_DEPLOYMENT = flags.DEFINE_enum(
+    "deployment", "letters", sorted(ALL_DEPLOYMENTS), "Size and requests."
+)
 _GROWN = flags.DEFINE_integer("grown", 1, "Factor of instances, targets, clients and requests.")
 _LOADS = flags.DEFINE_list("loads", ["1", "1.5", "2", "3", "4"], "Loads, in times the usual one.")
 _SEEDS = flags.DEFINE_integer("seeds", 3, "Number of seeds.", lower_bound=1)
@@ -44,9 +48,7 @@
         """The simulation after its end."""
         return self._simulation
 
-    def outcome(
-        self, kind: str, start_s: float, end_s: float, zone: int | None = None
-    ) -> Outcome:
+    def outcome(self, kind: str, start_s: float, end_s: float, zone: int | None = None) -> Outcome:
         """Returns the summed outcomes of a kind of request sent between two times.
 
         Args:
@@ -125,7 +127,7 @@
 
 
 def _measure() -> Iterator[dict[str, Any]]:
-    deployment = DEPLOYMENTS[_DEPLOYMENT.value]
+    deployment = ALL_DEPLOYMENTS[_DEPLOYMENT.value]
     if _GROWN.value > 1:
         deployment = grown(deployment, _GROWN.value)
     for load in map(float, _LOADS.value):
--- a/bench/overload_deployments.py
+++ b/bench/overload_deployments.py
@@ -2,7 +2,7 @@
 
 from bench.overload_model import Deployment, Kind
 
-__all__ = ["DEPLOYMENTS", "grown"]
+__all__ = ["DEPLOYMENTS", "LARGE_DEPLOYMENTS", "grown"]
 
 DEPLOYMENTS = {
     "bureau": Deployment(
@@ -18,19 +18,6 @@
             Kind("extract", 0.6, "tables", 0.0075, 0.5, 5.0, 1, 0.1, 2, "download", False, 2),
         ),
     ),
-    "bureau-large": Deployment(
-        instances=(39, 38, 43, 32, 43),
-        targets={"intake": (24, 24, 23, 23, 23), "tables": (6, 6, 6, 6, 6)},
-        clients=(71, 58, 63, 58, 54),
-        requests_per_s=(149.0, 121.0, 131.0, 122.0, 112.0),
-        slots=2,
-        queue=8,
-        kinds=(
-            Kind("status", 7, "intake", 0.04, 0.3, 2.5, 1, 0.1, 2, "idempotent", True, 1),
-            Kind("payroll", 2, "intake", 0.052, 0.4, 3.0, 2, 0.2, 1, "non_idempotent", True, 1),
-            Kind("extract", 0.6, "tables", 0.005, 0.8, 6.0, 1, 0.1, 2, "download", False, 2),
-        ),
-    ),
     "quillmere": Deployment(
         instances=(6, 6, 8),
         targets={"ledger": (3, 2, 2), "reports": (1, 1, 0)},
@@ -59,6 +46,22 @@
     ),
 }
 
+LARGE_DEPLOYMENTS = {
+    "bureau-large": Deployment(
+        instances=(39, 38, 43, 32, 43),
+        targets={"intake": (24, 24, 23, 23, 23), "tables": (6, 6, 6, 6, 6)},
+        clients=(71, 58, 63, 58, 54),
+        requests_per_s=(149.0, 121.0, 131.0, 122.0, 112.0),
+        slots=2,
+        queue=8,
+        kinds=(
+            Kind("status", 7, "intake", 0.04, 0.3, 2.5, 1, 0.1, 2, "idempotent", True, 1),
+            Kind("payroll", 2, "intake", 0.052, 0.4, 3.0, 2, 0.2, 1, "non_idempotent", True, 1),
+            Kind("extract", 0.6, "tables", 0.005, 0.8, 6.0, 1, 0.1, 2, "download", False, 2),
+        ),
+    ),
+}
+
 
 def grown(deployment: Deployment, factor: int) -> Deployment:
     """Returns a deployment with as many times the instances, targets, clients and requests."""
--- a/pearwell/affinity/admission.py
+++ b/pearwell/affinity/admission.py
@@ -29,8 +29,9 @@
 MAX_SHED_SHARE = 0.95
 # All new flows are refused once their response time exceeds the limit by an eighth.
 REFUSALS_PER_EXCESS = 8.0
-# While targets shed less than this share of the requests, they can still queue what arrives.
-MIN_SHED_SHARE = 0.03
+# While targets shed less than this share of the requests, they can still queue what arrives. The
+# share is an average over 20 responses, of which one that was shed shows little.
+MIN_SHED_SHARE = 0.1
 # Largest share of the objective that counts as service time. An instance that starts in the midst
 # of an overload has seen only slow responses.
 MAX_SERVICE_SHARE = 0.5
@@ -70,8 +71,8 @@
         size: int,
         is_first: bool,
         now: float,
-    ) -> None:
-        """Records a response of a target.
+    ) -> bool:
+        """Records a response of a target; returns whether the request was shed.
 
         Args:
             route: The flow's route.
@@ -84,7 +85,7 @@
             now: Current time in seconds of the clock.
         """
         if route.objective_s is None:
-            return
+            return False
         profiles = self._profiles.get(service)
         if profiles is None:
             profiles = self._profiles[service] = {}
@@ -100,9 +101,10 @@
             # A shed request has waited only with the handshake of its flow.
             if is_first:
                 waits.add(zone, seconds, now)
-            return
+            return True
         wait_s = profile.record(seconds, size, MAX_SERVICE_SHARE * route.objective_s)
         waits.add(zone, wait_s / WAITS_OF_NEW_FLOW if is_first else wait_s, now)
+        return False
 
     def refuses(self, route: Route, address: bytes, service: str, zone: str, now: float) -> bool:
         """Whether a new flow is refused, as its response would come too late.
@@ -114,23 +116,22 @@
             zone: Availability zone of this target.
             now: Current time in seconds of the clock.
         """
-        waits = self._waits.get(service)
-        if route.objective_s is None or waits is None or waits.shed_share < MIN_SHED_SHARE:
-            return False
-        limit_s = self._limit_s(route, service, now)
-        profile = self._profiles[service].get(address)
-        service_s = profile.service_s if profile else 0.0
-        service_s = min(service_s, MAX_SERVICE_SHARE * limit_s)
-        wait_count = WAITS_OF_NEW_FLOW + _expected_retries(waits.shed_share)
-        wait_s = waits.standing_wait(zone, (limit_s - service_s) / wait_count, now)
-        if wait_s is None:
+        late = self._expected_late(route, address, service, zone, now)
+        if late is None:
             return False
-        response_s = service_s + wait_count * wait_s
+        response_s, limit_s = late
         if self._random() >= REFUSALS_PER_EXCESS * (response_s / limit_s - 1):
             return False
         self._count_refusal(route, service, response_s, limit_s, now)
         return True
 
+    def is_full(self, route: Route, address: bytes, service: str, zone: str, now: float) -> bool:
+        """Whether new flows to a zone's targets would get their responses too late.
+
+        The arguments are those of refuses().
+        """
+        return self._expected_late(route, address, service, zone, now) is not None
+
     def tick(self, now: float) -> None:
         """Runs periodic work; called every second."""
         for (route, service), (refused_at, count) in [*self._refusing.items()]:
@@ -142,6 +143,24 @@
                 if now - profile.served_at > PROFILE_LIFETIME_S:
                     del profiles[address]
 
+    def _expected_late(
+        self, route: Route, address: bytes, service: str, zone: str, now: float
+    ) -> tuple[float, float] | None:
+        """Returns the expected response time and its limit in seconds; None if it is in time."""
+        waits = self._waits.get(service)
+        if route.objective_s is None or waits is None or waits.shed_share < MIN_SHED_SHARE:
+            return None
+        limit_s = self._limit_s(route, service, now)
+        profile = self._profiles[service].get(address)
+        service_s = profile.service_s if profile else 0.0
+        service_s = min(service_s, MAX_SERVICE_SHARE * limit_s)
+        wait_count = WAITS_OF_NEW_FLOW + _expected_retries(waits.shed_share)
+        wait_s = waits.standing_wait(zone, (limit_s - service_s) / wait_count, now)
+        if wait_s is None:
+            return None
+        response_s = service_s + wait_count * wait_s
+        return (response_s, limit_s) if response_s > limit_s else None
+
     def _limit_s(self, route: Route, service: str, now: float) -> float:
         """Returns the response time in seconds above which flows of a route are refused."""
         assert route.objective_s is not None
--- a/pearwell/affinity/chooser.py
+++ b/pearwell/affinity/chooser.py
@@ -8,12 +8,12 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from pearwell.affinity.target import Target
 from pearwell.affinity.token import rendezvous_score
 
-__all__ = ["ResponseTimes", "choose_target"]
+__all__ = ["ResponseTimes", "ZoneQueues", "choose_target"]
 
 # Load of a request in flight, in open flows; most open flows are idle between two requests.
 IN_FLIGHT_WEIGHT = 2.0
@@ -75,14 +75,21 @@
     def recent_mean_s(self) -> float:
         """Mean of the recent response times in seconds, each clamped to its bounds.
 
-        A response faster than the baseline counts as the baseline: its request may have been shed.
+        A response faster than the baseline counts as the baseline.
         """
         max_s = MAX_BASELINE_RATIO * self._baseline_s
         times = [min(max(seconds, self._baseline_s), max_s) for _, seconds in self._recent]
         return sum(times) / len(times) if times else 0.0
 
-    def add(self, seconds: float, now: float) -> None:
-        """Records the time in seconds between a request and its response, which arrived now."""
+    def add(self, seconds: float, now: float, is_shed: bool = False) -> None:
+        """Records the time in seconds between a request and its response, which arrived now.
+
+        A request that the target shed counts as a slow one: its response is fast because the queue
+        was full.
+        """
+        if is_shed:
+            self._recent.append((now, MAX_BASELINE_RATIO * self._baseline_s))
+            return
         self._recent.append((now, seconds))
         if self._sample_count < BASELINE_SAMPLES:
             self._sample_count += 1
@@ -108,6 +115,47 @@
         return now < self._queueing_until
 
 
+class ZoneQueues:
+    """Detects queueing at the local zone's targets, by service.
+
+    Args:
+        zone: Availability zone of this instance.
+        log: Logs an event's name and its fields.
+    """
+
+    def __init__(self, zone: str, log: Callable[..., None]) -> None:
+        self._zone = zone
+        self._log = log
+        self._times: dict[str, ResponseTimes] = {}
+        self._queueing: set[str] = set()
+
+    def add(self, target: Target, seconds: float, now: float, is_shed: bool) -> None:
+        """Records the response time in seconds of a request to a target, or that it was shed."""
+        if target.zone != self._zone:
+            return
+        times = self._times.get(target.service)
+        if times is None:
+            times = self._times[target.service] = ResponseTimes()
+        times.add(seconds, now, is_shed)
+
+    def is_queueing(self, service: str, now: float) -> bool:
+        """Whether requests queue at the local zone's targets of a service."""
+        times = self._times.get(service)
+        if times is None:
+            return False
+        queueing = times.is_queueing(now)
+        if queueing != (service in self._queueing):
+            self._queueing ^= {service}
+            self._log(
+                "zone_queues" if queueing else "zone_queues_end",
+                service=service,
+                zone=self._zone,
+                response_ms=round(1000 * times.recent_mean_s),
+                usual_ms=round(1000 * times.baseline_s),
+            )
+        return queueing
+
+
 def choose_target(
     targets: Iterable[Target],
     zone: str,
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable
 
 from pearwell.affinity.admission import FlowAdmission
-from pearwell.affinity.chooser import ResponseTimes, choose_target
+from pearwell.affinity.chooser import ZoneQueues, choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_table import Flow, FlowTable
 from pearwell.affinity.routes import Route, RouteTable
@@ -93,9 +93,7 @@
         self._probes: list[Target] = []
         self._hints: list[str] = []
         self._counts: dict[str, int] = {}
-        # Response times of the local zone's targets, by service.
-        self._response_times: dict[str, ResponseTimes] = {}
-        self._queueing_services: set[str] = set()
+        self._zone_queues = ZoneQueues(zone, log)
 
     @property
     def flows(self) -> FlowTable:
@@ -275,7 +273,7 @@
             # The client's retransmission crossed with one that was just sent to this target.
             return flow.target
         tried = flow.tried if flow is not None else ()
-        target = self._choose(route, tried, key, now)
+        target = self._choose(route, address, tried, key, now)
         if (
             flow is None
             and not earlier_syns
@@ -320,38 +318,20 @@
         self._unanswered.append((now + SYN_TIMEOUT_S, flow))
 
     def _choose(
-        self, route: Route, tried: Iterable[Target], key: bytes, now: float
+        self, route: Route, address: bytes, tried: Iterable[Target], key: bytes, now: float
     ) -> Target | None:
         service = route.service_of(key)
         targets = self._directory.find_by_service(service)
-        queueing = self._is_zone_queueing(service, now)
+        queueing = self._zone_queues.is_queueing(service, now)
+        if not queueing:
+            queueing = self._admission.is_full(route, address, service, self._zone, now)
         return choose_target(targets, self._zone, tried, key, now, zone_queueing=queueing)
 
-    def _is_zone_queueing(self, service: str, now: float) -> bool:
-        """Whether response times show queueing at the local zone's targets of a service."""
-        times = self._response_times.get(service)
-        if times is None:
-            return False
-        queueing = times.is_queueing(now)
-        if queueing != (service in self._queueing_services):
-            if queueing:
-                self._queueing_services.add(service)
-            else:
-                self._queueing_services.remove(service)
-            self._log(
-                "zone_queues" if queueing else "zone_queues_end",
-                service=service,
-                zone=self._zone,
-                response_ms=round(1000 * times.recent_mean_s),
-                usual_ms=round(1000 * times.baseline_s),
-            )
-        return queueing
-
     def _retransmission_target(self, flow: Flow, route: Route, now: float) -> Target | None:
         """Returns another target for an unanswered SYN, or None if it must not be sent again."""
         if self._retransmission_budget < 1 or len(flow.tried) > 1:
             return None
-        target = self._choose(route, flow.tried, flow.key, now)
+        target = self._choose(route, flow.address, flow.tried, flow.key, now)
         return None if target in flow.tried else target
 
     def _may_be_newer_route(self, address: bytes, token: int) -> bool:
@@ -414,17 +394,18 @@
 
     def _record_response(self, flow: Flow, size: int, now: float) -> None:
         target, seconds = flow.target, now - flow.sent_at
-        if target.zone == self._zone:
-            times = self._response_times.get(target.service)
-            if times is None:
-                times = self._response_times[target.service] = ResponseTimes()
-            times.add(seconds, now)
         route = self._routes.find(flow.address)
-        if route is not None:
-            is_first = flow.requests == 1
-            self._admission.record_response(
-                route, flow.address, target.service, target.zone, seconds, size, is_first, now
-            )
+        is_shed = route is not None and self._admission.record_response(
+            route,
+            flow.address,
+            target.service,
+            target.zone,
+            seconds,
+            size,
+            is_first=flow.requests == 1,
+            now=now,
+        )
+        self._zone_queues.add(target, seconds, now, is_shed)
 
     def _restore(self, target: Target) -> None:
         target.gone = False
--- a/pearwell/affinity/queue_waits.py
+++ b/pearwell/affinity/queue_waits.py
@@ -16,12 +16,16 @@
 SHORT_SHARE = 1 / 6
 # Longest short wait, as a share of the longest tolerable one.
 SHORT_WAIT = 0.4
+# Quantile of the waits that a new flow is expected to wait for: the median while few requests are
+# shed, more with each one. Of the flows admitted at the limit of a quantile, the rest is late.
+MEDIAN, MAX_QUANTILE = 0.5, 0.8
 
 
 class QueueWaits:
     """Waits of the requests that one instance has seen at a service's targets.
 
-    Medians are used, so that one slow target among several doesn't count as overload.
+    Whether a zone has room is told by the median, so that one slow target among several doesn't
+    count as overload.
     """
 
     __slots__ = ("_by_zone", "_shed_share")
@@ -52,33 +56,34 @@
         return waits[len(waits) // 2] if len(waits) >= MIN_SAMPLES else None
 
     def standing_wait(self, zone: str, max_wait_s: float, now: float) -> float | None:
-        """Returns the median wait in seconds if queues stand in all zones, else None.
+        """Returns the wait in seconds to expect if queues stand in all zones, else None.
 
         A queue that empties now and then absorbs a burst; one that stands only makes every request
         late.
 
         Args:
-            zone: Zone of the flow's target. If no recent wait there is known, it may have room.
+            zone: Zone of the flow's target. If few recent waits there are known, it may have room.
             max_wait_s: Longest tolerable wait in seconds.
             now: Current time in seconds of the clock.
         """
         short_s = SHORT_WAIT * max_wait_s
         waits: list[float] = []
-        is_zone_known = False
+        zone_waits: list[float] = []
         for known in self._by_zone:
-            recent = self._recent(known, now)
-            if len(recent) > 1:
-                recent.sort()
-                if recent[len(recent) // 2] < short_s:
-                    return None
+            recent = sorted(self._recent(known, now))
+            if len(recent) > 1 and recent[len(recent) // 2] < short_s:
+                return None
             waits += recent
-            is_zone_known |= known == zone and bool(recent)
-        if not is_zone_known or len(waits) < MIN_SAMPLES:
+            if known == zone:
+                zone_waits = recent
+        if len(zone_waits) < 2 or len(waits) < MIN_SAMPLES:
             return None
         waits.sort()
         if waits[int(len(waits) * SHORT_SHARE)] < short_s:
             return None
-        return waits[len(waits) // 2]
+        if len(zone_waits) >= MIN_SAMPLES:
+            waits = zone_waits
+        return waits[int(len(waits) * min(MAX_QUANTILE, MEDIAN + self._shed_share))]
 
     def _recent(self, zone: str, now: float) -> list[float]:
         return [wait_s for at, wait_s in self._by_zone[zone] if now - at <= WINDOW_S]
--- a/tests/affinity/test_chooser.py
+++ b/tests/affinity/test_chooser.py
@@ -116,6 +116,18 @@
     assert not responses.is_queueing(now + QUEUEING_HOLD_S)
 
 
+def test_requests_that_are_shed_indicate_queueing():
+    """Their responses are fast, although the targets are full."""
+    responses, now = ResponseTimes(), 100.0
+    for _ in range(100):
+        responses.add(0.04, now)
+    for number in range(RECENT_SAMPLES):
+        now += 0.05
+        responses.add(0.003, now, is_shed=number % 2 == 0)
+    assert responses.is_queueing(now)
+    assert responses.baseline_s > 0.03
+
+
 def test_mixed_short_and_long_requests_do_not_indicate_queueing():
     responses, rng = ResponseTimes(), random.Random(1)
     for number in range(2_000):
--- a/tests/affinity/test_overload.py
+++ b/tests/affinity/test_overload.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.overload import BURST_END_S, BURST_START_S, MEASURED_FROM_S, Results, simulate_burst
-from bench.overload_deployments import DEPLOYMENTS
+from bench.overload_deployments import DEPLOYMENTS, LARGE_DEPLOYMENTS
 from bench.overload_zone import Simulation
 
 SEED = 1
@@ -103,6 +103,32 @@
     assert results.worth(4.0, 12.0) > 1.2 * without.worth(4.0, 12.0)
 
 
+@pytest.mark.parametrize("load", [8.0, 10.0])
+def test_zones_of_many_instances_fare_alike(load):
+    """One zone has a third more clients than another, and all their targets just bear the load.
+
+    Requests that full targets shed come back fast. Taken for fast responses they hide that the zone
+    is full, and its flows aren't sent to zones that have room.
+    """
+    deployment = LARGE_DEPLOYMENTS["bureau-large"]
+    end_s = BURST_START_S + 4.0
+    simulation = Simulation(
+        deployment, SEED, lambda now, zone: load if BURST_START_S <= now < end_s else 1.0
+    )
+    simulation.run(end_s + 1.0)
+    results = Results(deployment, simulation)
+    shares = []
+    for zone in range(len(deployment.instances)):
+        outcomes = [
+            results.outcome(kind.name, BURST_START_S + 1.0, end_s, zone)
+            for kind in deployment.kinds
+        ]
+        asked = sum(outcome.asked for outcome in outcomes)
+        shares.append(sum(outcome.in_time for outcome in outcomes) / asked)
+    assert max(shares) - min(shares) <= 0.03
+    assert min(shares) >= 0.75
+
+
 def test_one_slow_target_is_no_overload():
     deployment = DEPLOYMENTS["letters"]
     simulation = Simulation(deployment, SEED, lambda now, zone: 1.0)
