--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -1,4 +1,4 @@
-"""Cache of store events that a relay serves to other instances.
+"""Cache of objects and events of the store that a relay serves to other instances.
 
 Hundreds of instances watch the same objects of a store that charges for and rate-limits every
 call. The instances that the settings name as seeds act as relays: they call the store, and the
@@ -7,6 +7,7 @@
 
 import json
 from collections import deque
+from collections.abc import Iterable, Mapping
 
 __all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache", "Position"]
 
@@ -25,7 +26,7 @@
 
 
 class ObjectCache:
-    """The latest events of one kind, as decoded from JSON.
+    """All objects and the latest events of one kind, as decoded from JSON.
 
     A large event is replaced by None, which announces a change without the object; clients then
     list the store to get the object.
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self._batches: deque[tuple[int, int, list[object]]] = deque(maxlen=MAX_BATCHES)
+        self._objects: dict[str, object] = {}
         self._era = -1
         self._revision = -1
         self._verified_at = float("-inf")
@@ -42,6 +44,16 @@
         """Position up to which the cache is complete; (-1, -1) before the first list."""
         return self._era, self._revision
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether a complete list has been recorded."""
+        return self._era >= 0
+
+    @property
+    def objects(self) -> Iterable[object]:
+        """All objects at the cached position."""
+        return self._objects.values()
+
     def is_fresh(self, now: float) -> bool:
         """Whether the store has responded within the last MAX_AGE_S seconds."""
         return now - self._verified_at <= MAX_AGE_S
@@ -54,16 +66,32 @@
         """Whether a client's position is in a later era, of which the cache knows nothing yet."""
         return position[0] > self._era
 
-    def reset(self, position: Position, now: float) -> bool:
-        """Records a list of the store; returns whether it replaces the cached state."""
+    def reset(
+        self, position: Position, now: float, objects: Mapping[str, object] | None = None
+    ) -> bool:
+        """Records a list of the store; returns whether it replaces the cached state.
+
+        Args:
+            position: Position up to which the list is complete.
+            now: Current time in seconds of the clock.
+            objects: All objects by name.
+        """
         era, revision = position
         self._verified_at = now
         if era == self._era and revision <= self._revision:
             return False
         self._batches.clear()
+        self._objects = dict(objects or {})
         self._era, self._revision = position
         return True
 
+    def apply(self, name: str, item: object | None) -> None:
+        """Applies one object of an event, or its removal if it is None."""
+        if item is None:
+            self._objects.pop(name, None)
+        else:
+            self._objects[name] = item
+
     def append_events(self, events: list[object], position: Position, now: float) -> bool:
         """Adds the response to a watch from the cached position; returns whether it had new events.
 
--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -1,10 +1,13 @@
-"""Schedules the list and watch calls for one kind of object, and selects the store or a relay.
+"""Schedules the calls for one kind of object, and selects the store or a relay.
 
 Calls to the store are charged for and rate-limited across the whole fleet, while hundreds of
 instances watch the same objects. A few of them, the relays, call the store; the others call a
 relay, and the store only while no relay responds. Events come in bursts (a release replaces targets
 one after the other), so the next watch starts after a pause and returns the events of the pause in
 one response. After an outage, jitter spreads the calls over time.
+
+An instance that starts takes a snapshot from a relay, and lists the store only if no relay responds
+soon.
 """
 
 from collections.abc import Callable
@@ -36,6 +39,14 @@
 # may recover soon, while each call to one that does not respond costs a timeout.
 RELAY_DOWN_RETRY_S = 1.5
 RELAY_TIMEOUT_RETRY_S = 6.0
+# A relay that stops is not called for the time that it needs to stop and to start again.
+RELAY_LEAVING_RETRY_S = 6.0
+# Time that a relay that is starting too may take to respond with a snapshot.
+SNAPSHOT_WAIT_S = 0.2
+# When all instances start at once, relays are down for about as long as this instance starts
+# earlier. It then waits for one of them instead of watching the store; its own list is recent.
+STARTING_S = 3.0
+RELAY_STARTING_RETRY_S = 0.3
 
 
 class WatchLimits:
@@ -82,8 +93,9 @@
     Attributes:
         delay_s: Delay in seconds before the call.
         relay: Index of the relay to call; None for the store.
-        position: Position to watch from; None for a list.
-        wait_s: Maximum time in seconds that a watch waits for events.
+        position: Position to watch from; None for a list of the store or a snapshot of a relay.
+        wait_s: Maximum time in seconds that a watch waits for events, or a snapshot for a relay
+            that is starting.
     """
 
     __slots__ = ("delay_s", "position", "relay", "wait_s")
@@ -129,6 +141,9 @@
         self._events_at = float("-inf")
         self._list_at = float("-inf")
         self._store_healthy_since = float("inf")
+        # Whether a snapshot of a relay may replace the first list, and when the first call was.
+        self._may_take_snapshot = relays > 0
+        self._started_at: float | None = None
 
     @property
     def store_healthy_since(self) -> float:
@@ -152,6 +167,11 @@
 
     def next_call(self, now: float) -> Call:
         """Returns the next call with the delay before it."""
+        if self._started_at is None:
+            self._started_at = now
+        relay = self._select_relay(now)
+        if self._may_take_snapshot and relay is not None:
+            return Call(0.0, relay, None, SNAPSHOT_WAIT_S)
         if self._failures:
             first = FIRST_BACKOFF_WITH_RELAYS_S if self._unavailable_until else FIRST_BACKOFF_S
             bound = min(MAX_BACKOFF_S, first * 2 ** min(self._failures - 1, 10))
@@ -160,14 +180,28 @@
             return Call(max(0.0, self._list_at - now), None, None, 0.0)
         if self._catch_up == _CatchUp.DUE:
             return Call(0.0, None, self._position, 0.0)
-        relay = self._select_relay(now)
         if relay is not None:
             return Call(0.0, relay, self._position, WATCH_AT_RELAY_S)
+        if self._unavailable_until and now < self._started_at + STARTING_S:
+            delay = max(0.0, min(self._unavailable_until) - now)
+            if delay <= RELAY_STARTING_RETRY_S:
+                first = self._unavailable_until.index(min(self._unavailable_until))
+                return Call(delay, first, self._position, WATCH_AT_RELAY_S)
         delay = max(0.0, self._events_at + self._limits.min_interval_s - now)
         return Call(delay, None, self._position, self._limits.max_wait_s)
 
+    def on_snapshot(self, position: Position, era: int, now: float) -> None:
+        """Records a complete snapshot of a relay."""
+        self._may_take_snapshot = False
+        self._failures = 0
+        self._position = position
+        self._era = era
+        self._events_at = now
+        self._synced_at = now
+
     def on_list(self, position: Position, now: float) -> None:
         """Records a complete list of the store."""
+        self._may_take_snapshot = False
         if self._failures or self._store_healthy_since > now:
             self._store_healthy_since = now
         self._failures = 0
@@ -196,8 +230,15 @@
                 store has failed; may be later than that of this instance.
         """
         self._zones[relay] = zone
+        if self._store_healthy_since == float("inf") and self._position is None:
+            # The first call, which tells nothing of failures of this instance's own.
+            self._store_healthy_since = store_healthy_since
         self._store_healthy_since = max(self._store_healthy_since, store_healthy_since)
 
+    def on_relay_leaving(self, relay: int, now: float) -> None:
+        """Records that a relay is about to stop; nothing that it knows was withheld."""
+        self._unavailable_until[relay] = now + RELAY_LEAVING_RETRY_S
+
     def on_era(self, era: int) -> bool:
         """Records the era that the store reports; returns whether the store was restored.
 
@@ -225,6 +266,12 @@
         change must be known. The store is therefore asked for changes before another relay, which
         may fail as slowly; once, as relays may still respond where the store does not.
         """
+        if call.relay is not None and call.position is None:
+            # The next relay may respond at once, unless this one has used up the time.
+            self._may_take_snapshot = code is not Code.PLATFORM_TIMEOUT
+            self._unavailable_until[call.relay] = now + RELAY_STARTING_RETRY_S
+            self._may_take_snapshot &= self._select_relay(now) is not None
+            return
         if call.relay is not None:
             timed_out = code is Code.PLATFORM_TIMEOUT
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
@@ -240,6 +287,9 @@
             return
         self._position = None
         self._list_at = now
+        # The store may turn away an instance that a relay helps to start.
+        has_synced = self._synced_at > float("-inf")
+        self._may_take_snapshot = not has_synced and bool(self._unavailable_until)
         if code is not Code.PLATFORM_WATCH_EXPIRED:
             self._failures += 1
             self._store_healthy_since = float("inf")
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -20,6 +20,12 @@
         async def watch(self, kind: str, position: Position, wait_s: float) -> "StoreResponse":
             """Returns the events after a position once there is one, or none after the wait."""
 
+    class RelayClient(Store, Protocol):
+        """Serves snapshots and watches of a relay."""
+
+        async def snapshot(self, kind: str, wait_s: float) -> "StoreResponse":
+            """Returns all objects of a kind once the relay knows them, within the wait."""
+
     class ObjectHandler(Protocol):
         """Receives the objects of a kind as decoded from JSON."""
 
@@ -39,7 +45,7 @@
 
 
 class StoreResponse:
-    """One page of a list, or the events of a watch.
+    """One page of a list, a snapshot, or the events of a watch.
 
     Attributes:
         items: Objects of a list or events of a watch, as decoded from JSON.
@@ -49,9 +55,10 @@
             the store itself.
         zone: Availability zone of the relay; "" from the store itself.
         era: Number of times that the store was restored from a copy; 0 if it does not tell.
+        leaving: Whether the relay is about to stop.
     """
 
-    __slots__ = ("era", "healthy_s", "items", "more", "revision", "zone")
+    __slots__ = ("era", "healthy_s", "items", "leaving", "more", "revision", "zone")
 
     def __init__(
         self,
@@ -61,8 +68,10 @@
         healthy_s: float | None = None,
         zone: str = "",
         era: int = 0,
+        leaving: bool = False,
     ) -> None:
         self.era = era
+        self.leaving = leaving
         self.items = items
         self.revision = revision
         self.more = more
@@ -96,7 +105,7 @@
         scheduler: FetchScheduler,
         cache: ObjectCache,
         store: "Store",
-        relays: "Sequence[Store]",
+        relays: "Sequence[RelayClient]",
         now: Callable[[], float],
         sleep: Callable[[float], Awaitable[bool]],
         on_change: Callable[[], None],
@@ -126,7 +135,9 @@
             await self._sleep(call.delay_s)
         started = self._now()
         try:
-            if call.position is None:
+            if call.position is None and call.relay is not None:
+                await self._take_snapshot(call.relay, call.wait_s)
+            elif call.position is None:
                 await self._list()
             elif call.relay is None:
                 await self._watch_store(call.position, call.wait_s)
@@ -154,16 +165,35 @@
             more = response.more and bool(response.items)
         assert position is not None
         now = self._now()
+        self._replace_objects(items, position, now)
+        self._scheduler.on_list(position, now)
+        self._log_objects("listed", items, position)
+
+    async def _take_snapshot(self, relay: int, wait_s: float) -> None:
+        response = await self._relays[relay].snapshot(self._handler.kind, wait_s)
+        now = self._now()
+        if response.healthy_s is None:
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, "snapshot without the relay's status")
+        self._replace_objects(response.items, response.position, now)
+        self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
+        self._scheduler.on_snapshot(response.position, response.era, now)
+        self._log_objects("snapshot_taken", response.items, response.position, relay=relay)
+
+    def _replace_objects(self, items: list[object], position: Position, now: float) -> None:
         by_name = {self._handler.name_of(item): item for item in items}
         self._handler.replace(by_name, now)
-        self._cache.reset(position, now)
-        self._scheduler.on_list(position, now)
+        self._cache.reset(position, now, by_name)
+
+    def _log_objects(
+        self, event: str, items: list[object], position: Position, **fields: object
+    ) -> None:
         self._log(
-            "listed",
+            event,
             kind=self._handler.kind,
             objects=len(items),
             revision=position[1],
             era=position[0],
+            **fields,
         )
 
     async def _watch_store(self, position: Position, wait_s: float) -> None:
@@ -187,10 +217,14 @@
         if response.healthy_s is not None:
             self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
         self._apply_events(response, now)
+        if response.leaving:
+            self._scheduler.on_relay_leaving(relay, now)
+            self._log("relay_leaving", kind=self._handler.kind, relay=relay)
 
     def _apply_events(self, response: StoreResponse, now: float) -> None:
         for name, item in [self._decode_event(event) for event in response.items]:
             self._handler.apply(name, item, now)
+            self._cache.apply(name, item)
         self._scheduler.on_watch(len(response.items), response.position, now)
 
     def _observe_era(self, response: StoreResponse) -> bool:
--- a/pearwell/http_message.py
+++ b/pearwell/http_message.py
@@ -14,8 +14,8 @@
 MAX_HEADER_BYTES = 16_384
 _HEADER_END = b"\r\n\r\n"
 
-# Status and body.
-Response = tuple[int, bytes]
+# Status, body and header fields of this response.
+Response = tuple[int, bytes, dict[str, str]]
 
 
 class Message:
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -9,7 +9,8 @@
 
 __all__ = ["HttpServer"]
 
-BACKLOG = 128
+# Hundreds of instances may connect to a relay within a second, each twice.
+BACKLOG = 1_024
 # Connections without a request for this time are closed; clients of a relay call every second.
 IDLE_TIMEOUT_S = 10.0
 # Time after which a response that the peer does not read is abandoned.
@@ -78,9 +79,9 @@
             sock.close()
 
     async def _respond(self, sock: socket.socket, request: Message) -> bool:
-        status, body = await self._handle(request.start_line[1])
+        status, body, headers = await self._handle(request.start_line[1])
         start_line = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
-        unsent = memoryview(encode_message(start_line, self._headers, body))
+        unsent = memoryview(encode_message(start_line, self._headers | headers, body))
         while unsent:
             try:
                 unsent = unsent[sock.send(unsent) :]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -165,17 +165,18 @@
             lambda: instance.target_scheduler.store_healthy_since,
             self._changed,
             self._reactor.now,
+            lambda: instance.lifecycle.stopping,
         )
         HttpServer(
             self._reactor, settings.control, relay.respond, RELAY_HEADERS, self._hints.record_call
         )
 
     async def _respond_readiness(self, path: str) -> Response:
-        return (200 if self._instance.lifecycle.ready else 503), b""
+        return (200 if self._instance.lifecycle.ready else 503), b"", {}
 
     async def _respond_metrics(self, path: str) -> Response:
         if path != METRICS_PATH:
-            return 404, b""
+            return 404, b"", {}
         samples = self._instance.samples(self._reactor.now())
         samples += [
             ("calls_total", "counter", {"to": to}, sum(client.calls for client in clients))
@@ -183,7 +184,7 @@
         ]
         samples.append(("log_lines_left_out", "gauge", {}, self._log.dropped_lines))
         histograms = self._packet_times.render() + self._list_times.render()
-        return 200, (render_samples(samples) + histograms).encode()
+        return 200, (render_samples(samples) + histograms).encode(), {}
 
     def _on_change(self) -> None:
         instance = self._instance
@@ -248,6 +249,7 @@
     def _on_stop(self, number: int) -> None:
         if self._instance.lifecycle.stop():
             self._log.event("stopping", signal=number)
+            self._changed.fire()
             self._reactor.spawn(self._stop())
 
     async def _stop(self) -> None:
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -5,6 +5,7 @@
 import zlib
 
 from pearwell.affinity.cache import Position
+from pearwell.affinity.relay import LEAVING_HEADER
 from pearwell.affinity.sync import StoreResponse
 from pearwell.errors import Code, PlatformError
 from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
@@ -18,6 +19,10 @@
 CONNECT_TIMEOUT_S = 0.6
 RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
+# A snapshot is taken while the instance forwards nothing, and the store can be listed instead: time
+# to connect to the relay, and to get the response beyond the wait for a relay that is starting.
+SNAPSHOT_CONNECT_TIMEOUT_S = 0.1
+SNAPSHOT_TIMEOUT_S = 0.2
 # TCP keepalive: idle time, interval and number of probes. A dead connection is detected in 3 s,
 # within the time in which a configuration must be applied.
 KEEPALIVE_IDLE_S = 1
@@ -81,6 +86,14 @@
             self._list_times.observe(self._reactor.now() - started)
         return _decode(response, "items")
 
+    async def snapshot(self, kind: str, wait_s: float) -> StoreResponse:
+        """Returns all objects of a kind once the relay knows them, within the wait."""
+        query = f"?Snapshot=1&WaitMs={int(wait_s * 1000)}"
+        response = await self._call(
+            f"/objects/{kind}{query}", wait_s + SNAPSHOT_TIMEOUT_S, SNAPSHOT_CONNECT_TIMEOUT_S
+        )
+        return _decode(response, "items")
+
     async def watch(self, kind: str, position: Position, wait_s: float) -> StoreResponse:
         """Returns the events after a position once there is one, or none after the wait."""
         era, revision = position
@@ -101,9 +114,11 @@
             self._sock = None
         self._reader = MessageReader()
 
-    async def _call(self, path: str, timeout_s: float) -> Message:
+    async def _call(
+        self, path: str, timeout_s: float, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Message:
         try:
-            response = await self._exchange(path, timeout_s)
+            response = await self._exchange(path, timeout_s, connect_timeout_s)
         except OSError as error:
             self.close()
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, str(error)) from error
@@ -117,10 +132,10 @@
             raise PlatformError(code, f"status {response.status}")
         return response
 
-    async def _exchange(self, path: str, timeout_s: float) -> Message:
+    async def _exchange(self, path: str, timeout_s: float, connect_timeout_s: float) -> Message:
         if self._reactor.now() - self._used_at > MAX_IDLE_S:
             self.close()
-        sock = self._sock or await self._connect()
+        sock = self._sock or await self._connect(connect_timeout_s)
         host = f"{self._address[0]}:{self._address[1]}"
         self._calls += 1
         # Never partial: a request is far smaller than the send buffer of an idle connection.
@@ -138,7 +153,7 @@
                 self._used_at = self._reactor.now()
                 return response
 
-    async def _connect(self) -> socket.socket:
+    async def _connect(self, timeout_s: float) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock = sock
         sock.setblocking(False)
@@ -146,7 +161,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        if not await connect(self._reactor, sock, self._address, CONNECT_TIMEOUT_S):
+        if not await connect(self._reactor, sock, self._address, timeout_s):
             raise PlatformError(Code.PLATFORM_TIMEOUT, "connection attempt timed out")
         return sock
 
@@ -188,6 +203,7 @@
         healthy_s if isinstance(healthy_s, int | float) else None,
         zone if isinstance(zone, str) else "",
         _era(response, payload),
+        LEAVING_HEADER.lower() in response.headers,
     )
 
 
--- a/tests/affinity/fakes.py
+++ b/tests/affinity/fakes.py
@@ -24,6 +24,9 @@
     async def list(self, kind, after):
         return self._next(("list", after))
 
+    async def snapshot(self, kind, wait_s):
+        return self._next(("snapshot", wait_s))
+
     async def watch(self, kind, revision, wait_s):
         return self._next(("watch", revision))
 
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -10,7 +10,15 @@
 
 
 def make(relays=0, limits=LIMITS):
-    return FetchScheduler(limits, relays, "a", lambda: 1.0)
+    """Returns a scheduler that may not take a snapshot of a relay, and isn't starting any more."""
+    scheduler = FetchScheduler(limits, relays, "a", lambda: 1.0)
+    if relays:
+        refuse_snapshot(scheduler, -10.0)
+    return scheduler
+
+
+def refuse_snapshot(scheduler, now):
+    scheduler.on_failure(scheduler.next_call(now), Code.PLATFORM_TIMEOUT, now)
 
 
 def test_a_list_comes_first_and_a_watch_after_it():
@@ -199,3 +207,75 @@
     scheduler.on_watch(0, (0, 7), 1.0)
     assert scheduler.next_call(1.0).relay == 0
     assert scheduler.next_call(1.0 + 1.25 * module.RELAY_TIMEOUT_RETRY_S).relay == 1
+
+
+def starting(relays):
+    return FetchScheduler(LIMITS, relays, "a", lambda: 1.0)
+
+
+def test_a_start_takes_a_snapshot_of_a_relay_and_watches_it():
+    scheduler = starting(2)
+    call = scheduler.next_call(0.0)
+    assert (call.relay, call.position, call.delay_s) == (0, None, 0.0)
+    assert call.wait_s == module.SNAPSHOT_WAIT_S
+    scheduler.on_relay_status(0, "a", -5.0)
+    scheduler.on_snapshot((2, 7), 2, 0.1)
+    assert (scheduler.store_healthy_since, scheduler.era) == (-5.0, 2)
+    call = scheduler.next_call(0.1)
+    assert (call.relay, call.position) == (0, (2, 7))
+
+
+@pytest.mark.parametrize(
+    ("codes", "called"),
+    [
+        ([Code.PLATFORM_UNAVAILABLE] * 2, [0, 1, None]),
+        ([Code.PLATFORM_BAD_ANSWER] * 2, [0, 1, None]),
+        ([Code.PLATFORM_UNAVAILABLE, Code.PLATFORM_TIMEOUT], [0, 1, None]),
+        ([Code.PLATFORM_TIMEOUT], [0, None]),
+    ],
+)
+def test_a_start_lists_the_store_at_once_if_no_relay_responds(codes, called):
+    scheduler, found = starting(2), []
+    for code in [*codes, None]:
+        call = scheduler.next_call(0.0)
+        assert (call.position, call.delay_s) == (None, 0.0)
+        found.append(call.relay)
+        if code is not None:
+            scheduler.on_failure(call, code, 0.0)
+    assert found == called
+
+
+def test_a_start_waits_for_relays_that_start_too_instead_of_watching_the_store():
+    scheduler = starting(1)
+    scheduler.on_failure(scheduler.next_call(0.0), Code.PLATFORM_UNAVAILABLE, 0.0)
+    scheduler.on_list((0, 7), 0.1)
+    call = scheduler.next_call(0.1)
+    assert (call.relay, call.position) == (0, (0, 7))
+    assert call.delay_s == pytest.approx(module.RELAY_STARTING_RETRY_S - 0.1)
+    scheduler.on_failure(call, Code.PLATFORM_TIMEOUT, 1.0)
+    scheduler.on_list((0, 8), 1.1)
+    assert scheduler.next_call(1.2).relay is None
+
+
+def test_a_start_that_the_store_turns_away_asks_relays_again():
+    scheduler = starting(1)
+    scheduler.on_failure(scheduler.next_call(0.0), Code.PLATFORM_TIMEOUT, 0.0)
+    call = scheduler.next_call(0.0)
+    assert call.relay is None
+    scheduler.on_failure(call, Code.PLATFORM_UNAVAILABLE, 0.0)
+    call = scheduler.next_call(module.RELAY_STARTING_RETRY_S)
+    assert (call.relay, call.position) == (0, None)
+    scheduler.on_relay_status(0, "a", -5.0)
+    scheduler.on_snapshot((0, 7), 0, 1.0)
+    assert scheduler.next_call(1.0).relay == 0
+    assert scheduler.store_healthy_since == -5.0
+
+
+def test_a_relay_that_stops_costs_no_call_to_the_store():
+    scheduler = make(relays=2)
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_watch(0, (0, 7), 1.0)
+    scheduler.on_relay_leaving(0, 1.0)
+    call = scheduler.next_call(1.0)
+    assert (call.relay, call.position, call.delay_s) == (1, (0, 7), 0.0)
+    assert scheduler.next_call(1.0 + module.RELAY_LEAVING_RETRY_S).relay == 0
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pearwell.affinity.cache import MAX_AGE_S, ObjectCache
-from pearwell.affinity.relay import Relay
+from pearwell.affinity.relay import LEAVING_HEADER, Relay
 from tests.affinity.fakes import FakeWait, run
 
 
@@ -26,17 +26,24 @@
     def __init__(self):
         self.now = 100.0
         self.on_wait = lambda: None
+        self.leaving = False
+        self.healthy_since = 98.5
         self.cache = ObjectCache()
         self.cache.reset((0, 5), self.now)
         self.relay = Relay(
-            "a", {"servers": self.cache}, lambda: 98.5, AdvancingTrigger(self), lambda: self.now
+            "a",
+            {"servers": self.cache},
+            lambda: self.healthy_since,
+            AdvancingTrigger(self),
+            lambda: self.now,
+            lambda: self.leaving,
         )
 
     def change(self):
         self.cache.append_events([{"Object": {"meta": {"Name": "b"}}}], (0, 6), self.now)
 
     def request(self, path):
-        status, body = run(self.relay.respond(path))
+        status, body, _ = run(self.relay.respond(path))
         return status, json.loads(decompress(body)) if body else None
 
 
@@ -90,8 +97,8 @@
 def test_clients_of_one_revision_share_a_response():
     harness = RelayHarness()
     harness.change()
-    _, one = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
-    _, two = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
+    _, one, _ = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
+    _, two, _ = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
     assert one is two
     harness.cache.append_events([{"Object": {"meta": {"Name": "c"}}}], (0, 7), harness.now)
     _, three = harness.request("/objects/servers?Watch=5&WaitMs=1000")
@@ -123,3 +130,50 @@
     harness.on_wait = lambda: harness.cache.reset((1, 2), harness.now)
     status, payload = harness.request("/objects/servers?Watch=5&WaitMs=1000&Era=0")
     assert (status, payload["events"], payload["Era"]) == (200, [None], 1)
+
+
+def test_a_snapshot_has_all_objects():
+    harness = RelayHarness()
+    harness.cache.reset((2, 5), harness.now, {"a": {"meta": {"Name": "a"}}, "b": {}})
+    harness.cache.apply("b", None)
+    harness.cache.apply("c", {"meta": {"Name": "c"}})
+    harness.cache.append_events([{"Object": {}}], (2, 6), harness.now)
+    status, payload = harness.request("/objects/servers?Snapshot=1&WaitMs=200")
+    assert (status, payload["Era"], payload["AsOf"]) == (200, 2, 6)
+    assert [item["meta"]["Name"] for item in payload["items"]] == ["a", "c"]
+
+
+def test_snapshots_of_one_position_are_shared_while_the_store_is_healthy():
+    harness = RelayHarness()
+    path = "/objects/servers?Snapshot=1"
+    _, one, _ = run(harness.relay.respond(path))
+    _, two, _ = run(harness.relay.respond(path))
+    harness.healthy_since = harness.now
+    _, three, _ = run(harness.relay.respond(path))
+    assert one is two
+    assert json.loads(decompress(three))["GoodS"] == 0.0
+
+
+@pytest.mark.parametrize("path", ["Snapshot=1&WaitMs=500", "Watch=5&WaitMs=500&Era=0"])
+def test_a_relay_that_is_starting_responds_after_its_first_list(path):
+    harness = RelayHarness()
+    harness.cache.__init__()
+    assert harness.request(f"/objects/servers?{path}")[0] == 503
+    assert harness.now == pytest.approx(100.5)
+    harness.on_wait = lambda: harness.cache.reset((0, 5), harness.now)
+    assert harness.request(f"/objects/servers?{path}")[0] == 200
+
+
+def test_a_stale_relay_has_no_snapshot():
+    harness = RelayHarness()
+    harness.now += MAX_AGE_S + 0.1
+    assert harness.request("/objects/servers?Snapshot=1&WaitMs=200")[0] == 503
+
+
+def test_a_relay_that_stops_tells_waiting_clients_and_starts_none():
+    harness = RelayHarness()
+    harness.on_wait = lambda: setattr(harness, "leaving", True)
+    status, _, headers = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
+    assert (status, headers) == (200, {LEAVING_HEADER: "1"})
+    assert harness.now < 100.5
+    assert harness.request("/objects/servers?Snapshot=1")[0] == 503
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -73,7 +73,7 @@
         self._respond = respond
         self._link = link
 
-    async def _exchange(self, path, timeout_s):
+    async def _exchange(self, path, timeout_s, connect_timeout_s):
         await self._node.running.wait()
         self._calls += 1
         try:
@@ -167,12 +167,13 @@
             (targets, instance.target_scheduler),
         )
         self._tasks = [asyncio.ensure_future(self._tick())]
+        self._stores = []
         for handler, scheduler in pairs:
             sync = ObjectSync(
                 handler,
                 scheduler,
                 caches[handler.kind],
-                LocalClient(self, store.respond, self.store_linked),
+                self._connect_store(store),
                 [relay.client_for(self) for relay in relays],
                 self.now,
                 asyncio.sleep,
@@ -181,9 +182,18 @@
             )
             self._tasks.append(asyncio.ensure_future(sync.run()))
 
+    @property
+    def store_calls(self):
+        """Number of calls to the store so far."""
+        return sum(store.calls for store in self._stores)
+
     def now(self):
         return self._loop.time()
 
+    def _connect_store(self, store):
+        self._stores.append(LocalClient(self, store.respond, self.store_linked))
+        return self._stores[-1]
+
     def client_for(self, node):
         return LocalClient(node, self._respond, node.linked, is_relay=True)
 
@@ -206,10 +216,10 @@
     async def _respond(self, path):
         await self.running.wait()
         await self.linked.wait()
-        status, body = await self._relay.respond(path)
+        status, body, headers = await self._relay.respond(path)
         await self.running.wait()
         await self.linked.wait()
-        return status, RELAY_HEADERS, body
+        return status, RELAY_HEADERS | headers, body
 
     async def _tick(self):
         while True:
@@ -256,6 +266,15 @@
     def nodes(self):
         return [*self.relays, *self.clients]
 
+    def start_relay(self):
+        """Starts another relay, which existing clients don't know."""
+        return Node(self.store, [], True)
+
+    def start_client(self):
+        """Starts another instance that calls the relays."""
+        self.clients.append(Node(self.store, self.relays, False))
+        return self.clients[-1]
+
     async def configure(self):
         """Writes the next configuration."""
         self.version += 1
