Bound the clients of a relay: hand further callers on to one another

Relays pass on when the store has confirmed their state, counted from the client's call, so that no chain or loop of relays keeps a stale state fresh; the time limits of the platform bound the length of a chain.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -118,19 +118,24 @@
 
     Args:
         limits: Limits on watches at the store.
-        relays: Number of relays that can be called instead, in order of preference.
+        relays: Number of relays that can be called instead, in order of preference. The index after
+            the last of them is that of the relay that one of them hands this instance on to.
         zone: Availability zone of this instance; its relays are preferred, as traffic between
-            zones is expensive.
+            zones is expensive. None to keep the order, as relays hand instances on within zones.
         jitter: Returns random numbers between 0 and 1.
     """
 
     def __init__(
-        self, limits: WatchLimits, relays: int, zone: str, jitter: Callable[[], float]
+        self, limits: WatchLimits, relays: int, zone: str | None, jitter: Callable[[], float]
     ) -> None:
         self._limits = limits
         self._zone = zone
         # Availability zones of the relays, as their responses report them.
         self._zones: list[str | None] = [None] * relays
+        self._relay_count = relays
+        # Address of the relay that another one has handed this instance on to.
+        self._assigned: str | None = None
+        self._failed_relay = ""
         self._unavailable_until = [float("-inf")] * relays
         self._jitter = jitter
         self._position: Position | None = None
@@ -165,6 +170,11 @@
         """Clock time in seconds of the latest response, of the store or a relay."""
         return self._synced_at
 
+    @property
+    def failed_relay(self) -> str:
+        """IP address of the latest assigned relay that failed or stopped; "" if there is none."""
+        return self._failed_relay
+
     def next_call(self, now: float) -> Call:
         """Returns the next call with the delay before it."""
         if self._started_at is None:
@@ -229,7 +239,8 @@
             store_healthy_since: Clock time in seconds since which no call of the relay to the
                 store has failed; may be later than that of this instance.
         """
-        self._zones[relay] = zone
+        if relay < self._relay_count:
+            self._zones[relay] = zone
         if self._store_healthy_since == float("inf") and self._position is None:
             # The first call, which tells nothing of failures of this instance's own.
             self._store_healthy_since = store_healthy_since
@@ -237,7 +248,11 @@
 
     def on_relay_leaving(self, relay: int, now: float) -> None:
         """Records that a relay is about to stop; nothing that it knows was withheld."""
-        self._unavailable_until[relay] = now + RELAY_LEAVING_RETRY_S
+        self._exclude_relay(relay, now + RELAY_LEAVING_RETRY_S)
+
+    def on_handed_on(self, address: str) -> None:
+        """Records the address of a relay to call from now on; nothing was withheld."""
+        self._assigned = address
 
     def on_era(self, era: int) -> bool:
         """Records the era that the store reports; returns whether the store was restored.
@@ -269,13 +284,13 @@
         if call.relay is not None and call.position is None:
             # The next relay may respond at once, unless this one has used up the time.
             self._may_take_snapshot = code is not Code.PLATFORM_TIMEOUT
-            self._unavailable_until[call.relay] = now + RELAY_STARTING_RETRY_S
+            self._exclude_relay(call.relay, now + RELAY_STARTING_RETRY_S)
             self._may_take_snapshot &= self._select_relay(now) is not None
             return
         if call.relay is not None:
             timed_out = code is Code.PLATFORM_TIMEOUT
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
-            self._unavailable_until[call.relay] = now + penalty * (0.75 + 0.5 * self._jitter())
+            self._exclude_relay(call.relay, now + penalty * (0.75 + 0.5 * self._jitter()))
             if self._select_relay(now) is None:
                 self._position = None
                 self._list_at = now
@@ -294,8 +309,23 @@
             self._failures += 1
             self._store_healthy_since = float("inf")
 
+    def _exclude_relay(self, relay: int, until: float) -> None:
+        """Keeps a relay from being called for a time; another is assigned for an assigned one."""
+        if relay < self._relay_count:
+            self._unavailable_until[relay] = until
+        elif self._assigned is not None:
+            self._failed_relay = self._assigned.rpartition(":")[0]
+            self._assigned = None
+
     def _select_relay(self, now: float) -> int | None:
-        """Returns the relay to call: one in the local zone, else of unknown zone, else any."""
+        """Returns the relay to call: the assigned one, else one in the local zone.
+
+        If there is none, one of an unknown zone comes before the others.
+        """
+        if self._assigned is not None:
+            return self._relay_count
         available = [index for index, until in enumerate(self._unavailable_until) if now >= until]
+        if self._zone is None:
+            return min(available, default=None)
         ranks = {self._zone: 0, None: 1}
         return min(available, key=lambda index: ranks.get(self._zones[index], 2), default=None)
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -17,9 +17,16 @@
 SEND_TIMEOUT_S = 5.0
 RECEIVE_BYTES = 4_096
 
-_REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
+_REASONS = {
+    200: "OK",
+    307: "Temporary Redirect",
+    404: "Not Found",
+    410: "Gone",
+    503: "Service Unavailable",
+}
 
-Handler = Callable[[str], Coroutine[Wait, bool, Response]]
+# Path with its query, and the client's IP address.
+Handler = Callable[[str, str], Coroutine[Wait, bool, Response]]
 
 
 class HttpServer:
@@ -28,9 +35,8 @@
     Args:
         reactor: Event loop.
         address: IP address and TCP port to listen on.
-        handle: Returns the response to a path with its query.
+        handle: Returns the response to a path with its query, by the client with an IP address.
         headers: Header fields of all responses.
-        on_request: Called with the client's IP address for each request.
 
     Raises:
         SettingsError: If the address can't be bound; see bind_socket().
@@ -42,10 +48,8 @@
         address: tuple[str, int],
         handle: Handler,
         headers: dict[str, str],
-        on_request: Callable[[str], None] = lambda ip: None,
     ) -> None:
         self._reactor = reactor
-        self._on_request = on_request
         self._handle = handle
         self._headers = headers
         self._sock = bind_socket(socket.SOCK_STREAM, address)
@@ -69,8 +73,7 @@
                 if not data:
                     return
                 request = reader.feed(data)
-                self._on_request(ip)
-                if request is not None and not await self._respond(sock, request):
+                if request is not None and not await self._respond(sock, request, ip):
                     return
         except (OSError, PlatformError):
             # A client that disconnects or sends invalid HTTP retries on a new connection.
@@ -78,8 +81,8 @@
         finally:
             sock.close()
 
-    async def _respond(self, sock: socket.socket, request: Message) -> bool:
-        status, body, headers = await self._handle(request.start_line[1])
+    async def _respond(self, sock: socket.socket, request: Message, ip: str) -> bool:
+        status, body, headers = await self._handle(request.start_line[1], ip)
         start_line = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
         unsent = memoryview(encode_message(start_line, self._headers | headers, body))
         while unsent:
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -5,7 +5,12 @@
 import zlib
 
 from pearwell.affinity.cache import Position
-from pearwell.affinity.relay import LEAVING_HEADER
+from pearwell.affinity.relay import (
+    HOPS_HEADER,
+    LEAVING_HEADER,
+    NEXT_RELAY_HEADER,
+    VERIFIED_HEADER,
+)
 from pearwell.affinity.sync import StoreResponse
 from pearwell.errors import Code, PlatformError
 from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
@@ -54,6 +59,7 @@
         address: Address of the store or relay.
         list_times: Histogram of the duration of lists in seconds.
         is_relay: Whether the address is a relay's, which needs the era of a position.
+        zone: Availability zone of this instance, for a relay that may hand it on to another.
     """
 
     def __init__(
@@ -62,8 +68,12 @@
         address: tuple[str, int],
         list_times: Histogram | None = None,
         is_relay: bool = False,
+        zone: str = "",
     ) -> None:
         self._is_relay = is_relay
+        self._zone = zone
+        self._failed_relay = ""
+        self._serves = False
         self._reactor = reactor
         self._address = address
         self._list_times = list_times
@@ -88,7 +98,7 @@
 
     async def snapshot(self, kind: str, wait_s: float) -> StoreResponse:
         """Returns all objects of a kind once the relay knows them, within the wait."""
-        query = f"?Snapshot=1&WaitMs={int(wait_s * 1000)}"
+        query = f"?Snapshot=1&WaitMs={int(wait_s * 1000)}{self._relay_query()}"
         response = await self._call(
             f"/objects/{kind}{query}", wait_s + SNAPSHOT_TIMEOUT_S, SNAPSHOT_CONNECT_TIMEOUT_S
         )
@@ -99,10 +109,25 @@
         era, revision = position
         query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
         if self._is_relay:
-            query += f"&Era={era}"
+            query += f"&Era={era}{self._relay_query()}"
         response = await self._call(f"/objects/{kind}{query}", wait_s + RESPONSE_TIMEOUT_S)
         return _decode(response, "events")
 
+    def redirect(self, address: str) -> None:
+        """Changes the relay to the one at an IP address and port."""
+        ip, _, port = address.rpartition(":")
+        self.close()
+        self.set_address((ip, int(port)))
+
+    def describe_caller(self, failed: str, serves: bool) -> None:
+        """Sets what relays are told, which may hand this instance on.
+
+        Args:
+            failed: IP address that this instance must not be handed on to.
+            serves: Whether this instance serves clients.
+        """
+        self._failed_relay, self._serves = failed, serves
+
     def set_address(self, address: tuple[str, int]) -> None:
         """Changes the address for further connections."""
         self._address = address
@@ -114,6 +139,10 @@
             self._sock = None
         self._reader = MessageReader()
 
+    def _relay_query(self) -> str:
+        failed = f"&Failed={self._failed_relay}" if self._failed_relay else ""
+        return f"&Zone={self._zone}{failed}{'&Serves=1' if self._serves else ''}"
+
     async def _call(
         self, path: str, timeout_s: float, connect_timeout_s: float = CONNECT_TIMEOUT_S
     ) -> Message:
@@ -127,7 +156,7 @@
             raise
         if response.headers.get("connection", "").lower() == "close":
             self.close()
-        if response.status != 200:
+        if response.status not in (200, 307):
             code = _CODES.get(response.status, Code.PLATFORM_BAD_ANSWER)
             raise PlatformError(code, f"status {response.status}")
         return response
@@ -187,6 +216,8 @@
 
 
 def _decode(response: Message, key: str) -> StoreResponse:
+    if response.status == 307:
+        return StoreResponse([], -1, next_relay=_next_relay(response))
     try:
         # Invalid UTF-8 from another writer affects only the entry that contains it.
         payload = json.loads(_body(response).decode("utf-8", "replace"))
@@ -196,6 +227,7 @@
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
     healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
+    verified_ms = _number_header(response, VERIFIED_HEADER)
     return StoreResponse(
         items,
         revision,
@@ -204,9 +236,28 @@
         zone if isinstance(zone, str) else "",
         _era(response, payload),
         LEAVING_HEADER.lower() in response.headers,
+        _number_header(response, HOPS_HEADER) or 0,
+        None if verified_ms is None else verified_ms / 1000,
     )
 
 
+def _next_relay(response: Message) -> str:
+    address = response.headers.get(NEXT_RELAY_HEADER.lower(), "")
+    ip, _, port = address.rpartition(":")
+    if not ip or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid next relay {address[:40]!r}")
+    return address
+
+
+def _number_header(response: Message, name: str) -> int | None:
+    text = response.headers.get(name.lower())
+    if text is None:
+        return None
+    if not text.removeprefix("-").isdecimal():
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid {name} {text[:20]!r}")
+    return int(text)
+
+
 def _era(response: Message, payload: dict[str, object]) -> int:
     """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
     text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
--- a/tests/affinity/fakes.py
+++ b/tests/affinity/fakes.py
@@ -30,6 +30,12 @@
     async def watch(self, kind, revision, wait_s):
         return self._next(("watch", revision))
 
+    def describe_caller(self, failed, serves):
+        self.caller = failed, serves
+
+    def redirect(self, address):
+        self.address = address
+
     def _next(self, call):
         self.calls.append(call)
         response = self.script.popleft()
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -279,3 +279,31 @@
     call = scheduler.next_call(1.0)
     assert (call.relay, call.position, call.delay_s) == (1, (0, 7), 0.0)
     assert scheduler.next_call(1.0 + module.RELAY_LEAVING_RETRY_S).relay == 0
+
+
+def assigned(relays=2):
+    scheduler = make(relays)
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_handed_on("10.0.0.5:8166")
+    return scheduler
+
+
+def test_an_assigned_relay_is_called_until_it_fails():
+    scheduler = assigned()
+    call = scheduler.next_call(1.0)
+    assert (call.relay, call.position, call.delay_s) == (2, (0, 7), 0.0)
+    scheduler.on_relay_status(2, "a", 0.0)
+    scheduler.on_watch(0, (0, 7), 1.0)
+    assert scheduler.next_call(1.0).relay == 2
+    scheduler.on_failure(scheduler.next_call(1.0), Code.PLATFORM_TIMEOUT, 3.0)
+    assert scheduler.next_call(3.0).relay is None
+    scheduler.on_watch(0, (0, 7), 3.0)
+    assert scheduler.next_call(3.0).relay == 0
+    assert scheduler.failed_relay == "10.0.0.5"
+
+
+def test_an_assigned_relay_that_stops_costs_no_call_to_the_store():
+    scheduler = assigned()
+    scheduler.on_relay_leaving(2, 1.0)
+    assert scheduler.next_call(1.0).relay == 0
+    assert scheduler.failed_relay == "10.0.0.5"
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -35,9 +35,10 @@
         store: Responses of the store.
         relays: Responses of the relays.
         snapshot: Whether the first call asks a relay for a snapshot.
+        assigned: Responses of the relay that another one hands it on to.
     """
 
-    def __init__(self, store, *relays, snapshot=False):
+    def __init__(self, store, *relays, snapshot=False, assigned=None):
         self.now = 0.0
         self.routes = RouteTable()
         self.logged = []
@@ -54,7 +55,7 @@
             self.scheduler,
             self.cache,
             store,
-            relays,
+            [*relays, assigned],
             lambda: self.now,
             self._sleep,
             lambda: None,
@@ -208,7 +209,9 @@
 
 def snapshot(revision, *versions, era=0, healthy_s=9.0):
     items = [config(version) for version in versions]
-    return StoreResponse(items, revision, healthy_s=healthy_s, zone="a", era=era)
+    return StoreResponse(
+        items, revision, healthy_s=healthy_s, zone="a", era=era, hops=0, verified_s=-0.5
+    )
 
 
 def test_a_start_from_a_snapshot_makes_no_call_to_the_store():
