--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -115,11 +115,12 @@
         return any(now - at <= CALLING_S for at, _ in self._calls.values())
 
     def active(self, now: float) -> list[str]:
-        """Returns the IP addresses of clients that called recently, and removes the others."""
-        self._calls = {
-            ip: call for ip, call in self._calls.items() if now - call[0] <= CLIENT_TIMEOUT_S
-        }
-        return list(self._calls)
+        """Returns the IP addresses of clients that called recently."""
+        return [ip for ip, (at, _) in self._calls.items() if now - at <= CLIENT_TIMEOUT_S]
+
+    def tick(self, now: float) -> None:
+        """Removes clients that have left; called every second."""
+        self._calls = {ip: self._calls[ip] for ip in self.active(now)}
 
 
 class _Query:
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -244,6 +244,7 @@
         while True:
             await self._reactor.sleep(TICK_INTERVAL_S)
             self._instance.tick(self._reactor.now())
+            self._relay.clients.tick(self._reactor.now())
             self._packets.send_resets()
             self._spawn_probes()
             modified_at = _modified_at(self._path)
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -199,6 +199,8 @@
     clients.record_call("10.0.0.2", "a", 5.0)
     assert clients.active(CLIENT_TIMEOUT_S) == ["10.0.0.1", "10.0.0.2"]
     assert clients.active(CLIENT_TIMEOUT_S + 1) == ["10.0.0.2"]
+    clients.tick(CLIENT_TIMEOUT_S + 1)
+    assert clients.active(CLIENT_TIMEOUT_S) == ["10.0.0.2"]
 
 
 def full_clients(may_hand_on=True, zones=("a", "b")):
