--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -98,8 +98,9 @@
 
 No rule was violated at any size. The load of the middle instance grows with the number of targets
 that it lists. The busiest instances are the relays that the settings name as seeds. A relay serves
-16 clients and hands further callers on to these, so that its load grows with the number of targets
-and changes, not with that of instances.
+16 clients and hands further callers on to these. The load of the seeds still grows: with the number
+of targets, which the sweep raises together with that of instances, and with starts, as each calls a
+seed first.
 
 Without changes only the seeds call the store, about 4 times a second, whatever the size: three
 seeds watch two kinds, and each watch times out after 1.5 s, so that a change made while the store
