--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -382,3 +382,13 @@
             if asyncio.get_running_loop().time() - self._restored_at > HEARTBEAT_S:
                 for name in [*self.entries]:
                     await self._write_entry(name)
+
+
+async def started_fleet(targets, settle_s, relays=2, clients=2, **options):
+    """Starts a fleet with a configuration and a number of targets, and waits until it is calm."""
+    fleet = Fleet(relays, clients, **options)
+    await fleet.configure()
+    for number in range(targets):
+        await fleet.put_target(number)
+    await asyncio.sleep(settle_s)
+    return fleet
--- a/tests/platform/test_relay_tiers.py
+++ b/tests/platform/test_relay_tiers.py
@@ -9,7 +9,7 @@
 from pearwell.affinity import relay as relay_module
 from pearwell.affinity.relay import max_relay_hops
 from tests.platform import store_fleet
-from tests.platform.store_fleet import Fleet
+from tests.platform.store_fleet import started_fleet
 from tests.virtual_time import run
 
 ZONES = ("a", "b", "c", "d", "e")
@@ -28,12 +28,7 @@
 
 async def large_fleet(zones=ZONES, hops=1):
     """Starts a fleet of seeds and clients, and waits until each has its relay."""
-    fleet = Fleet(3, INSTANCES, zones, hops)
-    await fleet.configure()
-    for number in range(TARGETS):
-        await fleet.put_target(number)
-    await asyncio.sleep(8.0)
-    return fleet
+    return await started_fleet(TARGETS, 8.0, 3, INSTANCES, zones=zones, max_hops=hops)
 
 
 def clients_of(node):
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -4,21 +4,12 @@
 
 import pytest
 
-from tests.platform.store_fleet import Fleet
+from tests.platform.store_fleet import started_fleet
 from tests.virtual_time import run
 
 TARGETS = 60
 
 
-async def started_fleet(relays, clients):
-    fleet = Fleet(relays, clients)
-    await fleet.configure()
-    for number in range(TARGETS):
-        await fleet.put_target(number)
-    await asyncio.sleep(10.0)
-    return fleet
-
-
 def check_state(fleet, node):
     assert node.versions[-1][1] == fleet.version
     assert len(node.instance.directory) == len(fleet.entries)
@@ -26,7 +17,7 @@
 
 def test_an_instance_that_starts_is_served_by_a_relay():
     async def scenario():
-        fleet = await started_fleet(3, 2)
+        fleet = await started_fleet(TARGETS, 10.0, 3, 2)
         started = fleet.start_client()
         await asyncio.sleep(0.1)
         check_state(fleet, started)
@@ -47,7 +38,7 @@
     """A relay that does not respond costs less than half a second; the store is listed then."""
 
     async def scenario():
-        fleet = await started_fleet(3, 2)
+        fleet = await started_fleet(TARGETS, 10.0, 3, 2)
         running = [asyncio.ensure_future(getattr(relay, fault)(8.0)) for relay in fleet.relays]
         await asyncio.sleep(3.0)
         await fleet.configure()
@@ -64,7 +55,7 @@
     """A relay that is starting too responds once it has listed the store."""
 
     async def scenario():
-        fleet = await started_fleet(3, 0)
+        fleet = await started_fleet(TARGETS, 10.0, 3, 0)
         for relay in fleet.relays:
             await relay.stop()
         fleet.relays = [fleet.start_relay() for _ in range(3)]
