--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -1,4 +1,4 @@
-"""Cache of objects and events of the store that a relay serves to other instances.
+"""Cache of store events that a relay serves to other instances.
 
 Hundreds of instances watch the same objects of a store that charges for and rate-limits every
 call. The instances that the settings name as seeds act as relays: they call the store, and the
@@ -7,16 +7,12 @@
 
 import json
 from collections import deque
-from collections.abc import Iterable, Mapping
 
-__all__ = ["MAX_AGE_PER_HOP_S", "MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache", "Position"]
+__all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache", "Position"]
 
 # Maximum age of the store's latest response for a relay to serve its cache. Relays call the store
 # at least every 1.5 s; a slow response (0.35 s) and a pause stay within this limit.
 MAX_AGE_S = 2.2
-# Additional age for each relay between this one and the store: a client learns with each response
-# to a watch, of 1 s at most, when the store has responded to the relay.
-MAX_AGE_PER_HOP_S = 1.2
 # Largest event that a relay forwards. A relay serves a third of the fleet, about forty instances,
 # and the slowest links carry 5 Mbit/s: sending 16 kB to each instance takes a second.
 MAX_EVENT_BYTES = 16_000
@@ -29,7 +25,7 @@
 
 
 class ObjectCache:
-    """All objects and the latest events of one kind, as decoded from JSON.
+    """The latest events of one kind, as decoded from JSON.
 
     A large event is replaced by None, which announces a change without the object; clients then
     list the store to get the object.
@@ -37,101 +33,49 @@
 
     def __init__(self) -> None:
         self._batches: deque[tuple[int, int, list[object]]] = deque(maxlen=MAX_BATCHES)
-        self._objects: dict[str, object] = {}
         self._era = -1
         self._revision = -1
         self._verified_at = float("-inf")
-        self._hops = 0
 
     @property
     def position(self) -> Position:
         """Position up to which the cache is complete; (-1, -1) before the first list."""
         return self._era, self._revision
 
-    @property
-    def is_listed(self) -> bool:
-        """Whether a complete list has been recorded."""
-        return self._era >= 0
-
-    @property
-    def verified_at(self) -> float:
-        """Clock time in seconds at which the store has confirmed the cached state at the latest."""
-        return self._verified_at
-
-    @property
-    def hops(self) -> int:
-        """Number of relays between the store and this cache."""
-        return self._hops
-
-    @property
-    def _max_age_s(self) -> float:
-        return MAX_AGE_S + MAX_AGE_PER_HOP_S * self._hops
-
-    @property
-    def objects(self) -> Iterable[object]:
-        """All objects at the cached position."""
-        return self._objects.values()
-
     def is_fresh(self, now: float) -> bool:
-        """Whether the store has responded recently, to this instance or to the first relay."""
-        return now - self._verified_at <= self._max_age_s
+        """Whether the store has responded within the last MAX_AGE_S seconds."""
+        return now - self._verified_at <= MAX_AGE_S
 
     def stale_at(self) -> float:
         """Returns the clock time in seconds at which the cache becomes stale."""
-        return self._verified_at + self._max_age_s
+        return self._verified_at + MAX_AGE_S
 
     def is_behind(self, position: Position) -> bool:
         """Whether a client's position is in a later era, of which the cache knows nothing yet."""
         return position[0] > self._era
 
-    def reset(
-        self,
-        position: Position,
-        verified_at: float,
-        objects: Mapping[str, object] | None = None,
-        hops: int = 0,
-    ) -> bool:
-        """Records a list or a snapshot; returns whether it replaces the cached state.
-
-        Args:
-            position: Position up to which it is complete.
-            verified_at: Clock time in seconds of the store's response.
-            objects: All objects by name.
-            hops: Number of relays between the store and this cache.
-        """
+    def reset(self, position: Position, now: float) -> bool:
+        """Records a list of the store; returns whether it replaces the cached state."""
         era, revision = position
-        self._verified_at = verified_at
-        self._hops = hops
+        self._verified_at = now
         if era == self._era and revision <= self._revision:
             return False
         self._batches.clear()
-        self._objects = dict(objects or {})
         self._era, self._revision = position
         return True
 
-    def apply(self, name: str, item: object | None) -> None:
-        """Applies one object of an event, or its removal if it is None."""
-        if item is None:
-            self._objects.pop(name, None)
-        else:
-            self._objects[name] = item
-
-    def append_events(
-        self, events: list[object], position: Position, verified_at: float, hops: int = 0
-    ) -> bool:
+    def append_events(self, events: list[object], position: Position, now: float) -> bool:
         """Adds the response to a watch from the cached position; returns whether it had new events.
 
         Args:
             events: The events as decoded from JSON.
             position: Position up to which the response is complete, in the era of the cache.
-            verified_at: Clock time in seconds of the store's response.
-            hops: Number of relays between the store and this cache.
+            now: Current time in seconds of the clock.
         """
         era, revision = position
         if era != self._era:
             raise ValueError(f"events of era {era} for a cache of era {self._era}")
-        self._verified_at = max(self._verified_at, verified_at)
-        self._hops = hops
+        self._verified_at = now
         if revision <= self._revision:
             return False
         if events:
--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -1,13 +1,10 @@
-"""Schedules the calls for one kind of object, and selects the store or a relay.
+"""Schedules the list and watch calls for one kind of object, and selects the store or a relay.
 
 Calls to the store are charged for and rate-limited across the whole fleet, while hundreds of
 instances watch the same objects. A few of them, the relays, call the store; the others call a
 relay, and the store only while no relay responds. Events come in bursts (a release replaces targets
 one after the other), so the next watch starts after a pause and returns the events of the pause in
 one response. After an outage, jitter spreads the calls over time.
-
-An instance that starts takes a snapshot from a relay, and lists the store only if no relay responds
-soon.
 """
 
 from collections.abc import Callable
@@ -39,14 +36,6 @@
 # may recover soon, while each call to one that does not respond costs a timeout.
 RELAY_DOWN_RETRY_S = 1.5
 RELAY_TIMEOUT_RETRY_S = 6.0
-# A relay that stops is not called for the time that it needs to stop and to start again.
-RELAY_LEAVING_RETRY_S = 6.0
-# Time that a relay that is starting too may take to respond with a snapshot.
-SNAPSHOT_WAIT_S = 0.2
-# When all instances start at once, relays are down for about as long as this instance starts
-# earlier. It then waits for one of them instead of watching the store; its own list is recent.
-STARTING_S = 3.0
-RELAY_STARTING_RETRY_S = 0.3
 
 
 class WatchLimits:
@@ -93,9 +82,8 @@
     Attributes:
         delay_s: Delay in seconds before the call.
         relay: Index of the relay to call; None for the store.
-        position: Position to watch from; None for a list of the store or a snapshot of a relay.
-        wait_s: Maximum time in seconds that a watch waits for events, or a snapshot for a relay
-            that is starting.
+        position: Position to watch from; None for a list.
+        wait_s: Maximum time in seconds that a watch waits for events.
     """
 
     __slots__ = ("delay_s", "position", "relay", "wait_s")
@@ -118,24 +106,19 @@
 
     Args:
         limits: Limits on watches at the store.
-        relays: Number of relays that can be called instead, in order of preference. The index after
-            the last of them is that of the relay that one of them hands this instance on to.
+        relays: Number of relays that can be called instead, in order of preference.
         zone: Availability zone of this instance; its relays are preferred, as traffic between
-            zones is expensive. None to keep the order, as relays hand instances on within zones.
+            zones is expensive.
         jitter: Returns random numbers between 0 and 1.
     """
 
     def __init__(
-        self, limits: WatchLimits, relays: int, zone: str | None, jitter: Callable[[], float]
+        self, limits: WatchLimits, relays: int, zone: str, jitter: Callable[[], float]
     ) -> None:
         self._limits = limits
         self._zone = zone
         # Availability zones of the relays, as their responses report them.
         self._zones: list[str | None] = [None] * relays
-        self._relay_count = relays
-        # Address of the relay that another one has handed this instance on to.
-        self._assigned: str | None = None
-        self._failed_relay = ""
         self._unavailable_until = [float("-inf")] * relays
         self._jitter = jitter
         self._position: Position | None = None
@@ -146,9 +129,6 @@
         self._events_at = float("-inf")
         self._list_at = float("-inf")
         self._store_healthy_since = float("inf")
-        # Whether a snapshot of a relay may replace the first list, and when the first call was.
-        self._may_take_snapshot = relays > 0
-        self._started_at: float | None = None
 
     @property
     def store_healthy_since(self) -> float:
@@ -170,18 +150,8 @@
         """Clock time in seconds of the latest response, of the store or a relay."""
         return self._synced_at
 
-    @property
-    def failed_relay(self) -> str:
-        """IP address of the latest assigned relay that failed or stopped; "" if there is none."""
-        return self._failed_relay
-
     def next_call(self, now: float) -> Call:
         """Returns the next call with the delay before it."""
-        if self._started_at is None:
-            self._started_at = now
-        relay = self._select_relay(now)
-        if self._may_take_snapshot and relay is not None:
-            return Call(0.0, relay, None, SNAPSHOT_WAIT_S)
         if self._failures:
             first = FIRST_BACKOFF_WITH_RELAYS_S if self._unavailable_until else FIRST_BACKOFF_S
             bound = min(MAX_BACKOFF_S, first * 2 ** min(self._failures - 1, 10))
@@ -190,28 +160,14 @@
             return Call(max(0.0, self._list_at - now), None, None, 0.0)
         if self._catch_up == _CatchUp.DUE:
             return Call(0.0, None, self._position, 0.0)
+        relay = self._select_relay(now)
         if relay is not None:
             return Call(0.0, relay, self._position, WATCH_AT_RELAY_S)
-        if self._unavailable_until and now < self._started_at + STARTING_S:
-            delay = max(0.0, min(self._unavailable_until) - now)
-            if delay <= RELAY_STARTING_RETRY_S:
-                first = self._unavailable_until.index(min(self._unavailable_until))
-                return Call(delay, first, self._position, WATCH_AT_RELAY_S)
         delay = max(0.0, self._events_at + self._limits.min_interval_s - now)
         return Call(delay, None, self._position, self._limits.max_wait_s)
 
-    def on_snapshot(self, position: Position, era: int, now: float) -> None:
-        """Records a complete snapshot of a relay."""
-        self._may_take_snapshot = False
-        self._failures = 0
-        self._position = position
-        self._era = era
-        self._events_at = now
-        self._synced_at = now
-
     def on_list(self, position: Position, now: float) -> None:
         """Records a complete list of the store."""
-        self._may_take_snapshot = False
         if self._failures or self._store_healthy_since > now:
             self._store_healthy_since = now
         self._failures = 0
@@ -239,21 +195,9 @@
             store_healthy_since: Clock time in seconds since which no call of the relay to the
                 store has failed; may be later than that of this instance.
         """
-        if relay < self._relay_count:
-            self._zones[relay] = zone
-        if self._store_healthy_since == float("inf") and self._position is None:
-            # The first call, which tells nothing of failures of this instance's own.
-            self._store_healthy_since = store_healthy_since
+        self._zones[relay] = zone
         self._store_healthy_since = max(self._store_healthy_since, store_healthy_since)
 
-    def on_relay_leaving(self, relay: int, now: float) -> None:
-        """Records that a relay is about to stop; nothing that it knows was withheld."""
-        self._exclude_relay(relay, now + RELAY_LEAVING_RETRY_S)
-
-    def on_handed_on(self, address: str) -> None:
-        """Records the address of a relay to call from now on; nothing was withheld."""
-        self._assigned = address
-
     def on_era(self, era: int) -> bool:
         """Records the era that the store reports; returns whether the store was restored.
 
@@ -281,16 +225,10 @@
         change must be known. The store is therefore asked for changes before another relay, which
         may fail as slowly; once, as relays may still respond where the store does not.
         """
-        if call.relay is not None and call.position is None:
-            # The next relay may respond at once, unless this one has used up the time.
-            self._may_take_snapshot = code is not Code.PLATFORM_TIMEOUT
-            self._exclude_relay(call.relay, now + RELAY_STARTING_RETRY_S)
-            self._may_take_snapshot &= self._select_relay(now) is not None
-            return
         if call.relay is not None:
             timed_out = code is Code.PLATFORM_TIMEOUT
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
-            self._exclude_relay(call.relay, now + penalty * (0.75 + 0.5 * self._jitter()))
+            self._unavailable_until[call.relay] = now + penalty * (0.75 + 0.5 * self._jitter())
             if self._select_relay(now) is None:
                 self._position = None
                 self._list_at = now
@@ -302,30 +240,12 @@
             return
         self._position = None
         self._list_at = now
-        # The store may turn away an instance that a relay helps to start.
-        has_synced = self._synced_at > float("-inf")
-        self._may_take_snapshot = not has_synced and bool(self._unavailable_until)
         if code is not Code.PLATFORM_WATCH_EXPIRED:
             self._failures += 1
             self._store_healthy_since = float("inf")
 
-    def _exclude_relay(self, relay: int, until: float) -> None:
-        """Keeps a relay from being called for a time; another is assigned for an assigned one."""
-        if relay < self._relay_count:
-            self._unavailable_until[relay] = until
-        elif self._assigned is not None:
-            self._failed_relay = self._assigned.rpartition(":")[0]
-            self._assigned = None
-
     def _select_relay(self, now: float) -> int | None:
-        """Returns the relay to call: the assigned one, else one in the local zone.
-
-        If there is none, one of an unknown zone comes before the others.
-        """
-        if self._assigned is not None:
-            return self._relay_count
+        """Returns the relay to call: one in the local zone, else of unknown zone, else any."""
         available = [index for index, until in enumerate(self._unavailable_until) if now >= until]
-        if self._zone is None:
-            return min(available, default=None)
         ranks = {self._zone: 0, None: 1}
         return min(available, key=lambda index: ranks.get(self._zones[index], 2), default=None)
--- a/pearwell/affinity/hints.py
+++ b/pearwell/affinity/hints.py
@@ -6,17 +6,18 @@
 themselves: a hint alone never resets a flow.
 """
 
-__all__ = ["ForwardedHints", "Hint", "decode_hint", "encode_hint"]
+__all__ = ["Hint", "RelayClients", "decode_hint", "encode_hint"]
 
 _MARK = b"pearwell-hint-1"
 # Maximum length of a target's name in a hint.
 MAX_NAME_BYTES = 100
+# Clients call their relay every second; one that has not done so for this time gets no hints.
+CLIENT_TIMEOUT_S = 10.0
 # Time in which a relay forwards only one hint about a target, as several instances detect its
 # failure at once.
 DUPLICATE_WINDOW_S = 2.0
 
-# Name of the target, and whether the sender found it gone itself. Each instance forwards a hint to
-# its own clients.
+# Name of the target, and whether relays forward the hint.
 Hint = tuple[str, bool]
 
 
@@ -36,12 +37,17 @@
         return None
 
 
-class ForwardedHints:
-    """The hints that an instance has forwarded to its clients recently."""
+class RelayClients:
+    """The clients of a relay, and the hints forwarded to them recently."""
 
     def __init__(self) -> None:
+        self._called_at: dict[str, float] = {}
         self._forwarded_at: dict[str, float] = {}
 
+    def record_call(self, ip: str, now: float) -> None:
+        """Records a call by a client."""
+        self._called_at[ip] = now
+
     def should_forward(self, name: str, now: float) -> bool:
         """Whether to forward a hint about a target, as none was forwarded recently."""
         self._forwarded_at = {
@@ -53,3 +59,10 @@
             return False
         self._forwarded_at[name] = now
         return True
+
+    def active(self, now: float) -> list[str]:
+        """Returns the IP addresses of clients that called recently, and removes the others."""
+        self._called_at = {
+            ip: at for ip, at in self._called_at.items() if now - at <= CLIENT_TIMEOUT_S
+        }
+        return list(self._called_at)
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -47,7 +47,6 @@
         zone: Availability zone of this instance.
         bounds: Time limits of the platform.
         relays: Number of relays that it can call; 0 if it is a relay.
-        relay_hops: Number of relays that may lie between the store and a relay.
         is_relay: Whether other instances call it.
         jitter: Returns random numbers between 0 and 1.
         log_flow: Logs decisions on flows.
@@ -63,24 +62,16 @@
         jitter: Callable[[], float],
         log_flow: Callable[..., None],
         log_event: Callable[..., None],
-        relay_hops: int = 0,
     ) -> None:
-        relay_zone = None if relay_hops else zone
         self._log_event = log_event
         self.routes = RouteTable()
         self.directory = Directory()
         self.lifecycle = Lifecycle(bounds.grace_s)
         self.config_scheduler = FetchScheduler(
-            _watch_limits(is_relay, bounds.config_s * CONFIG_SHARE, bounds),
-            relays,
-            relay_zone,
-            jitter,
+            _watch_limits(is_relay, bounds.config_s * CONFIG_SHARE, bounds), relays, zone, jitter
         )
         self.target_scheduler = FetchScheduler(
-            _watch_limits(is_relay, bounds.drain_s * DRAIN_SHARE, bounds),
-            relays,
-            relay_zone,
-            jitter,
+            _watch_limits(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, zone, jitter
         )
         self.config_cache = ObjectCache()
         self.target_cache = ObjectCache()
@@ -118,15 +109,14 @@
                 max(0.0, now - self.target_scheduler.store_healthy_since),
             ),
         ]
-        for kind, scheduler, cache in (
-            ("config", self.config_scheduler, self.config_cache),
-            ("targets", self.target_scheduler, self.target_cache),
+        for kind, scheduler in (
+            ("config", self.config_scheduler),
+            ("targets", self.target_scheduler),
         ):
             labels = {"kind": kind}
             found += [
                 ("store_era", "gauge", labels, -1 if scheduler.era is None else scheduler.era),
                 ("store_revision", "gauge", labels, (scheduler.position or (-1, -1))[1]),
-                ("relay_hops", "gauge", labels, cache.hops),
                 ("store_sync_age_seconds", "gauge", labels, round(now - scheduler.synced_at, 3)),
             ]
         found += [
--- a/pearwell/affinity/lifecycle.py
+++ b/pearwell/affinity/lifecycle.py
@@ -52,11 +52,6 @@
         """Whether routers may send new flows."""
         return self._phase == Phase.SERVING
 
-    @property
-    def stopping(self) -> bool:
-        """Whether the instance has been requested to stop."""
-        return self._phase == Phase.STOPPING
-
     @property
     def forwards(self) -> bool:
         """Whether packets are forwarded; a stopping instance continues to forward them."""
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -20,23 +20,6 @@
         async def watch(self, kind: str, position: Position, wait_s: float) -> "StoreResponse":
             """Returns the events after a position once there is one, or none after the wait."""
 
-    class RelayClient(Store, Protocol):
-        """Serves snapshots and watches of a relay."""
-
-        async def snapshot(self, kind: str, wait_s: float) -> "StoreResponse":
-            """Returns all objects of a kind once the relay knows them, within the wait."""
-
-        def redirect(self, address: str) -> None:
-            """Changes the relay to the one at an IP address and port."""
-
-        def describe_caller(self, failed: str, serves: bool) -> None:
-            """Sets what relays are told, which may hand this instance on.
-
-            Args:
-                failed: IP address that this instance must not be handed on to.
-                serves: Whether this instance serves clients.
-            """
-
     class ObjectHandler(Protocol):
         """Receives the objects of a kind as decoded from JSON."""
 
@@ -56,7 +39,7 @@
 
 
 class StoreResponse:
-    """One page of a list, a snapshot, or the events of a watch.
+    """One page of a list, or the events of a watch.
 
     Attributes:
         items: Objects of a list or events of a watch, as decoded from JSON.
@@ -66,25 +49,9 @@
             the store itself.
         zone: Availability zone of the relay; "" from the store itself.
         era: Number of times that the store was restored from a copy; 0 if it does not tell.
-        leaving: Whether the relay is about to stop.
-        hops: Number of relays between the store and the one that responded; 0 from the store.
-        verified_s: Time in seconds from the call to the response of the store that confirmed the
-            state; None from the store itself.
-        next_relay: Address of the relay to call instead; "" if there is none.
     """
 
-    __slots__ = (
-        "era",
-        "healthy_s",
-        "hops",
-        "items",
-        "leaving",
-        "more",
-        "next_relay",
-        "revision",
-        "verified_s",
-        "zone",
-    )
+    __slots__ = ("era", "healthy_s", "items", "more", "revision", "zone")
 
     def __init__(
         self,
@@ -94,16 +61,8 @@
         healthy_s: float | None = None,
         zone: str = "",
         era: int = 0,
-        leaving: bool = False,
-        hops: int = 0,
-        verified_s: float | None = None,
-        next_relay: str = "",
     ) -> None:
         self.era = era
-        self.leaving = leaving
-        self.hops = hops
-        self.verified_s = verified_s
-        self.next_relay = next_relay
         self.items = items
         self.revision = revision
         self.more = more
@@ -124,13 +83,11 @@
         scheduler: Schedules the calls.
         cache: Cache that this instance serves as a relay.
         store: The store.
-        relays: Relays in the order of the indices that the scheduler uses; the last one is that
-            which another one hands this instance on to.
+        relays: Relays in the order of the indices that the scheduler uses.
         now: Returns the current time in seconds of the clock.
         sleep: Returns an awaitable for a number of seconds.
         on_change: Called after each call.
         log: Logs an event's name and its fields.
-        serves_clients: Returns whether other instances call this one.
     """
 
     def __init__(
@@ -139,14 +96,12 @@
         scheduler: FetchScheduler,
         cache: ObjectCache,
         store: "Store",
-        relays: "Sequence[RelayClient]",
+        relays: "Sequence[Store]",
         now: Callable[[], float],
         sleep: Callable[[float], Awaitable[bool]],
         on_change: Callable[[], None],
         log: Callable[..., None],
-        serves_clients: Callable[[], bool] = lambda: False,
     ) -> None:
-        self._serves_clients = serves_clients
         self._handler = handler
         self._scheduler = scheduler
         self._cache = cache
@@ -171,12 +126,12 @@
             await self._sleep(call.delay_s)
         started = self._now()
         try:
-            if call.relay is not None:
-                await self._call_relay(call, call.relay, started)
-            elif call.position is None:
+            if call.position is None:
                 await self._list()
-            else:
+            elif call.relay is None:
                 await self._watch_store(call.position, call.wait_s)
+            else:
+                await self._watch_relay(call.relay, call.position, call.wait_s)
         except PlatformError as error:
             self._scheduler.on_failure(call, error.code, self._now())
             self._log_failure(call, error, self._now() - started)
@@ -199,62 +154,16 @@
             more = response.more and bool(response.items)
         assert position is not None
         now = self._now()
-        self._replace_objects(items, position, now, now, 0)
-        self._scheduler.on_list(position, now)
-        self._log_objects("listed", items, position)
-
-    async def _call_relay(self, call: Call, relay: int, called_at: float) -> None:
-        client = self._relays[relay]
-        client.describe_caller(self._scheduler.failed_relay, self._serves_clients())
-        if call.position is None:
-            response = await client.snapshot(self._handler.kind, call.wait_s)
-        else:
-            response = await client.watch(self._handler.kind, call.position, call.wait_s)
-        if response.next_relay:
-            self._follow(response.next_relay)
-        elif call.position is None:
-            self._apply_snapshot(relay, response, called_at)
-        else:
-            self._apply_watch(relay, response, call.position, called_at)
-
-    def _follow(self, address: str) -> None:
-        """Calls another relay from now on, as the one called has enough clients.
-
-        An instance that has got clients meanwhile calls the same relay again, which then serves it.
-        """
-        if self._serves_clients():
-            return
-        self._relays[-1].redirect(address)
-        self._scheduler.on_handed_on(address)
-        self._log("relay_assigned", kind=self._handler.kind, relay=address)
-
-    def _apply_snapshot(self, relay: int, response: StoreResponse, called_at: float) -> None:
-        now = self._now()
-        if response.healthy_s is None or response.verified_s is None:
-            raise PlatformError(Code.PLATFORM_BAD_ANSWER, "snapshot without the relay's status")
-        verified_at, hops = called_at + response.verified_s, response.hops + 1
-        self._replace_objects(response.items, response.position, now, verified_at, hops)
-        self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
-        self._scheduler.on_snapshot(response.position, response.era, now)
-        self._log_objects("snapshot_taken", response.items, response.position, relay=relay)
-
-    def _replace_objects(
-        self, items: list[object], position: Position, now: float, verified_at: float, hops: int
-    ) -> None:
         by_name = {self._handler.name_of(item): item for item in items}
         self._handler.replace(by_name, now)
-        self._cache.reset(position, verified_at, by_name, hops)
-
-    def _log_objects(
-        self, event: str, items: list[object], position: Position, **fields: object
-    ) -> None:
+        self._cache.reset(position, now)
+        self._scheduler.on_list(position, now)
         self._log(
-            event,
+            "listed",
             kind=self._handler.kind,
             objects=len(items),
             revision=position[1],
             era=position[0],
-            **fields,
         )
 
     async def _watch_store(self, position: Position, wait_s: float) -> None:
@@ -266,9 +175,8 @@
         self._apply_events(response, now)
         self._cache.append_events(response.items, response.position, now)
 
-    def _apply_watch(
-        self, relay: int, response: StoreResponse, position: Position, called_at: float
-    ) -> None:
+    async def _watch_relay(self, relay: int, position: Position, wait_s: float) -> None:
+        response = await self._relays[relay].watch(self._handler.kind, position, wait_s)
         if None in response.items:
             # A change without its object, or a later era.
             self._scheduler.require_list()
@@ -279,19 +187,10 @@
         if response.healthy_s is not None:
             self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
         self._apply_events(response, now)
-        # A relay of an earlier release does not tell; its clients serve no others.
-        verified_s = float("-inf") if response.verified_s is None else response.verified_s
-        self._cache.append_events(
-            response.items, response.position, called_at + verified_s, response.hops + 1
-        )
-        if response.leaving:
-            self._scheduler.on_relay_leaving(relay, now)
-            self._log("relay_leaving", kind=self._handler.kind, relay=relay)
 
     def _apply_events(self, response: StoreResponse, now: float) -> None:
         for name, item in [self._decode_event(event) for event in response.items]:
             self._handler.apply(name, item, now)
-            self._cache.apply(name, item)
         self._scheduler.on_watch(len(response.items), response.position, now)
 
     def _observe_era(self, response: StoreResponse) -> bool:
--- a/pearwell/http_message.py
+++ b/pearwell/http_message.py
@@ -6,17 +6,7 @@
 
 from pearwell.errors import Code, PlatformError
 
-__all__ = [
-    "MAX_BODY_BYTES",
-    "REDIRECT",
-    "Message",
-    "MessageReader",
-    "Response",
-    "encode_message",
-]
-
-# Status that names another server to call.
-REDIRECT = 307
+__all__ = ["MAX_BODY_BYTES", "Message", "MessageReader", "Response", "encode_message"]
 
 # A page of a list has at most about 1 MB (platform's store documentation); leaves room for one more
 # object.
@@ -24,8 +14,8 @@
 MAX_HEADER_BYTES = 16_384
 _HEADER_END = b"\r\n\r\n"
 
-# Status, body and header fields of this response.
-Response = tuple[int, bytes, dict[str, str]]
+# Status and body.
+Response = tuple[int, bytes]
 
 
 class Message:
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -4,29 +4,21 @@
 from collections.abc import Callable, Coroutine
 
 from pearwell.errors import PlatformError
-from pearwell.http_message import REDIRECT, Message, MessageReader, Response, encode_message
+from pearwell.http_message import Message, MessageReader, Response, encode_message
 from pearwell.reactor import Reactor, Wait, bind_socket
 
 __all__ = ["HttpServer"]
 
-# Hundreds of instances may connect to a relay within a second, each twice.
-BACKLOG = 1_024
+BACKLOG = 128
 # Connections without a request for this time are closed; clients of a relay call every second.
 IDLE_TIMEOUT_S = 10.0
 # Time after which a response that the peer does not read is abandoned.
 SEND_TIMEOUT_S = 5.0
 RECEIVE_BYTES = 4_096
 
-_REASONS = {
-    200: "OK",
-    REDIRECT: "Temporary Redirect",
-    404: "Not Found",
-    410: "Gone",
-    503: "Service Unavailable",
-}
+_REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
 
-# Path with its query, and the client's IP address.
-Handler = Callable[[str, str], Coroutine[Wait, bool, Response]]
+Handler = Callable[[str], Coroutine[Wait, bool, Response]]
 
 
 class HttpServer:
@@ -35,8 +27,9 @@
     Args:
         reactor: Event loop.
         address: IP address and TCP port to listen on.
-        handle: Returns the response to a path with its query, by the client with an IP address.
+        handle: Returns the response to a path with its query.
         headers: Header fields of all responses.
+        on_request: Called with the client's IP address for each request.
 
     Raises:
         SettingsError: If the address can't be bound; see bind_socket().
@@ -48,8 +41,10 @@
         address: tuple[str, int],
         handle: Handler,
         headers: dict[str, str],
+        on_request: Callable[[str], None] = lambda ip: None,
     ) -> None:
         self._reactor = reactor
+        self._on_request = on_request
         self._handle = handle
         self._headers = headers
         self._sock = bind_socket(socket.SOCK_STREAM, address)
@@ -73,7 +68,8 @@
                 if not data:
                     return
                 request = reader.feed(data)
-                if request is not None and not await self._respond(sock, request, ip):
+                self._on_request(ip)
+                if request is not None and not await self._respond(sock, request):
                     return
         except (OSError, PlatformError):
             # A client that disconnects or sends invalid HTTP retries on a new connection.
@@ -81,15 +77,14 @@
         finally:
             sock.close()
 
-    async def _respond(self, sock: socket.socket, request: Message, ip: str) -> bool:
-        status, body, headers = await self._handle(request.start_line[1], ip)
+    async def _respond(self, sock: socket.socket, request: Message) -> bool:
+        status, body = await self._handle(request.start_line[1])
         start_line = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
-        unsent = memoryview(encode_message(start_line, self._headers | headers, body))
+        unsent = memoryview(encode_message(start_line, self._headers, body))
         while unsent:
             try:
                 unsent = unsent[sock.send(unsent) :]
             except BlockingIOError:
                 if not await self._reactor.writable(sock, SEND_TIMEOUT_S):
                     return False
-        # A client that is redirected calls another server from now on.
-        return status != REDIRECT and request.headers.get("connection", "").lower() != "close"
+        return request.headers.get("connection", "").lower() != "close"
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -8,7 +8,7 @@
 from pearwell.affinity.cache import ObjectCache
 from pearwell.affinity.fetch_scheduler import FetchScheduler
 from pearwell.affinity.instance import Bounds, Instance, order_relays
-from pearwell.affinity.relay import Relay, max_relay_hops
+from pearwell.affinity.relay import Relay
 from pearwell.affinity.sync import ObjectSync
 from pearwell.affinity.target import Target
 from pearwell.errors import SettingsError
@@ -31,8 +31,6 @@
 
 __all__ = ["Edge", "main"]
 
-# Address of the relay to which another one may hand this instance on, before it does.
-NO_ADDRESS = ("0.0.0.0", 0)
 # A target that accepts connections does so within milliseconds.
 PROBE_TIMEOUT_S = 0.3
 TICK_INTERVAL_S = 1.0
@@ -65,7 +63,6 @@
         self._reactor = Reactor(time.monotonic, self._on_error, self._on_pause)
         self._relay_addresses = order_relays(settings.instance, settings.control, settings.seeds)
         self._is_relay = settings.control in settings.seeds
-        self._relay_hops = max_relay_hops(min(settings.config_s, settings.drain_s))
         bounds = Bounds(settings.drain_s, settings.config_s, settings.contact_s, settings.grace_s)
         self._instance = Instance(
             settings.zone,
@@ -75,10 +72,7 @@
             _jitter,
             self._log.flow,
             self._log.event,
-            self._relay_hops,
         )
-        self._changed = Trigger(self._reactor)
-        self._relay = self._make_relay()
         self._packet_times = Histogram("packet_seconds", DECISION_BOUNDS_S)
         self._list_times = Histogram("store_list_seconds", CALL_BOUNDS_S)
         self._packets = PacketSocket(
@@ -94,10 +88,10 @@
             settings.ip,
             settings.peer_port,
             [ip for ip, _ in settings.seeds],
-            lambda: self._relay.clients.active(self._reactor.now()),
             self._log,
             self._on_hint,
         )
+        self._changed = Trigger(self._reactor)
         self._stores: list[StoreClient] = []
         self._relays: list[StoreClient] = []
 
@@ -131,11 +125,8 @@
         self, handler: "ObjectHandler", scheduler: FetchScheduler, cache: ObjectCache
     ) -> None:
         store = StoreClient(self._reactor, self._settings.store, self._list_times)
-        # Only an instance that serves as a relay tells its zone, and may be handed on.
-        zone = self._settings.zone if self._serves_as_relay else ""
-        addresses = [*self._relay_addresses, NO_ADDRESS]
         relays = [
-            StoreClient(self._reactor, address, is_relay=True, zone=zone) for address in addresses
+            StoreClient(self._reactor, address, is_relay=True) for address in self._relay_addresses
         ]
         self._stores.append(store)
         self._relays.extend(relays)
@@ -149,7 +140,6 @@
             self._reactor.sleep,
             self._on_change,
             self._log.event,
-            lambda: self._relay.clients.is_calling(self._reactor.now()),
         )
         self._reactor.spawn(sync.run())
 
@@ -162,46 +152,38 @@
         except SettingsError as error:
             # Forward packets without metrics if the platform uses the port for something else.
             self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
-        if settings.control is not None and self._serves_as_relay:
-            HttpServer(self._reactor, settings.control, self._relay.respond, RELAY_HEADERS)
-
-    @property
-    def _serves_as_relay(self) -> bool:
-        return self._settings.control is not None and (self._is_relay or self._relay_hops > 0)
-
-    def _make_relay(self) -> Relay:
-        settings, instance = self._settings, self._instance
+        if settings.control is None or not self._is_relay:
+            return
+        instance = self._instance
         caches = {
             ConfigHandler.kind: instance.config_cache,
             TargetHandler.kind: instance.target_cache,
         }
-        return Relay(
+        relay = Relay(
             settings.zone,
-            settings.control[1] if settings.control else 0,
-            self._relay_hops,
             caches,
             lambda: instance.target_scheduler.store_healthy_since,
             self._changed,
             self._reactor.now,
-            lambda: instance.lifecycle.stopping,
+        )
+        HttpServer(
+            self._reactor, settings.control, relay.respond, RELAY_HEADERS, self._hints.record_call
         )
 
-    async def _respond_readiness(self, path: str, ip: str) -> Response:
-        return (200 if self._instance.lifecycle.ready else 503), b"", {}
+    async def _respond_readiness(self, path: str) -> Response:
+        return (200 if self._instance.lifecycle.ready else 503), b""
 
-    async def _respond_metrics(self, path: str, ip: str) -> Response:
+    async def _respond_metrics(self, path: str) -> Response:
         if path != METRICS_PATH:
-            return 404, b"", {}
+            return 404, b""
         samples = self._instance.samples(self._reactor.now())
         samples += [
             ("calls_total", "counter", {"to": to}, sum(client.calls for client in clients))
             for to, clients in (("store", self._stores), ("relay", self._relays))
         ]
-        clients = len(self._relay.clients.active(self._reactor.now()))
-        samples.append(("relay_clients", "gauge", {}, clients))
         samples.append(("log_lines_left_out", "gauge", {}, self._log.dropped_lines))
         histograms = self._packet_times.render() + self._list_times.render()
-        return 200, (render_samples(samples) + histograms).encode(), {}
+        return 200, (render_samples(samples) + histograms).encode()
 
     def _on_change(self) -> None:
         instance = self._instance
@@ -244,7 +226,6 @@
         while True:
             await self._reactor.sleep(TICK_INTERVAL_S)
             self._instance.tick(self._reactor.now())
-            self._relay.clients.tick(self._reactor.now())
             self._packets.send_resets()
             self._spawn_probes()
             modified_at = _modified_at(self._path)
@@ -267,7 +248,6 @@
     def _on_stop(self, number: int) -> None:
         if self._instance.lifecycle.stop():
             self._log.event("stopping", signal=number)
-            self._changed.fire()
             self._reactor.spawn(self._stop())
 
     async def _stop(self) -> None:
--- a/pearwell/platform/hint_socket.py
+++ b/pearwell/platform/hint_socket.py
@@ -3,7 +3,7 @@
 import socket
 from collections.abc import Callable
 
-from pearwell.affinity.hints import ForwardedHints, decode_hint, encode_hint
+from pearwell.affinity.hints import RelayClients, decode_hint, encode_hint
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog
 from pearwell.reactor import Reactor, bind_socket
@@ -14,14 +14,13 @@
 
 
 class HintSocket:
-    """Sends hints to the first relays, and forwards each to the clients of this instance.
+    """Sends hints to relays, and forwards them to its clients if this instance is a relay.
 
     Args:
         reactor: Event loop.
         ip: IP address of this instance.
         port: UDP port for hints, the same on all instances; None to disable hints.
-        relays: IP addresses of the first relays.
-        clients: Returns the IP addresses of the clients of this instance.
+        relays: IP addresses of the relays.
         log: Event log.
         on_hint: Called with the name of a target that another instance has found gone.
     """
@@ -32,17 +31,16 @@
         ip: str,
         port: int | None,
         relays: list[str],
-        clients: Callable[[], list[str]],
         log: EventLog,
         on_hint: Callable[[str], None],
     ) -> None:
         self._reactor = reactor
         self._port = port or 0
         self._relays = [relay for relay in relays if relay != ip]
-        self._clients = clients
-        self._forwarded = ForwardedHints()
+        self._is_relay = ip in relays
         self._log = log
         self._on_hint = on_hint
+        self._clients = RelayClients()
         self._sock = None
         if port is None:
             return
@@ -54,11 +52,16 @@
             return
         reactor.add_reader(self._sock, self._read)
 
+    def record_call(self, ip: str) -> None:
+        """Records a call of a client to this relay."""
+        self._clients.record_call(ip, self._reactor.now())
+
     def send_hints(self, names: list[str]) -> None:
         """Sends hints about targets that this instance has found gone."""
         for name in names:
             self._send(name, True, self._relays)
-            self._forward(name)
+            if self._is_relay:
+                self._forward(name)
 
     def _read(self) -> None:
         assert self._sock is not None
@@ -71,14 +74,16 @@
         if hint is None:
             self._log.flow("hint_malformed", bytes=len(data))
             return
-        name, _ = hint
+        name, forward = hint
         self._log.flow("target_hinted", target=name)
-        self._forward(name)
+        if forward and self._is_relay:
+            self._forward(name)
         self._on_hint(name)
 
     def _forward(self, name: str) -> None:
-        if self._forwarded.should_forward(name, self._reactor.now()):
-            self._send(name, False, self._clients())
+        now = self._reactor.now()
+        if self._clients.should_forward(name, now):
+            self._send(name, False, self._clients.active(now))
 
     def _send(self, name: str, forward: bool, ips: list[str]) -> None:
         if self._sock is None:
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -5,21 +5,9 @@
 import zlib
 
 from pearwell.affinity.cache import Position
-from pearwell.affinity.relay import (
-    HOPS_HEADER,
-    LEAVING_HEADER,
-    NEXT_RELAY_HEADER,
-    VERIFIED_HEADER,
-)
 from pearwell.affinity.sync import StoreResponse
 from pearwell.errors import Code, PlatformError
-from pearwell.http_message import (
-    MAX_BODY_BYTES,
-    REDIRECT,
-    Message,
-    MessageReader,
-    encode_message,
-)
+from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
 from pearwell.reactor import Reactor
 from pearwell.text_metrics import Histogram
 
@@ -30,10 +18,6 @@
 CONNECT_TIMEOUT_S = 0.6
 RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
-# A snapshot is taken while the instance forwards nothing, and the store can be listed instead: time
-# to connect to the relay, and to get the response beyond the wait for a relay that is starting.
-SNAPSHOT_CONNECT_TIMEOUT_S = 0.1
-SNAPSHOT_TIMEOUT_S = 0.2
 # TCP keepalive: idle time, interval and number of probes. A dead connection is detected in 3 s,
 # within the time in which a configuration must be applied.
 KEEPALIVE_IDLE_S = 1
@@ -65,7 +49,6 @@
         address: Address of the store or relay.
         list_times: Histogram of the duration of lists in seconds.
         is_relay: Whether the address is a relay's, which needs the era of a position.
-        zone: Availability zone of this instance, for a relay that may hand it on to another.
     """
 
     def __init__(
@@ -74,12 +57,8 @@
         address: tuple[str, int],
         list_times: Histogram | None = None,
         is_relay: bool = False,
-        zone: str = "",
     ) -> None:
         self._is_relay = is_relay
-        self._zone = zone
-        self._failed_relay = ""
-        self._serves = False
         self._reactor = reactor
         self._address = address
         self._list_times = list_times
@@ -102,38 +81,15 @@
             self._list_times.observe(self._reactor.now() - started)
         return _decode(response, "items")
 
-    async def snapshot(self, kind: str, wait_s: float) -> StoreResponse:
-        """Returns all objects of a kind once the relay knows them, within the wait."""
-        query = f"?Snapshot=1&WaitMs={int(wait_s * 1000)}{self._relay_query()}"
-        response = await self._call(
-            f"/objects/{kind}{query}", wait_s + SNAPSHOT_TIMEOUT_S, SNAPSHOT_CONNECT_TIMEOUT_S
-        )
-        return _decode(response, "items")
-
     async def watch(self, kind: str, position: Position, wait_s: float) -> StoreResponse:
         """Returns the events after a position once there is one, or none after the wait."""
         era, revision = position
         query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
         if self._is_relay:
-            query += f"&Era={era}{self._relay_query()}"
+            query += f"&Era={era}"
         response = await self._call(f"/objects/{kind}{query}", wait_s + RESPONSE_TIMEOUT_S)
         return _decode(response, "events")
 
-    def redirect(self, address: str) -> None:
-        """Changes the relay to the one at an IP address and port."""
-        ip, _, port = address.rpartition(":")
-        self.close()
-        self.set_address((ip, int(port)))
-
-    def describe_caller(self, failed: str, serves: bool) -> None:
-        """Sets what relays are told, which may hand this instance on.
-
-        Args:
-            failed: IP address that this instance must not be handed on to.
-            serves: Whether this instance serves clients.
-        """
-        self._failed_relay, self._serves = failed, serves
-
     def set_address(self, address: tuple[str, int]) -> None:
         """Changes the address for further connections."""
         self._address = address
@@ -145,15 +101,9 @@
             self._sock = None
         self._reader = MessageReader()
 
-    def _relay_query(self) -> str:
-        failed = f"&Failed={self._failed_relay}" if self._failed_relay else ""
-        return f"&Zone={self._zone}{failed}{'&Serves=1' if self._serves else ''}"
-
-    async def _call(
-        self, path: str, timeout_s: float, connect_timeout_s: float | None = None
-    ) -> Message:
+    async def _call(self, path: str, timeout_s: float) -> Message:
         try:
-            response = await self._exchange(path, timeout_s, connect_timeout_s or CONNECT_TIMEOUT_S)
+            response = await self._exchange(path, timeout_s)
         except OSError as error:
             self.close()
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, str(error)) from error
@@ -162,17 +112,15 @@
             raise
         if response.headers.get("connection", "").lower() == "close":
             self.close()
-        if response.status == REDIRECT:
-            self.close()
-        elif response.status != 200:
+        if response.status != 200:
             code = _CODES.get(response.status, Code.PLATFORM_BAD_ANSWER)
             raise PlatformError(code, f"status {response.status}")
         return response
 
-    async def _exchange(self, path: str, timeout_s: float, connect_timeout_s: float) -> Message:
+    async def _exchange(self, path: str, timeout_s: float) -> Message:
         if self._reactor.now() - self._used_at > MAX_IDLE_S:
             self.close()
-        sock = self._sock or await self._connect(connect_timeout_s)
+        sock = self._sock or await self._connect()
         host = f"{self._address[0]}:{self._address[1]}"
         self._calls += 1
         # Never partial: a request is far smaller than the send buffer of an idle connection.
@@ -190,7 +138,7 @@
                 self._used_at = self._reactor.now()
                 return response
 
-    async def _connect(self, timeout_s: float) -> socket.socket:
+    async def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock = sock
         sock.setblocking(False)
@@ -198,7 +146,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-        if not await connect(self._reactor, sock, self._address, timeout_s):
+        if not await connect(self._reactor, sock, self._address, CONNECT_TIMEOUT_S):
             raise PlatformError(Code.PLATFORM_TIMEOUT, "connection attempt timed out")
         return sock
 
@@ -224,8 +172,6 @@
 
 
 def _decode(response: Message, key: str) -> StoreResponse:
-    if response.status == REDIRECT:
-        return StoreResponse([], -1, next_relay=_next_relay(response))
     try:
         # Invalid UTF-8 from another writer affects only the entry that contains it.
         payload = json.loads(_body(response).decode("utf-8", "replace"))
@@ -235,7 +181,6 @@
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
     healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
-    verified_ms = _number_header(response, VERIFIED_HEADER)
     return StoreResponse(
         items,
         revision,
@@ -243,29 +188,9 @@
         healthy_s if isinstance(healthy_s, int | float) else None,
         zone if isinstance(zone, str) else "",
         _era(response, payload),
-        LEAVING_HEADER.lower() in response.headers,
-        _number_header(response, HOPS_HEADER) or 0,
-        None if verified_ms is None else verified_ms / 1000,
     )
 
 
-def _next_relay(response: Message) -> str:
-    address = response.headers.get(NEXT_RELAY_HEADER.lower(), "")
-    ip, _, port = address.rpartition(":")
-    if not ip or not port.isdecimal() or not 0 < int(port) < 1 << 16:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid next relay {address[:40]!r}")
-    return address
-
-
-def _number_header(response: Message, name: str) -> int | None:
-    text = response.headers.get(name.lower())
-    if text is None:
-        return None
-    if not text.removeprefix("-").isdecimal():
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid {name} {text[:20]!r}")
-    return int(text)
-
-
 def _era(response: Message, payload: dict[str, object]) -> int:
     """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
     text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
--- a/tests/affinity/fakes.py
+++ b/tests/affinity/fakes.py
@@ -24,18 +24,9 @@
     async def list(self, kind, after):
         return self._next(("list", after))
 
-    async def snapshot(self, kind, wait_s):
-        return self._next(("snapshot", wait_s))
-
     async def watch(self, kind, revision, wait_s):
         return self._next(("watch", revision))
 
-    def describe_caller(self, failed, serves):
-        self.caller = failed, serves
-
-    def redirect(self, address):
-        self.address = address
-
     def _next(self, call):
         self.calls.append(call)
         response = self.script.popleft()
--- a/tests/affinity/test_cache.py
+++ b/tests/affinity/test_cache.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearwell.affinity.cache import MAX_AGE_PER_HOP_S, MAX_AGE_S, MAX_BATCHES, ObjectCache
+from pearwell.affinity.cache import MAX_AGE_S, MAX_BATCHES, ObjectCache
 
 
 def put(cache, revision, *names, now=0.0, era=0):
@@ -99,12 +99,3 @@
     if found is not None:
         expected = {name for at, name in all_events if at > start}
         assert expected <= {event["Object"]["meta"]["Name"] for event in found}
-
-
-def test_a_cache_behind_other_relays_is_fresh_for_longer():
-    cache = ObjectCache()
-    cache.reset((0, 5), 10.0, {}, 2)
-    limit_s = MAX_AGE_S + 2 * MAX_AGE_PER_HOP_S
-    assert cache.is_fresh(9.9 + limit_s) and not cache.is_fresh(10.1 + limit_s)
-    cache.append_events([], (0, 6), 9.0, 2)
-    assert cache.verified_at == 10.0
--- a/tests/affinity/test_hints.py
+++ b/tests/affinity/test_hints.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 
 from pearwell.affinity.hints import (
+    CLIENT_TIMEOUT_S,
     DUPLICATE_WINDOW_S,
-    ForwardedHints,
+    RelayClients,
     decode_hint,
     encode_hint,
 )
@@ -39,8 +40,16 @@
     assert decode_hint(data) is None or data.startswith(b"pearwell-hint-1 ")
 
 
+def test_only_recent_clients_are_active():
+    clients = RelayClients()
+    clients.record_call("10.0.0.1", 0.0)
+    clients.record_call("10.0.0.2", 5.0)
+    assert clients.active(CLIENT_TIMEOUT_S) == ["10.0.0.1", "10.0.0.2"]
+    assert clients.active(CLIENT_TIMEOUT_S + 1) == ["10.0.0.2"]
+
+
 def test_hints_about_one_target_are_forwarded_once():
-    hints = ForwardedHints()
-    assert [hints.should_forward("i-1", at / 10) for at in range(10)] == [True] + [False] * 9
-    assert hints.should_forward("i-2", 0.5)
-    assert hints.should_forward("i-1", DUPLICATE_WINDOW_S + 0.1)
+    clients = RelayClients()
+    assert [clients.should_forward("i-1", at / 10) for at in range(10)] == [True] + [False] * 9
+    assert clients.should_forward("i-2", 0.5)
+    assert clients.should_forward("i-1", DUPLICATE_WINDOW_S + 0.1)
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pearwell.affinity.cache import ObjectCache
-from pearwell.affinity.fetch_scheduler import SNAPSHOT_WAIT_S, FetchScheduler, WatchLimits
+from pearwell.affinity.fetch_scheduler import FetchScheduler, WatchLimits
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.sync import ObjectSync, StoreResponse
 from pearwell.errors import Code, PlatformError
@@ -29,33 +29,19 @@
 
 
 class SyncHarness:
-    """Synchronizes a configuration.
-
-    Args:
-        store: Responses of the store.
-        relays: Responses of the relays.
-        snapshot: Whether the first call asks a relay for a snapshot.
-        assigned: Responses of the relay that another one hands it on to.
-    """
-
-    def __init__(self, store, *relays, snapshot=False, assigned=None):
+    def __init__(self, store, *relays):
         self.now = 0.0
         self.routes = RouteTable()
         self.logged = []
         self.slept = 0.0
         self.cache = ObjectCache()
         self.store = store
-        self.scheduler = FetchScheduler(
-            WatchLimits.for_bounds(0.5, 4.0), len(relays), "a", lambda: 1.0
-        )
-        if relays and not snapshot:
-            self.scheduler.on_failure(self.scheduler.next_call(-10.0), TIMED_OUT.code, -10.0)
         self.sync = ObjectSync(
             ConfigHandler(self.routes, self._log),
-            self.scheduler,
+            FetchScheduler(WatchLimits.for_bounds(0.5, 4.0), len(relays), "a", lambda: 1.0),
             self.cache,
             store,
-            [*relays, assigned],
+            relays,
             lambda: self.now,
             self._sleep,
             lambda: None,
@@ -205,43 +191,3 @@
     assert store.calls == [("list", ""), ("watch", (0, 5)), ("list", "")]
     assert harness.slept == 0.0
     assert harness.logged.count("relay_lost") == 2
-
-
-def snapshot(revision, *versions, era=0, healthy_s=9.0):
-    items = [config(version) for version in versions]
-    return StoreResponse(
-        items, revision, healthy_s=healthy_s, zone="a", era=era, hops=0, verified_s=-0.5
-    )
-
-
-def test_a_start_from_a_snapshot_makes_no_call_to_the_store():
-    relay = FakeStore(snapshot(5, 1, era=2), events(6, 2, era=2))
-    harness = SyncHarness(FakeStore(), relay, snapshot=True)
-    assert harness.steps(2) == [1, 2]
-    assert relay.calls == [("snapshot", SNAPSHOT_WAIT_S), ("watch", (2, 5))]
-    assert harness.store.calls == []
-    assert "snapshot_taken" in harness.logged
-    assert [item["spec"]["Version"] for item in harness.cache.objects] == [2]
-
-
-@pytest.mark.parametrize("error", [EXPIRED, DOWN, INVALID, snapshot(5, 1, healthy_s=None)])
-def test_a_snapshot_that_is_refused_or_invalid_is_taken_from_the_next_relay(error):
-    """A snapshot without the relay's status is one of another release; nothing of it is applied."""
-    harness = SyncHarness(FakeStore(), FakeStore(error), FakeStore(snapshot(6, 2)), snapshot=True)
-    assert harness.steps(2) == [-1, 2]
-    assert harness.slept == 0.0
-
-
-def test_a_relay_that_hangs_at_a_start_is_followed_by_a_list_of_the_store():
-    harness = SyncHarness(FakeStore(listed(6, 2)), FakeStore(TIMED_OUT), snapshot=True)
-    assert harness.steps(2) == [-1, 2]
-    assert harness.slept == 0.0
-
-
-def test_a_relay_that_stops_is_left_without_a_call_to_the_store():
-    last = events(6, 2)
-    last.leaving = True
-    relays = FakeStore(snapshot(5, 1), last), FakeStore(events(7, 3))
-    harness = SyncHarness(FakeStore(), *relays, snapshot=True)
-    assert harness.steps(3) == [1, 2, 3]
-    assert "relay_leaving" in harness.logged
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -21,7 +21,6 @@
 BOUNDS = Bounds(drain_s=3.0, config_s=3.0, contact_s=4.0, grace_s=6.0)
 LATENCY_S = 0.004
 HEARTBEAT_S = 0.77
-PORT = 8166
 ROUTE = {"Name": "r", "Host": "198.18.0.1", "PathPrefix": "/8443/", "Service": "intake"}
 
 
@@ -68,13 +67,13 @@
         link: Cleared while the server can't be reached.
     """
 
-    def __init__(self, node, respond, link, is_relay=False, zone=""):
-        super().__init__(node, ("10.200.1.7", 80), None, is_relay, zone)
+    def __init__(self, node, respond, link, **options):
+        super().__init__(node, ("10.200.1.7", 80), **options)
         self._node = node
         self._respond = respond
         self._link = link
 
-    async def _exchange(self, path, timeout_s, connect_timeout_s):
+    async def _exchange(self, path, timeout_s):
         await self._node.running.wait()
         self._calls += 1
         try:
@@ -91,25 +90,6 @@
         return MessageReader().feed(encode_message(f"HTTP/1.1 {status} -", headers, body))
 
 
-class AssignedClient(LocalClient):
-    """A client of the relay that another one hands its instance on to.
-
-    Args:
-        node: The calling instance.
-        find_node: Returns the instance with an IP address, or None if it is down.
-    """
-
-    def __init__(self, node, find_node):
-        super().__init__(node, self._respond_as_assigned, node.linked, True, node.zone)
-        self._find_node = find_node
-
-    async def _respond_as_assigned(self, path):
-        relay = self._find_node(self._address[0])
-        if relay is None:
-            raise ConnectionRefusedError
-        return await relay.respond(path, self._node.ip)
-
-
 class VirtualStore:
     """The store, whose calls a test can hook into.
 
@@ -161,9 +141,7 @@
         events: Log events with their times and fields.
     """
 
-    def __init__(
-        self, store, relays, is_relay, ip="10.0.0.1", zone="a", max_hops=0, find_node=None
-    ):
+    def __init__(self, store, relays, is_relay):
         self._loop = asyncio.get_running_loop()
         self.running, self.linked, self.store_linked = (asyncio.Event() for _ in range(3))
         for event in (self.running, self.linked, self.store_linked):
@@ -172,20 +150,16 @@
         self.versions = []
         self._changed = Trigger()
         self.instance = Instance(
-            zone, BOUNDS, len(relays), is_relay, lambda: 0.5, self._log, self._log, max_hops
+            "a", BOUNDS, len(relays), is_relay, lambda: 0.5, self._log, self._log
         )
         instance = self.instance
         caches = {"config": instance.config_cache, "servers": instance.target_cache}
-        self.ip, self.zone = ip, zone
-        self.relay = Relay(
-            zone,
-            PORT,
-            max_hops,
+        self._relay = Relay(
+            "a",
             caches,
             lambda: instance.target_scheduler.store_healthy_since,
             self._changed,
             self.now,
-            lambda: instance.lifecycle.stopping,
         )
         targets = TargetHandler(instance.directory, instance.trusts_listing, self._log)
         pairs = (
@@ -193,41 +167,25 @@
             (targets, instance.target_scheduler),
         )
         self._tasks = [asyncio.ensure_future(self._tick())]
-        self._stores = []
-        self.syncs = []
         for handler, scheduler in pairs:
             sync = ObjectSync(
                 handler,
                 scheduler,
                 caches[handler.kind],
-                self._connect_store(store),
-                [*[relay.client_for(self) for relay in relays], AssignedClient(self, find_node)],
+                LocalClient(self, store.respond, self.store_linked),
+                [relay.client_for(self) for relay in relays],
                 self.now,
                 asyncio.sleep,
                 self._on_change,
                 self._log,
-                lambda: self.relay.clients.is_calling(self.now()),
             )
-            self.syncs.append(sync)
             self._tasks.append(asyncio.ensure_future(sync.run()))
 
-    @property
-    def store_calls(self):
-        """Number of calls to the store so far."""
-        return sum(store.calls for store in self._stores)
-
     def now(self):
         return self._loop.time()
 
-    def _connect_store(self, store):
-        self._stores.append(LocalClient(self, store.respond, self.store_linked))
-        return self._stores[-1]
-
     def client_for(self, node):
-        """Returns a client of this relay for another instance."""
-        return LocalClient(
-            node, lambda path: self.respond(path, node.ip), node.linked, True, node.zone
-        )
+        return LocalClient(node, self._respond, node.linked, is_relay=True)
 
     async def freeze(self, seconds):
         await _clear([self.running], seconds)
@@ -245,14 +203,13 @@
         errors = [error for error in results if not isinstance(error, asyncio.CancelledError)]
         assert errors == []
 
-    async def respond(self, path, ip):
-        """Responds as a relay to a call from an IP address."""
+    async def _respond(self, path):
         await self.running.wait()
         await self.linked.wait()
-        status, body, headers = await self.relay.respond(path, ip)
+        status, body = await self._relay.respond(path)
         await self.running.wait()
         await self.linked.wait()
-        return status, RELAY_HEADERS | headers, body
+        return status, RELAY_HEADERS, body
 
     async def _tick(self):
         while True:
@@ -285,16 +242,10 @@
     operator finds its latest configuration lost and writes it again.
     """
 
-    def __init__(self, relays, clients, zones=("a",), max_hops=0):
+    def __init__(self, relays, clients):
         self.store = VirtualStore()
-        self._zones, self._max_hops = zones, max_hops
-        self._started = 0
-        self.relays = []
-        self.clients = []
-        for _ in range(relays):
-            self.relays.append(self.start_relay())
-        for _ in range(clients):
-            self.start_client()
+        self.relays = [Node(self.store, [], True) for _ in range(relays)]
+        self.clients = [Node(self.store, self.relays, False) for _ in range(clients)]
         self.entries = {}
         self.version = 0
         self._copy = self.store.server.history.copy()
@@ -305,27 +256,6 @@
     def nodes(self):
         return [*self.relays, *self.clients]
 
-    def start_relay(self):
-        """Starts another relay, which existing clients don't know."""
-        return self._start([], True)
-
-    def start_client(self):
-        """Starts another instance that calls the relays."""
-        self.clients.append(self._start(self.relays, False))
-        return self.clients[-1]
-
-    def _start(self, relays, is_relay):
-        number = self._started
-        self._started += 1
-        ip, zone = f"10.0.{number >> 8}.{number & 255}", self._zones[number % len(self._zones)]
-        # Instances spread over the relays, as by order_relays().
-        first = number % max(1, len(relays))
-        relays = [*relays[first:], *relays[:first]]
-        return Node(self.store, relays, is_relay, ip, zone, self._max_hops, self._find_node)
-
-    def _find_node(self, ip):
-        return next((node for node in self.nodes if node.ip == ip), None)
-
     async def configure(self):
         """Writes the next configuration."""
         self.version += 1
@@ -382,13 +312,3 @@
             if asyncio.get_running_loop().time() - self._restored_at > HEARTBEAT_S:
                 for name in [*self.entries]:
                     await self._write_entry(name)
-
-
-async def started_fleet(targets, settle_s, relays=2, clients=2, **options):
-    """Starts a fleet with a configuration and a number of targets, and waits until it is calm."""
-    fleet = Fleet(relays, clients, **options)
-    await fleet.configure()
-    for number in range(targets):
-        await fleet.put_target(number)
-    await asyncio.sleep(settle_s)
-    return fleet
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,52 +58,13 @@
     assert len(decode(body, **{"Content-Encoding": "deflate"}).items) == 1
 
 
-@pytest.mark.parametrize(
-    "body",
-    [
-        b"no zlib",
-        compress(b"[" + b" " * module.MAX_BODY_BYTES),
-        compress(b'{"items":[],"AsOf":3}')[:-12],
-    ],
-    ids=["not compressed", "too long", "cut short"],
-)
+@pytest.mark.parametrize("body", [b"no zlib", compress(b"[" + b" " * module.MAX_BODY_BYTES)])
 def test_an_invalid_or_too_long_compressed_response_has_a_code(body):
     with pytest.raises(PlatformError) as caught:
         decode(body, **{"Content-Encoding": "deflate"})
     assert caught.value.code is Code.PLATFORM_BAD_ANSWER
 
 
-def test_the_status_of_a_relay_is_read():
-    headers = {"Hops": "2", "Verified-Ms": "-1500", "Leaving": "1"}
-    response = decode(b'{"items":[],"AsOf":3,"GoodS":9.5,"Zone":"a"}', **headers)
-    assert (response.hops, response.verified_s, response.leaving) == (2, -1.5, True)
-    assert (response.healthy_s, response.zone) == (9.5, "a")
-
-
-@pytest.mark.parametrize("headers", [{"Hops": "x"}, {"Verified-Ms": "1.5"}, {"Verified-Ms": ""}])
-def test_an_invalid_status_of_a_relay_has_a_code(headers):
-    with pytest.raises(PlatformError) as caught:
-        decode(b'{"items":[],"AsOf":3}', **headers)
-    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
-
-
-def redirected(address):
-    headers = {"Next-Relay": address}
-    message = module.MessageReader().feed(encode_message("HTTP/1.1 307 -", headers, b""))
-    return module._decode(message, "items").next_relay
-
-
-def test_a_relay_names_another_one_to_call():
-    assert redirected("10.0.0.5:8166") == "10.0.0.5:8166"
-
-
-@pytest.mark.parametrize("address", ["", "10.0.0.5", "10.0.0.5:x", "10.0.0.5:0", ":8166"])
-def test_an_invalid_address_of_another_relay_has_a_code(address):
-    with pytest.raises(PlatformError) as caught:
-        redirected(address)
-    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
-
-
 @pytest.mark.parametrize(
     "body",
     [
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.platform.store_fleet import BOUNDS, Fleet, entry, started_fleet
+from tests.platform.store_fleet import BOUNDS, Fleet, entry
 from tests.virtual_time import run
 
 # More than one page of a list.
@@ -13,8 +13,13 @@
 LAST_TARGET = 200
 
 
-async def restorable_fleet(relays=2, clients=2):
-    return await started_fleet(TARGETS, 2.0, relays, clients)
+async def started_fleet(relays=2, clients=2):
+    fleet = Fleet(relays, clients)
+    await fleet.configure()
+    for number in range(TARGETS):
+        await fleet.put_target(number)
+    await asyncio.sleep(2.0)
+    return fleet
 
 
 async def change_everything(fleet, step):
@@ -53,7 +58,7 @@
     """A relay that keeps the higher revision of the lost history never forwards them."""
 
     async def scenario():
-        fleet = await restorable_fleet(relays)
+        fleet = await started_fleet(relays)
         fleet.copy()
         for step in range(10):
             await change_everything(fleet, step)
@@ -72,7 +77,7 @@
     """
 
     async def scenario():
-        fleet = await restorable_fleet(relays)
+        fleet = await started_fleet(relays)
         fleet.copy()
         await change_everything(fleet, 1)
         # Each instance has the events and pauses before its next call.
@@ -122,7 +127,7 @@
 @pytest.mark.parametrize("duration_s", [1.0, 5.0])
 def test_a_restore_while_instances_are_cut_off_or_frozen(fault, victims, duration_s):
     async def scenario():
-        fleet = await restorable_fleet()
+        fleet = await started_fleet()
         fleet.copy()
         for step in range(5):
             await change_everything(fleet, step)
@@ -147,7 +152,7 @@
     """One has restarted, one has taken over an address, one is leaving; each has flows."""
 
     async def scenario():
-        fleet = await restorable_fleet()
+        fleet = await started_fleet()
         fleet.copy()
         await fleet.put_target(1, born=2)
         await fleet.remove_target(2)
@@ -174,7 +179,7 @@
 def test_random_restores_with_instances_cut_off_or_frozen(seed):
     async def scenario():
         rng = random.Random(seed)
-        fleet = await restorable_fleet(rng.choice((1, 3)), 2)
+        fleet = await started_fleet(rng.choice((1, 3)), 2)
         running = []
 
         def start(coroutine):
