Forward open flows before the configuration is known

Cause: after a loss of power a configuration of 1,805 routes (262 kB) takes most of half a second on a link of 5 Mbit/s, and an instance forwarded nothing until it had it. Packets of open flows name their target and need no route.

Change: packets are read once the targets are known. Readiness is as before. Relays alone import their server, which keeps the role's bytecode within its bound.

Tests of an instance that send SYNs without its start now accept flows first.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -14,6 +14,7 @@
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_placement import FlowPlacement, NewFlow
 from pearwell.affinity.flow_table import SEQ_MASK, Flow, FlowTable, is_after
+from pearwell.affinity.held_syns import HeldSyns
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.syn_retransmission import SYN_TIMEOUT_S, SynRetransmission
 from pearwell.affinity.target import Target
@@ -68,6 +69,8 @@
         self._counts: dict[str, int] = {}
         self._health = TargetHealth(directory, log, self._count)
         self._failing: FailingTargets | None = None
+        self._holds_flows = False
+        self._held_syns = HeldSyns()
 
     @property
     def flows(self) -> FlowTable:
@@ -94,6 +97,18 @@
         """Clock time in seconds for the next call of due_retransmissions(); None if not needed."""
         return self._retransmission.next_at
 
+    def hold_flows(self) -> None:
+        """Holds the SYNs of new flows until accept_flows()."""
+        self._holds_flows = True
+
+    def accept_flows(self) -> None:
+        """Accepts new flows from now on."""
+        self._holds_flows = False
+
+    def take_held_syns(self, now: float) -> list[bytes]:
+        """Returns the SYNs held so far, to be handled now."""
+        return self._held_syns.take(now)
+
     def watch_failures(self) -> "FailingTargets":
         """Starts to find targets that serve nothing, and returns what finds them."""
         from pearwell.affinity.failing_targets import FailingTargets
@@ -111,10 +126,16 @@
             now: Current time in seconds of the clock.
         """
         if packet[2] & SYN:
+            if self._holds_flows:
+                held = self._held_syns.add(packet[0], data, now)
+                return self._refuse(Code.FLOW_HELD if held else Code.FLOW_UNSETTLED, packet)
             return self._on_syn(packet, data, now)
         key, address, flags, seq, ack, length, token = packet
+        if self._holds_flows:
+            self._held_syns.discard(key)
         if self._routes.find(address) is None and not self._may_be_newer_route(address, token):
-            return self._refuse(Code.FLOW_NO_ROUTE, packet)
+            unsettled = self._holds_flows
+            return self._refuse(Code.FLOW_UNSETTLED if unsettled else Code.FLOW_NO_ROUTE, packet)
         flow = self._flows.get(key)
         if flow is not None and flow.opened and flow.target.token == token:
             # Fast path for most packets: no lookup by token.
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -115,6 +115,7 @@
         self.director = Director(
             zone, self.routes, self.directory, self.trusts_listing, log_flow, jitter
         )
+        self.director.hold_flows()
         # None if zones are never evacuated.
         self.evacuation_feed: EvacuationFeed | None = None
         if bounds.evacuate_s is not None:
@@ -157,15 +158,25 @@
         for event, target in self.directory.expire(now, self.target_scheduler.store_healthy_since):
             self._log_event(event, target=target.name, service=target.service)
 
+    def forward_if_synced(self) -> bool:
+        """Whether the targets are now known for the first time.
+
+        Packets of open flows are forwarded from then on: their tokens name their targets.
+        """
+        return self.directory.known and self.lifecycle.forward()
+
     def start_if_synced(self) -> bool:
-        """Whether all that is needed is now known for the first time; starts serving if so.
+        """Whether all that new flows need is now known for the first time; serves them if so.
 
         These are the routes, the targets, and the evacuations where zones may be evacuated.
         """
         known = self.routes.known and self.directory.known
         if self.evacuation_feed is not None:
             known = known and self.evacuation_feed.evacuations.known
-        return known and self.lifecycle.start()
+        started = known and self.lifecycle.start()
+        if started:
+            self.director.accept_flows()
+        return started
 
     def samples(self, now: float) -> list[Sample]:
         """Returns the counters and gauges for the metrics endpoint."""
--- a/pearwell/affinity/lifecycle.py
+++ b/pearwell/affinity/lifecycle.py
@@ -1,4 +1,4 @@
-"""Lifecycle of an instance: when it forwards packets and reports readiness to routers."""
+"""Lifecycle of an instance: when it forwards open and new flows and tells routers it is ready."""
 
 from collections.abc import Mapping
 
@@ -41,6 +41,7 @@
         self.grace_s = grace_s
         self._phase = Phase.STARTING
         self._forwards = False
+        self._accepts_flows = False
 
     @property
     def phase(self) -> str:
@@ -54,18 +55,29 @@
 
     @property
     def forwards(self) -> bool:
-        """Whether packets are forwarded; a stopping instance continues to forward them."""
+        """Whether packets of open flows are forwarded; a stopping instance goes on with it."""
         return self._forwards
 
+    @property
+    def accepts_flows(self) -> bool:
+        """Whether new flows are accepted; a stopping instance goes on with it."""
+        return self._accepts_flows
+
     @property
     def stop_after_s(self) -> float:
         """Time in seconds from the request to stop to the exit."""
         return max(0.0, min(STOP_S, self.grace_s - STOP_MARGIN_S))
 
-    def start(self) -> bool:
-        """Records that routes and targets are known; returns whether this is the first time."""
+    def forward(self) -> bool:
+        """Records that the targets are known; returns whether this is the first time."""
         first = not self._forwards
         self._forwards = True
+        return first
+
+    def start(self) -> bool:
+        """Records that routes and targets are known; returns whether this is the first time."""
+        first = not self._accepts_flows
+        self._forwards = self._accepts_flows = True
         self._phase = _TRANSITIONS.get((self._phase, "start"), self._phase)
         return first
 
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -8,7 +8,6 @@
 from pearwell.affinity.cache import ObjectCache
 from pearwell.affinity.fetch_scheduler import FetchScheduler
 from pearwell.affinity.instance import Bounds, Instance, order_relays
-from pearwell.affinity.relay import Relay
 from pearwell.affinity.sync import ObjectSync
 from pearwell.affinity.target import Target
 from pearwell.errors import SettingsError
@@ -193,6 +192,9 @@
             self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
         if settings.control is None or not self._is_relay:
             return
+        # Imported only by the few relays, to keep the start of the others fast.
+        from pearwell.affinity.relay import Relay
+
         instance = self._instance
         relay = Relay(
             settings.zone,
@@ -224,11 +226,18 @@
     def _on_change(self) -> None:
         instance = self._instance
         instance.apply_shared_limits()
-        if instance.start_if_synced():
+        if instance.forward_if_synced():
             self._packets.start()
+            self._log.event("forwarding", targets=len(instance.directory))
+        if instance.start_if_synced():
+            held = instance.director.take_held_syns(self._reactor.now())
             self._log.event(
-                "ready", version=instance.routes.version, targets=len(instance.directory)
+                "ready",
+                version=instance.routes.version,
+                targets=len(instance.directory),
+                held=len(held),
             )
+            self._packets.replay(held)
         self._packets.send_resets()
         self._changed.fire()
 
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -26,7 +26,7 @@
 DATAGRAM_BYTES = 2_048
 # Holds the packets that arrive while an instance starts or is paused.
 RECEIVE_BUFFER_BYTES = 4_194_304
-_NOT_RESET = (Code.FLOW_UNSETTLED, Code.FLOW_WITHHELD)
+_NOT_RESET = (Code.FLOW_UNSETTLED, Code.FLOW_WITHHELD, Code.FLOW_HELD)
 
 
 class PacketSocket:
@@ -97,7 +97,7 @@
             self._reset(flow.key, encode_reset(flow_packet(flow.key, flow.last_ack)))
 
     def replay(self, packets: list[bytes]) -> None:
-        """Handles packets that were withheld as if they had just been received."""
+        """Handles packets that were withheld or held as if they had just been received."""
         for data in packets:
             self._handle(data, self._reactor.now())
 
--- a/tests/affinity/test_evacuations.py
+++ b/tests/affinity/test_evacuations.py
@@ -323,6 +323,7 @@
 
 def test_samples_contain_the_evacuations():
     instance = make_instance(BOUND_S)
+    instance.director.accept_flows()
     chosen = instance.director.on_packet(syn(1), b"", 0.0)
     evacuations = instance.evacuation_feed.evacuations
     evacuations.replace({chosen.zone: 7, "unknown": 8}, 0.0, True)
--- a/tests/affinity/test_instance.py
+++ b/tests/affinity/test_instance.py
@@ -52,6 +52,7 @@
     instance, _ = make()
     instance.routes.apply(Routes(7, {ROUTE: Route("r", (("intake", 1),))}), 1.0)
     instance.directory.replace([target(1)], 1.0)
+    instance.director.accept_flows()
     instance.director.on_packet(syn(1), b"", 2.0)
     instance.config_scheduler.on_era(3)
     instance.config_scheduler.on_list((3, 17), 1.5)
@@ -90,6 +91,7 @@
     configure(instance, 2, 0.4)
     instance.directory.replace([target(1, warmup_ends_at=60.0)], 1.0)
     instance.shared_limits.fleet_size.record_callers(36, 2.0, 2.0)
+    instance.director.accept_flows()
     assert isinstance(instance.director.on_packet(syn(1), b"", 2.0), Code)
     assert events.count("warmup_limited") == 1
     page = render_samples(instance.samples(3.0))
@@ -172,6 +174,7 @@
     instance.directory.replace([big, small], 0.0)
     director = instance.director
     number = next(n for n in range(1, 100) if route.service_of(flow_key(n)) == "intake")
+    director.accept_flows()
     assert director.on_packet(syn(number), b"", 1.0) is big
     for _ in range(10):
         director.placement.record_response(route, ROUTE, small, 0.03, 2_000, False, 1.0)
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -8,13 +8,16 @@
 import aiohttp
 import pytest
 
+from pearwell.affinity.token import token_of
 from pearwell.platform.edge import METRICS_PORT
 from pearwell.soak.processes import ROOT
 from pearwell.standins.object_server import ObjectServer
+from pearwell.standins.token_packet import ACK, SYN, TokenPacket, flow_address
 from tests.addresses import loopback_address
 from tests.platform.settings_text import settings_text
 
 PACKET_PORT, READY_PORT, CONTROL_PORT, STORE_PORT = 20821, 20822, 20823, 20824
+HOST_PORT = 20825
 # Timeout that allows for delays on a busy machine.
 EVENT_TIMEOUT_S = 60.0
 IP = loopback_address(1)
@@ -110,6 +113,49 @@
         await store.stop()
 
 
+async def test_open_flows_are_forwarded_before_the_configuration_is_known(tmp_path):
+    """A SYN that comes before it waits for it."""
+    loop = asyncio.get_running_loop()
+    received: asyncio.Queue[bytes] = asyncio.Queue()
+
+    class Host(asyncio.DatagramProtocol):
+        def datagram_received(self, data, addr):
+            received.put_nowait(data)
+
+    path = tmp_path / "node.conf"
+    path.write_text(settings())
+    store = ObjectServer()
+    await store.start(STORE_IP, STORE_PORT)
+    host, _ = await loop.create_datagram_endpoint(Host, local_addr=(STORE_IP, HOST_PORT))
+    client, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, local_addr=(CLIENT_IP, PACKET_PORT)
+    )
+    entry = {"Service": "s", "Address": f"{STORE_IP}:{HOST_PORT}", "Zone": "z", "State": "ready"}
+    route = {"Name": "r", "Host": "198.18.0.1", "PathPrefix": "/443/", "Service": "s"}
+    route_address = flow_address("198.18.0.1", 443)
+    ends = [(flow_address(CLIENT_IP, port), route_address) for port in (50_001, 50_002)]
+    try:
+        await store.write("servers", "i-00000001", entry)
+        async with RoleProcess(path) as role, asyncio.timeout(EVENT_TIMEOUT_S):
+            await role.logged("forwarding")
+            token = token_of("i-00000001")
+            for packet in (
+                TokenPacket(*ends[0], SYN, 1, 0, 0),
+                TokenPacket(*ends[1], ACK, 1, 1, token, b"data"),
+            ):
+                client.sendto(packet.encode(), (IP, PACKET_PORT))
+            assert b"data" in await received.get()
+            assert (await get(READY_PORT, "/ready"))[0] == 503
+            assert received.empty()
+            await store.write("config", "main", {"Version": 4, "Routes": [route], "Limits": {}})
+            assert "held=1" in await role.logged("ready")
+            assert TokenPacket(*ends[0], SYN, 1, 0, 0).encode()[:28] in await received.get()
+    finally:
+        host.close()
+        client.close()
+        await store.stop()
+
+
 async def test_a_relay_and_its_caller_know_the_size_of_the_fleet(tmp_path):
     """Once a configuration has a rate for cold targets."""
     own = {
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -8,13 +8,14 @@
 
 import pytest
 
-# Modules of features that settings or a configuration switch on.
+# Modules of features that settings or a configuration switch on, and of relays.
 OPTIONAL = (
     "pearwell.affinity.evacuations",
     "pearwell.affinity.failing_targets",
     "pearwell.affinity.fleet_size",
     "pearwell.affinity.flow_limit",
     "pearwell.affinity.flow_limit_watch",
+    "pearwell.affinity.relay",
     "pearwell.affinity.shared_limits",
     "pearwell.affinity.slot_ratios",
     "pearwell.affinity.split_overflow",
