Make no call to the store for relays that refuse right after it has responded

Cause: an instance asks the store for changes after each failure of a relay, and lists it once all have failed. When all instances start at once no relay listens yet, so each kind cost a list, two such calls and a second list within 10 ms.

Change: while the store itself has responded within 0.25 s, a relay that refuses (or has lost the store) costs no call. Before a pause between two watches of the store ends, relays are considered again.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -38,6 +38,10 @@
 RELAY_TIMEOUT_RETRY_S = 6.0
 
 
+# Age in seconds up to which a response of the store shows that no relay has withheld changes since.
+STORE_FRESH_S = 0.25
+
+
 class WatchLimits:
     """Limits on the frequency and the duration of watches at the store.
 
@@ -135,6 +139,8 @@
         self._position: Position | None = None
         self._era: int | None = None
         self._synced_at = float("-inf")
+        # Latest response of the store itself; a relay's may be as old as its cache allows.
+        self._store_read_at = float("-inf")
         self._failures = 0
         self._catch_up = _CatchUp.NONE
         self._events_at = float("-inf")
@@ -197,12 +203,16 @@
         self._position = position
         self._events_at = now
         self._list_at = now + self._limits.min_interval_s
-        self._synced_at = now
+        self._synced_at = self._store_read_at = now
 
-    def on_watch(self, event_count: int, position: Position, now: float) -> None:
+    def on_watch(
+        self, event_count: int, position: Position, now: float, from_store: bool = False
+    ) -> None:
         """Records the response to a watch; without events the next watch starts at once."""
         self._catch_up = _CatchUp.NONE
         self._synced_at = now
+        if from_store:
+            self._store_read_at = now
         if self._position is None or position > self._position:
             self._position = position
         if event_count:
@@ -246,11 +256,18 @@
         A relay that times out or has lost the store may have used up most of the time in which a
         change must be known. The store is therefore asked for changes before another relay, which
         may fail as slowly; once, as relays may still respond where the store does not.
+
+        Load pattern: all instances start at once and find no relay that listens yet, or a relay
+        restarts. Relays that refuse connections right after the store has responded have withheld
+        nothing, so the store is not asked again.
         """
         if call.relay is not None:
             timed_out = code is Code.PLATFORM_TIMEOUT
             penalty = RELAY_TIMEOUT_RETRY_S if timed_out else RELAY_DOWN_RETRY_S
             self._unavailable_until[call.relay] = now + penalty * (0.75 + 0.5 * self._jitter())
+            fresh = now - self._store_read_at <= STORE_FRESH_S
+            if fresh and code is Code.PLATFORM_UNAVAILABLE:
+                return
             if self._select_relay(now) is None:
                 self._position = None
                 self._list_at = now
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -137,6 +137,9 @@
         call = self._scheduler.next_call(self._now())
         if call.delay_s > 0:
             await self._sleep(call.delay_s)
+            if call.position is not None:
+                # A relay may have recovered during the pause between two watches of the store.
+                call = self._scheduler.next_call(self._now())
         started = self._now()
         try:
             if call.position is None:
@@ -185,7 +188,7 @@
             # The events follow the same revision of another history.
             return
         now = self._now()
-        self._apply_events(response, now)
+        self._apply_events(response, now, from_store=True)
         self._cache.append_events(response.items, response.position, now)
 
     async def _watch_relay(self, relay: int, position: Position, wait_s: float) -> None:
@@ -204,10 +207,10 @@
             self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
         self._apply_events(response, now)
 
-    def _apply_events(self, response: StoreResponse, now: float) -> None:
+    def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
         for name, item in [self._decode_event(event) for event in response.items]:
             self._handler.apply(name, item, now)
-        self._scheduler.on_watch(len(response.items), response.position, now)
+        self._scheduler.on_watch(len(response.items), response.position, now, from_store)
 
     def _observe_era(self, response: StoreResponse) -> bool:
         """Records the era of a response of the store; returns whether the store was restored."""
