Check targets wherever a service has a path for health checks

Cause: health checks were switched on by Bounds.WarmupOverage, a setting that says nothing about them, so that some deployments got none.

--- a/pearwell/affinity/routes.py
+++ b/pearwell/affinity/routes.py
@@ -130,6 +130,12 @@
         services = self._routes.services.values()
         return any(service.warmup_starts_per_s is not None for service in services)
 
+    @property
+    def has_health_path(self) -> bool:
+        """Whether a service has a path for health checks of its targets."""
+        services = self._routes.services.values()
+        return any(service.health_path is not None for service in services)
+
     def find_service(self, name: str) -> Service | None:
         """Returns a service of the version in force, or None."""
         return self._routes.services.get(name)
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -103,8 +103,6 @@
             self._on_hint,
         )
         self._checks: TargetChecks | None = None
-        if settings.checks_targets:
-            self._checks = self._start_checks()
         self._changed = Trigger(self._reactor)
         # Caches that this instance serves as a relay, by kind.
         self._caches: dict[str, ObjectCache] = {}
@@ -128,7 +126,7 @@
         self._log.flush()
 
     def _start_checks(self) -> "TargetChecks":
-        # Imported only where the settings ask for it.
+        # Imported after the start, and only where a service has a path for health checks.
         from pearwell.platform.target_checks import TargetChecks
 
         return TargetChecks.start(
@@ -294,6 +292,9 @@
             if callers is not None:
                 self._on_callers(callers, now)
             self._instance.tick(now)
+            if self._checks is None and self._instance.routes.has_health_path:
+                self._checks = self._start_checks()
+                self._log.event("target_checks_enabled", version=self._instance.routes.version)
             if self._checks is not None:
                 self._checks.tick()
             self._packets.send_resets()
@@ -352,7 +353,10 @@
     path = os.environ.get(PATH_VARIABLE, "")
     check_only = len(sys.argv) > 1
     if check_only:
-        path = _parse_arguments(path)
+        # Imported only if there are arguments, to keep the start fast.
+        from pearwell.platform.arguments import parse_arguments
+
+        path = parse_arguments(path)
     try:
         settings = read_settings(path)
         if check_only:
@@ -363,26 +367,3 @@
     except SettingsError as error:
         print(f"event=start_failed code={int(error.code)} detail={error.detail!r}", flush=True)
         sys.exit(2)
-
-
-def _parse_arguments(path: str) -> str:
-    """Returns the path of the settings file to check.
-
-    argparse is imported only if there are arguments, to keep the start fast; absl is not available
-    because the role runs without site-packages.
-    """
-    import argparse
-
-    parser = argparse.ArgumentParser(
-        prog="edge.py",
-        description=f"Runs an instance with the settings file that {PATH_VARIABLE} names.",
-    )
-    parser.add_argument(
-        "--check_config",
-        nargs="?",
-        const=path,
-        required=True,
-        metavar="FILE",
-        help=f"check a settings file, by default that of {PATH_VARIABLE}, and exit",
-    )
-    return parser.parse_args().check_config
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -34,12 +34,9 @@
             None if zones are never evacuated.
         warmup_overage: Factor by which the starts of flows on a cold target may exceed its rate.
         warmup_slack: Number of starts per second by which they may exceed it besides.
-        checks_targets: Whether targets that leave requests unanswered are checked; where the
-            platform bounds the load of targets that come back.
     """
 
     __slots__ = (
-        "checks_targets",
         "config_s",
         "contact_s",
         "control",
@@ -81,7 +78,6 @@
         self.evacuate_s = None if evacuate_ms is None else evacuate_ms / 1000
         self.warmup_overage = _optional_number(fields, "Bounds.WarmupOverage") or 1.0
         self.warmup_slack = _optional_number(fields, "Bounds.WarmupSlack") or 0.0
-        self.checks_targets = bool(fields.get("Bounds.WarmupOverage"))
 
 
 def read_settings(path: str) -> InstanceSettings:
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -156,6 +156,22 @@
         await store.stop()
 
 
+async def test_targets_are_checked_where_a_service_has_a_path_for_it(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text(settings())
+    store = ObjectServer()
+    await store.start(STORE_IP, STORE_PORT)
+    services = [{"Name": "intake"}, {"Name": "tables", "HealthPath": "/healthz"}]
+    try:
+        await store.write("config", "main", {"Version": 4, "Routes": [], "Services": services[:1]})
+        async with RoleProcess(path) as role:
+            await role.logged("ready")
+            await store.write("config", "main", {"Version": 5, "Routes": [], "Services": services})
+            assert "version=5" in await role.logged("target_checks_enabled")
+    finally:
+        await store.stop()
+
+
 async def test_a_relay_and_its_caller_know_the_size_of_the_fleet(tmp_path):
     """Once a configuration has a rate for cold targets."""
     own = {
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -20,6 +20,7 @@
     "pearwell.affinity.slot_ratios",
     "pearwell.affinity.split_overflow",
     "pearwell.affinity.warmup",
+    "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
     "pearwell.platform.target_checks",
 )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -31,8 +31,6 @@
         ({"Bounds__WarmupOverage": "1.5"}, "warmup_overage", 1.5),
         ({}, "warmup_slack", 0.0),
         ({"Bounds__WarmupSlack": "5"}, "warmup_slack", 5.0),
-        ({}, "checks_targets", False),
-        ({"Bounds__WarmupOverage": "1.5"}, "checks_targets", True),
     ],
 )
 def test_optional_and_unknown_fields(changes, field, value):
