--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -104,12 +104,16 @@
         self.routes = RouteTable()
         self.directory = Directory()
         self.lifecycle = Lifecycle(bounds.grace_s)
-        self.config_scheduler = FetchScheduler(
-            _watch_limits(is_relay, bounds.config_s * CONFIG_SHARE, bounds), relays, zone, jitter
-        )
         self.target_scheduler = FetchScheduler(
             _watch_limits(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, zone, jitter
         )
+        self.config_scheduler = FetchScheduler(
+            _watch_limits(is_relay, bounds.config_s * CONFIG_SHARE, bounds),
+            relays,
+            zone,
+            jitter,
+            leader=self.target_scheduler,
+        )
         self.config_cache = ObjectCache()
         self.target_cache = ObjectCache()
         self.director = Director(
--- a/tests/affinity/test_instance.py
+++ b/tests/affinity/test_instance.py
@@ -37,6 +37,23 @@
     assert instance.lifecycle.ready
 
 
+def test_the_configuration_is_not_asked_for_while_calls_for_targets_fail():
+    """In an outage of the store only one kind of each instance finds out when it is back."""
+    instance, _ = make()
+    config, targets = instance.config_scheduler, instance.target_scheduler
+    targets.on_list((0, 5), 0.0)
+    assert not config.awaits_leader(0.0)
+    for relay in range(3):
+        call = targets.next_call(1.0)
+        assert call.relay == relay
+        targets.on_failure(call, Code.PLATFORM_UNAVAILABLE, 1.0)
+        if targets.next_call(1.0).relay is None:
+            targets.on_failure(targets.next_call(1.0), Code.PLATFORM_UNAVAILABLE, 1.0)
+    assert targets.store_failing and config.awaits_leader(1.0)
+    targets.on_list((0, 6), 2.0)
+    assert not config.awaits_leader(2.0)
+
+
 def test_a_tick_expires_unlisted_targets():
     instance, events = make()
     instance.directory.replace([target(1)], 0.0)
