Derive the spill-over between zones from the slots of targets

Cause: the requests in flight from which targets of other zones are used were a constant for the slots of certain deployments.

Change: they are the slots that the target tells, 2 if it tells none, 32 at most.

--- a/pearwell/affinity/chooser.py
+++ b/pearwell/affinity/chooser.py
@@ -19,22 +19,22 @@
 
 # Load of a request in flight, in open flows; most open flows are idle between two requests.
 IN_FLIGHT_WEIGHT = 2.0
-# Service time of a cold target (one that is warming up) relative to a warm one; the site files
-# state 1.6 (cold_x).
+# Service time of a cold target (one that is warming up) relative to a warm one.
 COLD_FACTOR = 1.6
 
-# Requests of this instance in flight at a local-zone target from which remote-zone targets are
-# ranked equally: with five instances per zone all slots of the target (2 to 3 on the sites) are
-# then busy and its queue fills. docs/MEASUREMENTS.md compares 1, 2 and 3.
-SPILLOVER_IN_FLIGHT = 2
+# Slots of a target that tells none. Once an instance has as many requests in flight at a target of
+# the local zone, they are all busy, and targets of remote zones are ranked equally.
+DEFAULT_SLOTS = 2
+# Most slots that count here: a target that tells its slots wrongly would never seem busy.
+MAX_SLOTS = 32
 
 # Number of recent responses considered, and the window in seconds that they must fall into; fewer
 # responses do not indicate a burst. With 8 samples, a few instances used remote zones needlessly,
 # and their flows hung when a zone was partitioned; see docs/MEASUREMENTS.md.
 RECENT_SAMPLES = 12
 RECENT_WINDOW_S = 1.0
-# Ratio of recent mean to baseline response time that indicates queueing. Responses of a full target
-# (2 slots, 8 requests queued) take up to five times as long; short and long requests are mixed.
+# Ratio of recent mean to baseline response time that indicates queueing. With as many requests
+# queued as a target has slots, responses take twice as long.
 QUEUEING_RATIO = 2.0
 # Response times are capped at this multiple of the baseline: a response delayed by a pause of the
 # client or the network does not indicate queueing.
@@ -181,7 +181,7 @@
             instances the requests in flight of this one show it as well.
     """
     best, best_score = None, (len((_LOCAL_ZONE, _ANY_ZONE, _SUSPECT, _TRIED)), 0.0)
-    ratio, ratios = 1.0, None
+    ratios = None
     if len({target.counted_slots for target in targets} - {None}) > 1:
         # Few services have targets of unlike slots.
         from pearwell.affinity.slot_ratios import SlotRatios
@@ -190,15 +190,13 @@
     for target in targets:
         if target.draining or target.token_conflict or target.gone:
             continue
-        if ratios is not None:
-            ratio = ratios.of(target)
         if target in tried:
             tier = _TRIED
         elif now < target.suspect_until:
             tier = _SUSPECT
         elif (
             target.zone == zone
-            and target.in_flight < SPILLOVER_IN_FLIGHT * ratio
+            and target.in_flight < min(target.counted_slots or DEFAULT_SLOTS, MAX_SLOTS)
             and not zone_queueing
         ):
             tier = _LOCAL_ZONE
--- a/pearwell/affinity/syn_retransmission.py
+++ b/pearwell/affinity/syn_retransmission.py
@@ -7,8 +7,8 @@
 __all__ = ["SYN_TIMEOUT_S", "SynRetransmission"]
 
 # Time after which a SYN counts as unanswered. The answer takes one round trip to the client and one
-# to the target, at most 10 ms on any site; the rest allows for scheduling delays of the instance or
-# the target. Clients retransmit after 200 ms.
+# to the target, a few milliseconds within a region; the rest allows for scheduling delays of the
+# instance or the target. Clients retransmit after 200 ms.
 SYN_TIMEOUT_S = 0.045
 # Token bucket for SYN retransmissions by an instance: tokens per new flow and per second, and the
 # bucket's size. The limit keeps retransmissions from adding load to targets that are slow from
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -14,7 +14,7 @@
 __all__ = ["StoreClient", "connect", "finish_connect"]
 
 # Timeouts. A connection is established within a few milliseconds; responses of a slow store take up
-# to 350 ms (platform_slow in the site files). A list of 1 MB takes 1.6 s at 5 Mbit/s.
+# to 350 ms. A list of 1 MB takes 1.6 s at 5 Mbit/s.
 CONNECT_TIMEOUT_S = 0.6
 RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
