--- a/pearwell/cli/soak.py
+++ b/pearwell/cli/soak.py
@@ -7,6 +7,7 @@
 
 from absl import app, flags
 
+from pearwell.soak.earlier_build import Rollout, extract_build
 from pearwell.soak.schedule import draw_faults
 from pearwell.soak.soak_harness import SoakOptions, run_soak
 
@@ -22,11 +23,19 @@
 _CLIENTS = flags.DEFINE_integer("clients", 12, "Number of clients.", 1, 200)
 _OCTET = flags.DEFINE_integer("octet", 90, "Second octet of all loopback addresses.", 1, 250)
 _DIRECTORY = flags.DEFINE_string("directory", "", "Directory for logs; a temporary one by default.")
+_BESIDE = flags.DEFINE_string(
+    "beside", "", "Commit of an earlier build, which the current one replaces while it runs."
+)
+_ROLLOUT = flags.DEFINE_enum_class(
+    "rollout", Rollout.FORWARD, Rollout, "Order of replacements with --beside."
+)
 _SHOW_FAULTS = flags.DEFINE_bool("show", False, "Print the fault schedule of each seed.")
 
 
 def _main(_: list[str]) -> None:
     directory = Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="pearwell-soak-"))
+    directory.mkdir(parents=True, exist_ok=True)
+    beside = extract_build(_BESIDE.value, directory) if _BESIDE.value else None
     failed_seeds = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
         seed_directory = directory / f"seed-{seed}"
@@ -44,6 +53,8 @@
                     _CLIENTS.value,
                     _OCTET.value,
                     seed_directory,
+                    beside,
+                    _ROLLOUT.value,
                 )
             )
         )
--- a/pearwell/soak/options.py
+++ b/pearwell/soak/options.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from pearwell.soak.earlier_build import Rollout
+
 __all__ = ["SoakOptions"]
 
 
@@ -18,6 +20,8 @@
         clients: Number of clients.
         octet: Second octet of all loopback addresses, so that concurrent runs don't clash.
         directory: Directory for settings and logs.
+        beside: Directory of an earlier build that runs beside the current one; None for none.
+        rollout: Order in which the two builds replace each other.
     """
 
     seed: int
@@ -27,3 +31,5 @@
     clients: int
     octet: int
     directory: Path
+    beside: Path | None = None
+    rollout: Rollout = Rollout.FORWARD
--- a/pearwell/soak/processes.py
+++ b/pearwell/soak/processes.py
@@ -23,6 +23,9 @@
         environment: Variables that are added to the environment.
         log: File that its output is appended to.
         on_line: Called with the name and each line of its output.
+
+    Attributes:
+        root: Directory of the build that its next start runs.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         self._reader: asyncio.Task[None] | None = None
         self._exit_expected = False
         self._restart_lock = asyncio.Lock()
+        self.root = ROOT
         self.faulty_until = float("-inf")
         self.starts = 0
         self.unexpected_exits = 0
@@ -57,7 +61,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self._arguments,
-            cwd=ROOT,
+            cwd=self.root,
             env={**os.environ, **self._environment},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
--- a/pearwell/soak/soak_harness.py
+++ b/pearwell/soak/soak_harness.py
@@ -6,14 +6,16 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 from zlib import crc32
 
 import msgspec
 
 from pearwell.soak.checks import Checker, Guarantee
+from pearwell.soak.earlier_build import Replacement, Rollout, draw_replacements
 from pearwell.soak.options import SoakOptions
-from pearwell.soak.processes import ManagedProcess
+from pearwell.soak.processes import ROOT, ManagedProcess
 from pearwell.soak.proxy import Link, Proxy
 from pearwell.soak.schedule import Fault, FaultKind, draw_faults
 from pearwell.soak.store_faults import LEASE_S, restore_from_copy, switch_fault
@@ -111,7 +113,9 @@
         clients = [
             asyncio.ensure_future(_run_client(harness, index)) for index in range(options.clients)
         ]
+        rollout = harness.spawn(_replace_builds(harness))
         await _inject_faults(harness, draw_faults(options.seed, options.length_s))
+        await rollout
         await asyncio.sleep(SETTLE_S)
         await _check_configuration(harness)
         await _evacuate_zone(harness, 0, EVACUATE_MS / 1000 + EVACUATED_S)
@@ -139,6 +143,10 @@
         await proxy.start((harness.ip(4, index + 1), STORE_PORT), (harness.ip(0, 1), STORE_PORT))
         harness.proxies.append(proxy)
         harness.instances.append(_instance_process(harness, index))
+    beside = harness.options.beside
+    if beside is not None and harness.options.rollout is not Rollout.BACK:
+        for process in harness.instances:
+            process.root = beside
     await asyncio.gather(*[process.start() for process in harness.instances])
     for index in range(harness.options.instances):
         harness.spawn(_probe_readiness(harness, index))
@@ -390,6 +398,29 @@
     await asyncio.gather(*running)
 
 
+async def _replace_builds(harness: _Harness) -> None:
+    """Restarts instance after instance with the other build, overlapping as a rollout does."""
+    options, started_at = harness.options, time.monotonic()
+    if options.beside is None:
+        return
+    replacements = draw_replacements(
+        options.seed, options.rollout, options.instances, options.length_s
+    )
+    running = []
+    for replacement in replacements:
+        await asyncio.sleep(max(0.0, started_at + replacement.at_s - time.monotonic()))
+        running.append(harness.spawn(_replace_build(harness, replacement, options.beside)))
+    await asyncio.gather(*running)
+
+
+async def _replace_build(harness: _Harness, replacement: Replacement, beside: Path) -> None:
+    process = harness.instances[replacement.instance]
+    process.root = ROOT if replacement.is_current else beside
+    harness.record_fault(GRACE_S)
+    await process.restart(signal.SIGTERM)
+    harness.record_fault()
+
+
 async def _signal_instance(harness: _Harness, fault: Fault, signal_number: signal.Signals) -> None:
     process = harness.instances[fault.subject % len(harness.instances)]
     harness.record_fault(GRACE_S if signal_number == signal.SIGTERM else 1.0)
