--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -21,7 +21,7 @@
 from pearwell.affinity.target_health import TargetHealth
 from pearwell.errors import Code
 
-# True for type checkers only: the module is imported only where the settings ask for it.
+# True for type checkers only: the module is imported only where a service has health checks.
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from pearwell.affinity.failing_targets import FailingTargets
