--- a/review/3/case.py
+++ b/review/3/case.py
@@ -40,15 +40,17 @@
         # Not a seed, so that its stop has no effect on the others.
         stopped = [*deployment.instances.values()][5]
         flows = []
-        lost = 0
-        for _ in range(FLOWS):
-            flow = client.new_flow(deployment.remote)
+        for number in range(FLOWS):
             # The network loses a datagram: the first answer to this SYN.
-            if lost < LOST and deployment.router.owner(flow.ends) == stopped.name:
-                lost += 1
+            if number < LOST:
+                flow = client.new_flow(
+                    deployment.remote, lambda ends: deployment.router.owner(ends) == stopped.name
+                )
                 await _open_with_loss(deployment, client, flow)
-            elif not await client.open(flow):
-                raise RuntimeError("a flow could not be opened")
+            else:
+                flow = client.new_flow(deployment.remote)
+                if not await client.open(flow):
+                    raise RuntimeError("a flow could not be opened")
             if await client.request(flow) != "ok":
                 raise RuntimeError("the first request failed")
             flows.append((flow, deployment.host_of(flow.ends)))
@@ -70,7 +72,7 @@
                 )
     finally:
         await deployment.stop()
-    record.write("counts", flows=FLOWS, datagrams_lost=lost, reset_by_others=broken)
+    record.write("counts", flows=FLOWS, datagrams_lost=LOST, reset_by_others=broken)
     return not broken
 
 
--- a/review/lab/client.py
+++ b/review/lab/client.py
@@ -128,7 +128,7 @@
         self._address = ip, port
         self.router = router
         self._record = record
-        self._ports = itertools.count(40_000)
+        self._ports = iter(range(40_000, 65_000))
         self._attempts = itertools.count(1)
         self._flows: dict[tuple[End, End], ClientFlow] = {}
         self._rng = random.Random(ip)
@@ -177,9 +177,10 @@
     ) -> ClientFlow:
         """Returns a flow that isn't open yet, from the next port that is wanted."""
         ip = bytes(map(int, self._address[0].split(".")))
-        local = next(
-            (ip, port) for port in self._ports if port < 65_000 and is_wanted(((ip, port), remote))
-        )
+        wanted = ((ip, port) for port in self._ports if is_wanted(((ip, port), remote)))
+        local = next(wanted, None)
+        if local is None:
+            raise RuntimeError("no port is left whose flow would take the wanted way")
         flow = ClientFlow(local, remote, self._rng.getrandbits(31))
         self._flows[flow.ends] = flow
         return flow
