Keep only cases in folders of the review

The stand-ins lay in a folder beside the cases, where each folder is a case with a claim. They now lie in review/ itself.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,8 +6,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.deployment import Deployment, run_case  # noqa: E402
-from lab.record import Record  # noqa: E402
+from deployment import Deployment, run_case  # noqa: E402
+from record import Record  # noqa: E402
 
 INSTANCES, HOSTS = 10, 4
 # The rule: on a tenth of the machines, two at least, three ends by themselves.
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,9 +7,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.client import Client, ClientFlow  # noqa: E402
-from lab.deployment import Deployment, run_case  # noqa: E402
-from lab.record import Record  # noqa: E402
+from client import Client, ClientFlow  # noqa: E402
+from deployment import Deployment, run_case  # noqa: E402
+from record import Record  # noqa: E402
 
 INSTANCES, HOSTS, FLOWS = 10, 4, 60
 # Of more than 400 datagrams until all flows are open, this many are lost, all answers to SYNs.
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,10 +7,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from lab.client import Client, ClientFlow  # noqa: E402
-from lab.deployment import CONTACT_S, Deployment, Instance, run_case  # noqa: E402
-from lab.host import Host  # noqa: E402
-from lab.record import Record  # noqa: E402
+from client import Client, ClientFlow  # noqa: E402
+from deployment import CONTACT_S, Deployment, Instance, run_case  # noqa: E402
+from host import Host  # noqa: E402
+from record import Record  # noqa: E402
 
 INSTANCES, HOSTS = 10, 3
 # Flows on the new host for each of the instances that they move to.
--- a/review/lab/client.py
+++ b/review/client.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from lab.packet import ACK, RST, SYN, End, Packet
-from lab.record import Record
+from packet import ACK, RST, SYN, End, Packet
+from record import Record
 
 __all__ = ["Client", "ClientFlow", "Router"]
 
--- a/review/lab/deployment.py
+++ b/review/deployment.py
@@ -12,15 +12,15 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from lab.client import Client, Router
-from lab.host import Host
-from lab.packet import End
-from lab.record import Record
-from lab.store import Store
+from client import Client, Router
+from host import Host
+from packet import End
+from record import Record
+from store import Store
 
 __all__ = ["CONTACT_S", "Deployment", "Instance", "run_case"]
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 CASE_TIMEOUT_S = 110.0
 START_TIMEOUT_S = 20.0
 # A process that ends is started again after a short delay.
--- a/review/lab/host.py
+++ b/review/host.py
@@ -5,9 +5,9 @@
 import time
 from typing import Any
 
-from lab.packet import ACK, FIN, RST, SYN, End, Packet, is_after
-from lab.record import Record
-from lab.store import Store
+from packet import ACK, FIN, RST, SYN, End, Packet, is_after
+from record import Record
+from store import Store
 
 __all__ = ["Host"]
 
--- a/review/lab/store.py
+++ b/review/store.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from urllib.parse import unquote_to_bytes
 
-from lab.record import Record
+from record import Record
 
 __all__ = ["Store"]
 
