--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -9,13 +9,13 @@
 from pearwell.affinity.lifecycle import Lifecycle
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.token import rendezvous_score
-from pearwell.text_metrics import Sample
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from pearwell.affinity.evacuations import EvacuationFeed
     from pearwell.affinity.shared_limits import SharedLimits
+    from pearwell.text_metrics import Sample
 
 __all__ = ["Bounds", "Instance", "order_relays"]
 
@@ -182,58 +182,12 @@
             self.director.accept_flows()
         return started
 
-    def samples(self, now: float) -> list[Sample]:
+    def samples(self, now: float) -> "list[Sample]":
         """Returns the counters and gauges for the metrics endpoint."""
-        found: list[Sample] = [
-            ("decisions_total", "counter", {"decision": name}, count)
-            for name, count in sorted(self.director.counts.items())
-        ]
-        found += [
-            ("configuration_version", "gauge", {}, self.routes.version),
-            ("configuration_age_seconds", "gauge", {}, round(now - self.routes.applied_at, 3)),
-            ("routes", "gauge", {}, len(self.routes)),
-            ("flows", "gauge", {}, len(self.director.flows)),
-            ("ready", "gauge", {}, self.lifecycle.ready),
-            (
-                "store_good_seconds",
-                "gauge",
-                {},
-                max(0.0, now - self.target_scheduler.store_healthy_since),
-            ),
-        ]
-        schedulers = {"config": self.config_scheduler, "targets": self.target_scheduler}
-        if self.evacuation_feed is not None:
-            schedulers["evacuations"] = self.evacuation_feed.scheduler
-            choices = self.director.placement.limited_choices
-            found.append(("limited_choices_total", "counter", {}, choices))
-            found += self.evacuation_feed.samples(self.directory)
-        for kind, scheduler in schedulers.items():
-            labels = {"kind": kind}
-            found += [
-                ("store_era", "gauge", labels, -1 if scheduler.era is None else scheduler.era),
-                ("store_revision", "gauge", labels, (scheduler.position or (-1, -1))[1]),
-                ("store_sync_age_seconds", "gauge", labels, round(now - scheduler.synced_at, 3)),
-            ]
-        if self._shared_limits is not None:
-            found += self._shared_limits.samples(now)
-        found += [
-            ("queue_wait_seconds", "gauge", {"service": service}, round(wait_s, 4))
-            for service, wait_s in self.director.placement.admission.median_waits(now).items()
-        ]
-        found += [
-            ("flows_overflowed_total", "counter", {"route": route, "service": service}, count)
-            for (route, service), count in self.director.placement.overflow_counts.items()
-        ]
-        for target in self.directory:
-            labels = {"service": target.service, "target": target.name}
-            found += [
-                ("target_open_flows", "gauge", labels, target.open_flows),
-                ("target_requests_in_flight", "gauge", labels, target.in_flight),
-                ("target_suspect", "gauge", labels, now < target.suspect_until),
-            ]
-            if target.counted_slots is not None:
-                found.append(("target_slots", "gauge", labels, round(target.counted_slots, 2)))
-        return found
+        # Imported only once metrics are fetched, to keep the start fast.
+        from pearwell.affinity.instance_metrics import collect_samples
+
+        return collect_samples(self, now)
 
     def trusts_listing(self, now: float) -> bool:
         """Whether the store has been available long enough for lapsed entries to reappear."""
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -15,6 +15,7 @@
     "pearwell.affinity.fleet_size",
     "pearwell.affinity.flow_limit",
     "pearwell.affinity.flow_limit_watch",
+    "pearwell.affinity.instance_metrics",
     "pearwell.affinity.relay",
     "pearwell.affinity.shared_limits",
     "pearwell.affinity.slot_ratios",
