Let no entry of another writer end an instance

Cause: the adapter checked only the types of an entry's fields. Text that can't be encoded then reached the log line of the new target, whose encoder raised UnicodeEncodeError, which ended the process. The traceback names the encoder; a list that can't be decoded was ruled out, as the list itself succeeded.

The adapter now refuses entries with unprintable texts, with numbers out of range or not finite, and with anything behind the IP address. Refusals show values of other types by their type, as the text of a deeply nested one can't be made. Log and metrics escape what can't be encoded. On related paths: values that the JSON parser refuses (nesting, integers of over 4,300 digits) failed every list as a whole and become null; events nested almost as deeply ended a relay that encoded them and are announced without their object.

--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -16,6 +16,8 @@
 # Largest event that a relay forwards. A relay serves a third of the fleet, about forty instances,
 # and the slowest links carry 5 Mbit/s: sending 16 kB to each instance takes a second.
 MAX_EVENT_BYTES = 16_000
+# Most opening brackets in an event that a relay forwards; far deeper nesting can't be encoded.
+MAX_EVENT_BRACKETS = 400
 # Event batches kept for clients that lag behind; about one batch arrives every half second.
 MAX_BATCHES = 64
 
@@ -111,4 +113,9 @@
 
 
 def _is_small(event: object) -> bool:
-    return len(json.dumps(event)) <= MAX_EVENT_BYTES
+    try:
+        text = json.dumps(event)
+    except RecursionError:
+        return False
+    # Brackets bound the nesting, which the encoding of a whole response may not exceed.
+    return len(text) <= MAX_EVENT_BYTES and text.count("[") + text.count("{") <= MAX_EVENT_BRACKETS
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -229,7 +229,7 @@
 
     def _decode_event(self, event: object) -> tuple[str, object | None]:
         if not isinstance(event, dict):
-            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"event {str(event)[:80]}")
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"event of type {type(event).__name__}")
         item = event.get("Object")
         return self._handler.name_of(item), None if event.get("Deleted") is True else item
 
--- a/pearwell/event_log.py
+++ b/pearwell/event_log.py
@@ -74,7 +74,9 @@
     def _append(self, now: float, event: str, fields: dict[str, object]) -> None:
         pairs = "".join(f" {name}={_render(value)}" for name, value in fields.items())
         left_out = f" left_out={self._dropped_lines}" if self._dropped_lines else ""
-        line = f"t={now:.3f} event={event}{self._bound}{pairs}{left_out}\n".encode()
+        text = f"t={now:.3f} event={event}{self._bound}{pairs}{left_out}\n"
+        # Fields may hold lone surrogates, which JSON texts of other writers can.
+        line = text.encode(errors="backslashreplace")
         if len(self._pending) + len(line) > MAX_PENDING_BYTES:
             self._dropped_lines += 1
             return
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -219,7 +219,8 @@
         ]
         samples.append(("log_lines_left_out", "gauge", {}, self._log.dropped_lines))
         histograms = self._packet_times.render() + self._list_times.render()
-        return 200, (render_samples(samples) + histograms).encode()
+        text = render_samples(samples) + histograms
+        return 200, text.encode(errors="backslashreplace")
 
     def _on_change(self) -> None:
         instance = self._instance
--- a/pearwell/platform/evacuation_handler.py
+++ b/pearwell/platform/evacuation_handler.py
@@ -4,7 +4,7 @@
 
 from pearwell.affinity.evacuations import Evacuations
 from pearwell.errors import Code
-from pearwell.platform.objects import object_name
+from pearwell.platform.objects import describe, object_name
 
 __all__ = ["EvacuationHandler"]
 
@@ -57,7 +57,7 @@
         self._log(
             "evacuation_unusable",
             code=int(Code.PLATFORM_BAD_ANSWER),
-            detail=f"object without a name: {str(item)[:80]}",
+            detail=f"object without a name: {describe(item)}",
         )
 
 
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -1,7 +1,7 @@
 """Decodes objects of the platform's store into targets and routes."""
 
 from collections.abc import Callable, Mapping
-from socket import inet_aton
+from socket import AF_INET, inet_aton, inet_pton
 
 from pearwell.affinity.directory import Change, Directory
 from pearwell.affinity.routes import DEFAULT_IDLE_S, Route, Routes, RouteTable
@@ -14,7 +14,14 @@
 if TYPE_CHECKING:
     from typing import Any
 
-__all__ = ["ConfigHandler", "TargetHandler", "decode_routes", "decode_target", "object_name"]
+__all__ = [
+    "ConfigHandler",
+    "TargetHandler",
+    "decode_routes",
+    "decode_target",
+    "describe",
+    "object_name",
+]
 
 # The object config/main holds the latest configuration.
 CONFIG_NAME = "main"
@@ -28,6 +35,20 @@
 # Longest part of an invalid value that is logged.
 MAX_DETAIL_CHARS = 80
 MAX_PATH_CHARS = 1_000
+# Largest magnitude of a number: JSON texts can hold some that floats can't.
+MAX_NUMBER = 1 << 53
+
+
+# Raised where a field of a configuration is missing, of another type or out of range.
+_INVALID_CONFIGURATION = (
+    AttributeError,
+    KeyError,
+    OSError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class TargetHandler:
@@ -177,18 +198,18 @@
         PlatformError: PLATFORM_BAD_ANSWER if the entry is invalid.
     """
     name = object_name(item)
+    if not _is_text(name):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid name {describe(name)}")
     spec = item.get("spec") if isinstance(item, Mapping) else None
     if not isinstance(spec, Mapping):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r} has no spec")
     state = spec.get("State")
     if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid state {state!r}")
+        raise _invalid(name, "State", state)
     # Remaining warm-up time as reported.
     warmup_left_ms = spec.get("WarmupLeftMs", 0)
     if not _is_number(warmup_left_ms):
-        raise PlatformError(
-            Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid warm-up {warmup_left_ms!r}"
-        )
+        raise _invalid(name, "WarmupLeftMs", warmup_left_ms)
     started_ms = spec.get("born", 0)
     return Target(
         name=name,
@@ -211,7 +232,7 @@
     spec = item["spec"]  # type: ignore[index]
     if "Concurrency" not in spec or _is_count(spec["Concurrency"]):
         return ""
-    return f"Concurrency={spec['Concurrency']!r}"[:MAX_DETAIL_CHARS]
+    return f"Concurrency={describe(spec['Concurrency'])}"
 
 
 def decode_routes(item: object) -> Routes:
@@ -235,7 +256,7 @@
             port = int(route["PathPrefix"].strip("/"))
             address = port.to_bytes(2, "big") + inet_aton(route["Host"])
             routes[address] = Route(
-                str(route.get("Name", "")),
+                _label(route),
                 services,
                 objective_s=_route_seconds(route, "TargetLatencyMs"),
                 timeout_s=_route_seconds(route, "TimeoutMs"),
@@ -243,7 +264,7 @@
                 repeatable=route.get("Type") != "non_idempotent",
             )
         idle_ms = spec.get("Limits", {}).get("IdleTimeoutMs")
-    except (AttributeError, KeyError, OSError, OverflowError, TypeError, ValueError) as error:
+    except _INVALID_CONFIGURATION as error:
         raise PlatformError(
             Code.PLATFORM_BAD_ANSWER, f"invalid configuration: {error!r}"
         ) from error
@@ -260,7 +281,7 @@
     than its objective, and one without a priority has the highest.
     """
     return [
-        f"{route.get('Name', '')}.{key}={route.get(key)!r}"
+        f"{_label(route)}.{key}={describe(route.get(key))}"
         for route in item["spec"]["Routes"]  # type: ignore[index]
         for key, is_valid in _ROUTE_GOALS
         if not is_valid(route.get(key))
@@ -273,13 +294,19 @@
     They don't apply, as if they were missing.
     """
     return [
-        f"{spec.get('Name', '')}.{key}={spec[key]!r}"
+        f"{_label(spec)}.{key}={describe(spec[key])}"
         for spec in _service_specs(item["spec"])  # type: ignore[index]
         for key, is_valid in _SERVICE_LIMITS
         if key in spec and not is_valid(spec[key])
     ]
 
 
+def _label(entry: Mapping[str, object]) -> str:
+    """Returns the name of a route or service for log lines; "" if it has none."""
+    name = entry.get("Name", "")
+    return name if isinstance(name, str) else describe(name)
+
+
 def _service_specs(spec: Mapping[str, object]) -> list[Mapping[str, object]]:
     listed = spec.get("Services")
     entries = listed if isinstance(listed, list) else []
@@ -359,22 +386,43 @@
 
 def _text(spec: Mapping[str, object], key: str, name: str) -> str:
     value = spec.get(key)
-    if not isinstance(value, str) or not value:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid {key} {value!r}")
-    return value
+    if not _is_text(value):
+        raise _invalid(name, key, value)
+    return value  # type: ignore[return-value]
 
 
 def _address(spec: Mapping[str, object], name: str) -> tuple[str, int]:
-    ip, _, port = _text(spec, "Address", name).rpartition(":")
+    address = _text(spec, "Address", name)
+    ip, _, port = address.rpartition(":")
     try:
-        inet_aton(ip)
+        # Unlike inet_aton(), refuses text behind the address.
+        inet_pton(AF_INET, ip)
         number = int(port)
     except (OSError, ValueError) as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid address") from error
+        raise _invalid(name, "Address", address) from error
     if not 0 < number < 1 << 16:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid port {number}")
+        raise _invalid(name, "Address", address)
     return ip, number
 
 
 def _is_number(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return -MAX_NUMBER <= value <= MAX_NUMBER
+
+
+def _is_text(value: object) -> bool:
+    """Whether a value is text that can be encoded, logged in one line and sent in a header."""
+    return isinstance(value, str) and value != "" and value.isprintable()
+
+
+def _invalid(name: str, key: str, value: object) -> PlatformError:
+    return PlatformError(
+        Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid {key} {describe(value)}"
+    )
+
+
+def describe(value: object) -> str:
+    """Returns an invalid value as log lines show it; of lists and objects only the type."""
+    is_scalar = value is None or isinstance(value, bool | float | int | str)
+    return repr(value)[:MAX_DETAIL_CHARS] if is_scalar else type(value).__name__
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -11,6 +11,11 @@
 from pearwell.reactor import Reactor
 from pearwell.text_metrics import Histogram
 
+# True for type checkers only, as in pearwell.affinity.sync.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Any
+
 __all__ = ["StoreClient", "connect", "finish_connect"]
 
 # Timeouts. A connection is established within a few milliseconds; responses of a slow store take up
@@ -181,7 +186,7 @@
 def _decode(response: Message, key: str) -> StoreResponse:
     try:
         # Invalid UTF-8 from another writer affects only the entry that contains it.
-        payload = json.loads(_body(response).decode("utf-8", "replace"))
+        payload = _parse(_body(response).decode("utf-8", "replace"))
         items, revision = payload[key], payload["AsOf"]
     except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid response: {error!r}") from error
@@ -199,6 +204,17 @@
     )
 
 
+def _parse(text: str) -> "Any":
+    """Returns the value of a JSON text, without the extreme values in it if they can't be read."""
+    try:
+        return json.loads(text)
+    except (RecursionError, ValueError):
+        # Imported only where it is needed, to keep the start fast.
+        from pearwell.platform.extreme_values import remove_extreme_values
+
+        return json.loads(remove_extreme_values(text))
+
+
 def _era(response: Message, payload: dict[str, object]) -> int:
     """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
     text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
--- a/tests/affinity/test_cache.py
+++ b/tests/affinity/test_cache.py
@@ -35,6 +35,18 @@
     assert cache.events_after((0, 5)) == []
 
 
+@pytest.mark.parametrize("depth", [500, 5_000])
+def test_a_deeply_nested_event_is_announced_without_its_object(depth):
+    """A relay ended when it encoded such an entry of another writer for its clients."""
+    nested: list = []
+    for _ in range(depth):
+        nested = [nested]
+    cache = ObjectCache()
+    cache.reset((0, 5), 0.0)
+    assert cache.append_events([{"Object": nested}], (0, 6), 0.0)
+    assert cache.events_after((0, 5)) == [None]
+
+
 def test_a_list_discards_earlier_events():
     cache = ObjectCache()
     cache.reset((0, 5), 0.0)
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -23,6 +23,7 @@
     "pearwell.affinity.warmup",
     "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
+    "pearwell.platform.extreme_values",
     "pearwell.platform.target_checks",
 )
 ROOT = Path(__file__).resolve().parents[2]
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -8,6 +8,7 @@
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.target import NEVER
 from pearwell.errors import Code, PlatformError
+from pearwell.event_log import EventLog
 from pearwell.platform.objects import (
     ConfigHandler,
     TargetHandler,
@@ -57,6 +58,12 @@
     return {"meta": {"Name": "main"}, "spec": {**CONFIG, **changes}}
 
 
+# More than can be shown as text.
+NESTED: list = []
+for _ in range(5_000):
+    NESTED = [NESTED]
+
+
 def test_an_entry_is_decoded_to_a_target():
     found = decode_target(entry(WarmupLeftMs=1500), 10.0)
     assert (found.name, found.tag) == ("i-7f3a91c2", bytes.fromhex("000000007f3a91c2"))
@@ -72,6 +79,8 @@
         ({"WarmupLeftMs": ...}, "warmup_ends_at", NEVER),
         ({"born": ...}, "started_ms", 0),
         ({"born": "x"}, "started_ms", 0),
+        ({"born": float("nan")}, "started_ms", 0),
+        ({"born": 10**400}, "started_ms", 0),
         ({"New": [1]}, "draining", False),
         ({"Version": 9, "Sequence": None}, "draining", False),
         ({}, "slots", 3),
@@ -79,6 +88,7 @@
         ({"Concurrency": 0}, "slots", None),
         ({"Concurrency": "2"}, "slots", None),
         ({"Concurrency": 10**9}, "slots", None),
+        ({"Concurrency": NESTED}, "slots", None),
     ],
 )
 def test_optional_and_unknown_fields(changes, field, value):
@@ -107,9 +117,26 @@
         entry(Address="10.128.0.9:70000"),
         entry(Zone=None),
         entry(WarmupLeftMs="soon"),
+        entry(WarmupLeftMs=10**400),
+        entry(WarmupLeftMs=float("inf")),
+        entry(WarmupLeftMs=float("nan")),
+        entry(name="\udcff-00000001"),
+        entry(name="i\n-00000001"),
+        entry(Service="\udcff"),
+        entry(Service="intake\nevent=ready"),
+        entry(Service=""),
+        entry(Zone="pnw\ud800"),
+        entry(Address="10.128.0.9 \udcff:8080"),
+        entry(Address="10.128.0.9 x:8080"),
+        entry(Address="10.128.0.9:\udcff"),
+        entry(Address="10.9:8080"),
+        entry(Address=NESTED),
+        entry(State=NESTED),
+        entry(Zone=NESTED),
     ],
 )
 def test_invalid_entries_are_refused(item):
+    """Some ended the process: in a log line, a token, an address or the text of the error."""
     with pytest.raises(PlatformError) as caught:
         decode_target(item, 0.0)
     assert caught.value.code is Code.PLATFORM_BAD_ANSWER
@@ -196,7 +223,7 @@
     assert logged.count("entry_unusable") == 2
 
 
-@pytest.mark.parametrize("slots", [0, -2, "2", None, True, 2.5, 10**9, ["x" * 500]])
+@pytest.mark.parametrize("slots", [0, -2, "2", None, True, 2.5, 10**9, ["x" * 500], NESTED])
 def test_implausible_slots_are_logged_once_for_each_incarnation(slots):
     directory, logged = Directory(), []
     handler = TargetHandler(
@@ -256,6 +283,19 @@
     assert table.version == 7
 
 
+@pytest.mark.parametrize("field", ["Name", "Type", "Priority", "TimeoutMs", "TargetLatencyMs"])
+@pytest.mark.parametrize("value", ["\udcff", NESTED, 10**400, float("nan")])
+def test_unreadable_goals_of_a_route_do_not_affect_the_configuration(field, value):
+    """Text of a configuration reaches the log as well."""
+    table, output = RouteTable(), []
+    log = EventLog(lambda data: output.append(data) or len(data), lambda: 0.0)
+    route = {**CONFIG["Routes"][1], field: value}
+    ConfigHandler(table, log.event).apply("main", config(Routes=[route]), 0.0)
+    log.flush()
+    assert table.version == 7
+    assert b"event=configuration_applied" in output[0]
+
+
 @pytest.mark.parametrize("idle_ms", [0, -5, "x", None, True])
 def test_an_invalid_idle_timeout_falls_back_to_the_default(idle_ms):
     assert decode_routes(config(Limits={"IdleTimeoutMs": idle_ms})).idle_s == 15.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,6 +39,24 @@
     assert (response.revision, response.more) == (3, False)
 
 
+@pytest.mark.parametrize(
+    "extreme",
+    [
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"a":' * 5_000 + b'"]}\\""' + b"}" * 5_000,
+        b"9" * 5_000,
+        b"-1" + b"0" * 5_000 + b".5e7",
+    ],
+    ids=["lists", "objects", "integer", "number"],
+)
+def test_an_entry_with_an_extreme_value_does_not_affect_the_others(extreme):
+    """An entry of another writer that json can't read made every list fail."""
+    items = b'{"meta":{"Name":"i-1"},"spec":{"a":%b,"b":"[{"}},{"meta":{"Name":"i-2"},"n":17}'
+    response = decode(b'{"items":[' + items % extreme + b'],"AsOf":3}')
+    assert [item["meta"]["Name"] for item in response.items] == ["i-1", "i-2"]
+    assert (response.items[1]["n"], response.revision) == (17, 3)
+
+
 @pytest.mark.parametrize(
     ("headers", "era"), [({}, 0), ({"Store-Era": "7"}, 7), ({"store-era": "12"}, 12)]
 )
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -34,6 +34,14 @@
     )
 
 
+def test_text_that_is_no_unicode_ends_no_process():
+    """A lone surrogate in an entry of another writer ended all instances."""
+    log, output, _ = make()
+    log.event("target_listed", service="\udcff")
+    log.flush()
+    assert output.data.endswith(b"service=\\udcff\n")
+
+
 def test_flow_keys_are_logged_as_addresses():
     log, output, _ = make()
     log.flow("flow_started", flow=bytes.fromhex("9c416440000701bbc6120001"))
