Quote the cursor of a list

Cause: as with the unreadable entry, text of other writers was used as it came; the name went into the URL of the next page unquoted. That the list can't be decoded was ruled out: the first page, which holds the entry, is.

Names are percent-encoded now, and raw bytes of a name are sent back as they were. The cursor is the last name of the page that is plain text. A list that doesn't advance fails; with an entry without a name at the end of a page it started over without end. To stay within the bound on the role's bytecode, histograms have a module of their own and the text format of metrics is imported once they are fetched.

--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -158,9 +158,8 @@
     async def _list(self) -> None:
         items: list[object] = []
         position: Position | None = None
-        more = True
+        after, more = "", True
         while more:
-            after = self._handler.name_of(items[-1]) if items else ""
             response = await self._store.list(self._handler.kind, after)
             if self._observe_era(response) and position is not None:
                 # Pages of two histories are no complete list of either.
@@ -168,6 +167,8 @@
             items.extend(response.items)
             position = min(position or response.position, response.position)
             more = response.more and bool(response.items)
+            if more:
+                after = self._next_cursor(response.items, after)
         assert position is not None
         now = self._now()
         by_name = {self._handler.name_of(item): item for item in items}
@@ -177,11 +178,23 @@
         self._log(
             "listed",
             kind=self._handler.kind,
-            objects=len(items),
+            objects=len(by_name),
             revision=position[1],
             era=position[0],
         )
 
+    def _next_cursor(self, items: list[object], after: str) -> str:
+        """Returns the name after which the next page of a list starts.
+
+        It is the last one in the page that is plain text: the store may order others differently.
+        Entries behind it are listed again. Raises PLATFORM_BAD_ANSWER if the list doesn't advance.
+        """
+        names = [self._handler.name_of(item) for item in items]
+        cursor = next((name for name in reversed(names) if name and name.isprintable()), names[-1])
+        if cursor in ("", after):
+            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"list does not advance after {after!r}")
+        return cursor
+
     async def _watch_store(self, position: Position, wait_s: float) -> None:
         response = await self._store.watch(self._handler.kind, position, wait_s)
         if self._observe_era(response):
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -12,6 +12,7 @@
 from pearwell.affinity.target import Target
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog, stdout_writer
+from pearwell.histogram import Histogram
 from pearwell.http_message import Response
 from pearwell.http_server import HttpServer
 from pearwell.platform.hint_socket import HintSocket
@@ -21,7 +22,6 @@
 from pearwell.platform.signals import watch_signals
 from pearwell.platform.store import StoreClient, connect, finish_connect
 from pearwell.reactor import Reactor, Trigger
-from pearwell.text_metrics import Histogram, render_samples
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
@@ -212,14 +212,17 @@
     async def _respond_metrics(self, path: str) -> Response:
         if path != METRICS_PATH:
             return 404, b""
+        # Imported only once metrics are fetched, to keep the start fast.
+        from pearwell.text_metrics import render_histogram, render_samples
+
         samples = self._instance.samples(self._reactor.now())
         samples += [
             ("calls_total", "counter", {"to": to}, sum(client.calls for client in clients))
             for to, clients in (("store", self._stores), ("relay", self._relays))
         ]
         samples.append(("log_lines_left_out", "gauge", {}, self._log.dropped_lines))
-        histograms = self._packet_times.render() + self._list_times.render()
-        text = render_samples(samples) + histograms
+        histograms = map(render_histogram, (self._packet_times, self._list_times))
+        text = render_samples(samples) + "".join(histograms)
         return 200, text.encode(errors="backslashreplace")
 
     def _on_change(self) -> None:
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -9,6 +9,7 @@
 from pearwell.affinity.token import NO_TOKEN
 from pearwell.errors import Code, PacketError
 from pearwell.event_log import EventLog
+from pearwell.histogram import Histogram
 from pearwell.platform.packet import (
     client_ip,
     decode_packet,
@@ -17,7 +18,6 @@
     flow_packet,
 )
 from pearwell.reactor import Reactor, bind_socket
-from pearwell.text_metrics import Histogram
 
 __all__ = ["PacketSocket"]
 
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -7,9 +7,9 @@
 from pearwell.affinity.cache import Position
 from pearwell.affinity.sync import StoreResponse
 from pearwell.errors import Code, PlatformError
+from pearwell.histogram import Histogram
 from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
 from pearwell.reactor import Reactor
-from pearwell.text_metrics import Histogram
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
@@ -81,7 +81,12 @@
 
     async def list(self, kind: str, after: str) -> StoreResponse:
         """Returns one page of the objects of a kind after a name."""
-        query = f"?after={after}" if after else ""
+        query = ""
+        if after:
+            # Imported only for lists of several pages, to keep the start fast.
+            from pearwell.url_text import quote
+
+            query = f"?after={quote(after)}"
         started = self._reactor.now()
         response = await self._call(f"/objects/{kind}{query}", LIST_TIMEOUT_S)
         if self._list_times is not None:
@@ -185,8 +190,9 @@
 
 def _decode(response: Message, key: str) -> StoreResponse:
     try:
-        # Invalid UTF-8 from another writer affects only the entry that contains it.
-        payload = _parse(_body(response).decode("utf-8", "replace"))
+        # Invalid UTF-8 from another writer affects only the entry that contains it; its name can
+        # still be sent back as the cursor of a list.
+        payload = _parse(_body(response).decode("utf-8", "surrogateescape"))
         items, revision = payload[key], payload["AsOf"]
     except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid response: {error!r}") from error
--- a/pearwell/text_metrics.py
+++ b/pearwell/text_metrics.py
@@ -4,9 +4,11 @@
 daemon's endpoint.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
-__all__ = ["Histogram", "Sample", "render_samples"]
+from pearwell.histogram import Histogram
+
+__all__ = ["Sample", "render_histogram", "render_samples"]
 
 # Name, type ("counter" or "gauge"), labels, value.
 Sample = tuple[str, str, dict[str, str], float]
@@ -14,34 +16,15 @@
 PREFIX = "pearwell_"
 
 
-class Histogram:
-    """A histogram metric.
-
-    Args:
-        name: Name without the prefix, including the unit.
-        bounds: Upper bounds of the buckets in increasing order.
-    """
-
-    def __init__(self, name: str, bounds: Sequence[float]) -> None:
-        self._name = name
-        self._bounds = tuple(bounds)
-        self._counts = [0] * (len(self._bounds) + 1)
-        self._sum = 0.0
-
-    def observe(self, value: float) -> None:
-        """Counts one observation."""
-        self._counts[sum(bound < value for bound in self._bounds)] += 1
-        self._sum += value
-
-    def render(self) -> str:
-        """Returns the histogram in the text format."""
-        name, total = PREFIX + self._name, 0
-        lines = [f"# TYPE {name} histogram"]
-        for bound, count in zip([*map(str, self._bounds), "+Inf"], self._counts, strict=True):
-            total += count
-            lines.append(f'{name}_bucket{{le="{bound}"}} {total}')
-        lines += [f"{name}_sum {self._sum:.6f}", f"{name}_count {total}"]
-        return "\n".join(lines) + "\n"
+def render_histogram(histogram: Histogram) -> str:
+    """Returns a histogram in the text format."""
+    name, total = PREFIX + histogram.name, 0
+    lines = [f"# TYPE {name} histogram"]
+    for bound, count in zip([*map(str, histogram.bounds), "+Inf"], histogram.counts, strict=True):
+        total += count
+        lines.append(f'{name}_bucket{{le="{bound}"}} {total}')
+    lines += [f"{name}_sum {histogram.sum:.6f}", f"{name}_count {total}"]
+    return "\n".join(lines) + "\n"
 
 
 def render_samples(samples: Iterable[Sample]) -> str:
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -91,6 +91,35 @@
     assert SyncHarness(FakeStore(*script)).steps(len(script)) == versions
 
 
+def page(*names, more=True):
+    return StoreResponse([{"meta": {"Name": name}} for name in names], 5, more=more)
+
+
+@pytest.mark.parametrize(
+    ("pages", "cursors"),
+    [
+        ([page("a", "b c"), page("d", more=False)], ["", "b c"]),
+        # Entries behind the cursor are listed again.
+        ([page("a", "b\udcff"), page("b\udcff", "d"), page("e", more=False)], ["", "a", "d"]),
+        ([page("\udcff"), page("\udcffa", more=False)], ["", "\udcff"]),
+    ],
+)
+def test_the_cursor_of_a_list_is_the_last_readable_name(pages, cursors):
+    """The order of names that can't be read is the store's to know."""
+    harness = SyncHarness(FakeStore(*pages))
+    harness.steps(1)
+    assert [after for _, after in harness.store.calls] == cursors
+
+
+@pytest.mark.parametrize("pages", [[page("")], [page("a"), page("a")], [page("a"), page("")]])
+def test_a_list_that_does_not_advance_fails(pages):
+    """An entry without a name at the end of a page made the list start again, without end."""
+    harness = SyncHarness(FakeStore(*pages, page("b", more=False)))
+    harness.steps(1)
+    assert len(harness.store.calls) == len(pages)
+    assert harness.logged == ["store_lost"]
+
+
 def test_a_watch_starts_from_the_lowest_revision_of_a_paged_list():
     first = StoreResponse([config(1)], 5, more=True)
     harness = SyncHarness(FakeStore(first, listed(7, 2), events(8)))
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -25,6 +25,8 @@
     "pearwell.platform.evacuation_handler",
     "pearwell.platform.extreme_values",
     "pearwell.platform.target_checks",
+    "pearwell.text_metrics",
+    "pearwell.url_text",
 )
 ROOT = Path(__file__).resolve().parents[2]
 # Maximum number of library modules loaded beyond those of a bare interpreter, and maximum size of
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 from pearwell.platform.store import StoreClient
 from pearwell.reactor import Reactor
 from pearwell.standins.object_server import ObjectServer
+from pearwell.url_text import quote
 from tests.addresses import loopback_address
 
 PORT = 20811
@@ -37,6 +38,7 @@
     response = decode(body)
     assert [item["meta"]["Name"] for item in response.items][1] == "i-2"
     assert (response.revision, response.more) == (3, False)
+    assert quote(response.items[0]["meta"]["Name"]) == "i-%FF%FE"
 
 
 @pytest.mark.parametrize(
@@ -189,6 +191,25 @@
         assert run_query(query) == (50, True, 10, False, 1)
 
 
+@pytest.mark.parametrize(
+    "name", ["i-49 spare", "i-49&after=i-59", "i-49#%20", "i-49+", "i-49\r\nX: y", "i-49é"]
+)
+def test_any_name_is_a_cursor_of_a_list(name):
+    """An unquoted name at the end of a page stopped the list of targets for good."""
+
+    async def query(client):
+        first = await client.list("servers", "")
+        rest = await client.list("servers", first.items[-1]["meta"]["Name"])
+        return [item["meta"]["Name"] for item in first.items[-1:] + rest.items]
+
+    with StoreThread() as store_thread:
+        for number in range(60):
+            store_thread.call(store_thread.server.write("servers", f"i-{number:02}", {}))
+        store_thread.call(store_thread.server.remove("servers", "i-49"))
+        store_thread.call(store_thread.server.write("servers", name, {}))
+        assert run_query(query) == [name, *(f"i-{number}" for number in range(50, 60))]
+
+
 @pytest.mark.parametrize(
     ("fault", "value", "code"),
     [
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,8 +13,18 @@
 
 # From bottom to top; parts of one layer don't import one another.
 LAYERS = (
-    ("clock", "errors", "event_log", "logs", "text_metrics", "v1"),
-    ("explanation", "http_message", "model", "object_store", "reactor", "settings", "shutdown"),
+    ("clock", "errors", "event_log", "histogram", "logs", "v1"),
+    (
+        "explanation",
+        "http_message",
+        "model",
+        "object_store",
+        "reactor",
+        "settings",
+        "shutdown",
+        "text_metrics",
+        "url_text",
+    ),
     ("http_server", "messages", "tls"),
     ("affinity", "kernel"),
     ("agreement", "platform"),
--- a/tests/test_text_metrics.py
+++ b/tests/test_text_metrics.py
@@ -1,13 +1,14 @@
 """Tests of pearwell.text_metrics."""
 
-from pearwell.text_metrics import Histogram, render_samples
+from pearwell.histogram import Histogram
+from pearwell.text_metrics import render_histogram, render_samples
 
 
 def test_histogram_buckets_are_cumulative():
     histogram = Histogram("call_seconds", (0.1, 1.0))
     for value in (0.05, 0.1, 0.5, 7.0):
         histogram.observe(value)
-    assert histogram.render().splitlines() == [
+    assert render_histogram(histogram).splitlines() == [
         "# TYPE pearwell_call_seconds histogram",
         'pearwell_call_seconds_bucket{le="0.1"} 2',
         'pearwell_call_seconds_bucket{le="1.0"} 3',
