--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -168,7 +168,10 @@
             position = min(position or response.position, response.position)
             more = response.more and bool(response.items)
             if more:
-                after = self._next_cursor(response.items, after)
+                # Imported only for lists of several pages, to keep the start fast.
+                from pearwell.affinity.list_cursor import next_cursor
+
+                after = next_cursor([self._handler.name_of(item) for item in response.items], after)
         assert position is not None
         now = self._now()
         by_name = {self._handler.name_of(item): item for item in items}
@@ -183,18 +186,6 @@
             era=position[0],
         )
 
-    def _next_cursor(self, items: list[object], after: str) -> str:
-        """Returns the name after which the next page of a list starts.
-
-        It is the last one in the page that is plain text: the store may order others differently.
-        Entries behind it are listed again. Raises PLATFORM_BAD_ANSWER if the list doesn't advance.
-        """
-        names = [self._handler.name_of(item) for item in items]
-        cursor = next((name for name in reversed(names) if name and name.isprintable()), names[-1])
-        if cursor in ("", after):
-            raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"list does not advance after {after!r}")
-        return cursor
-
     async def _watch_store(self, position: Position, wait_s: float) -> None:
         response = await self._store.watch(self._handler.kind, position, wait_s)
         if self._observe_era(response):
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -1,7 +1,6 @@
 """The platform's role: one instance with its sockets, store clients and signal handlers."""
 
 import os
-import socket
 import sys
 import time
 
@@ -9,7 +8,6 @@
 from pearwell.affinity.fetch_scheduler import FetchScheduler
 from pearwell.affinity.instance import Bounds, Instance, order_relays
 from pearwell.affinity.sync import ObjectSync
-from pearwell.affinity.target import Target
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog, stdout_writer
 from pearwell.histogram import Histogram
@@ -20,7 +18,7 @@
 from pearwell.platform.packet_socket import PacketSocket
 from pearwell.platform.settings import PATH_VARIABLE, InstanceSettings, read_settings
 from pearwell.platform.signals import watch_signals
-from pearwell.platform.store import StoreClient, connect, finish_connect
+from pearwell.platform.store import StoreClient
 from pearwell.reactor import Reactor, Trigger
 
 # True for type checkers only, as in pearwell.affinity.sync.
@@ -28,13 +26,10 @@
 if TYPE_CHECKING:
     from pearwell.affinity.sync import ObjectHandler
     from pearwell.platform.target_checks import TargetChecks
+    from pearwell.platform.target_probes import TargetProbes
 
 __all__ = ["Edge", "main"]
 
-# A target that accepts connections does so within milliseconds. Once a probe has been unanswered
-# for the shorter time, the other instances start theirs.
-PROBE_HINT_S = 0.05
-PROBE_TIMEOUT_S = 0.3
 TICK_INTERVAL_S = 1.0
 # Port and path of the metrics endpoint; deploy/system.toml names the same.
 METRICS_PORT = 9464
@@ -103,6 +98,7 @@
             self._on_hint,
         )
         self._checks: TargetChecks | None = None
+        self._probes: TargetProbes | None = None
         self._changed = Trigger(self._reactor)
         # Caches that this instance serves as a relay, by kind.
         self._caches: dict[str, ObjectCache] = {}
@@ -213,17 +209,11 @@
         if path != METRICS_PATH:
             return 404, b""
         # Imported only once metrics are fetched, to keep the start fast.
-        from pearwell.text_metrics import render_histogram, render_samples
+        from pearwell.platform.metrics_page import render_page
 
         samples = self._instance.samples(self._reactor.now())
-        samples += [
-            ("calls_total", "counter", {"to": to}, sum(client.calls for client in clients))
-            for to, clients in (("store", self._stores), ("relay", self._relays))
-        ]
-        samples.append(("log_lines_left_out", "gauge", {}, self._log.dropped_lines))
-        histograms = map(render_histogram, (self._packet_times, self._list_times))
-        text = render_samples(samples) + "".join(histograms)
-        return 200, text.encode(errors="backslashreplace")
+        histograms = (self._packet_times, self._list_times)
+        return 200, render_page(samples, self._stores, self._relays, histograms, self._log)
 
     def _on_change(self) -> None:
         instance = self._instance
@@ -265,28 +255,17 @@
     def _spawn_probes(self) -> None:
         if self._checks is not None:
             self._checks.run_due()
-        for target in self._instance.director.health.take_probes():
-            self._reactor.spawn(self._probe(target))
-
-    async def _probe(self, target: Target) -> None:
-        """Probes a target with a connection attempt, which is refused if its process has ended."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        answered, refused = False, False
-        health = self._instance.director.health
-        try:
-            answered = await connect(self._reactor, sock, target.address, PROBE_HINT_S)
-            if not answered:
-                health.handle_slow_probe(target, self._reactor.now())
-                self._hints.send_hints(health.take_hints())
-                rest_s = PROBE_TIMEOUT_S - PROBE_HINT_S
-                answered = await finish_connect(self._reactor, sock, rest_s)
-        except OSError:
-            refused = True
-        sock.close()
-        health.handle_probe_result(target, answered, refused, self._reactor.now())
-        self._packets.send_resets()
-        self._hints.send_hints(health.take_hints())
+        targets = self._instance.director.health.take_probes()
+        if not targets:
+            return
+        if self._probes is None:
+            # Imported with the first probe, to keep the start fast.
+            from pearwell.platform.target_probes import TargetProbes
+
+            health = self._instance.director.health
+            self._probes = TargetProbes(self._reactor, health, self._packets, self._hints)
+        for target in targets:
+            self._reactor.spawn(self._probes.probe(target))
 
     async def _tick(self) -> None:
         while True:
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -16,6 +16,7 @@
     "pearwell.affinity.flow_limit",
     "pearwell.affinity.flow_limit_watch",
     "pearwell.affinity.instance_metrics",
+    "pearwell.affinity.list_cursor",
     "pearwell.affinity.relay",
     "pearwell.affinity.shared_limits",
     "pearwell.affinity.slot_ratios",
@@ -24,7 +25,9 @@
     "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
     "pearwell.platform.extreme_values",
+    "pearwell.platform.metrics_page",
     "pearwell.platform.target_checks",
+    "pearwell.platform.target_probes",
     "pearwell.text_metrics",
     "pearwell.url_text",
 )
