Keep the SYN of a flow with one target while that may have it

Cause: an unanswered SYN went to a second target after 45 ms. A lost or late answer looks the same as none, so both targets had the flow, and the first went on answering for nine seconds. The client's packets then carry its token, which every instance without a record of the flow follows. That the instance that takes over didn't know the target is ruled out: a host sends the reset.

All transmissions of a SYN now go to its target until that is gone, full, draining, evacuated or unreachable. A connection attempt, started with the first unanswered SYN, tells: refused, the SYN goes elsewhere at once; unanswered for 30 ms, with the next look at it. Besides, the record of an open flow holds against any token while the client's acknowledgements continue, which count from a start that each target draws. SYNs to the same target aren't charged to the budget that limits those to further ones. A SYN that had moved when its target went is no longer counted twice.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -4,8 +4,9 @@
 carries. Flows that can't be served are reset at once, so that the client retries elsewhere instead
 of waiting.
 
-When a target fails or stops responding, its unanswered SYNs are retransmitted to another target,
-and once the target is confirmed gone its flows are reset. Flows on a target that drains while
+The SYN of a flow goes to one target only, as long as that target may have the flow. When a target
+is gone or unreachable, its unanswered SYNs are retransmitted to another one, and once it is
+confirmed gone its flows are reset. Flows on a target that drains while
 clients keep them open are never reset.
 """
 
@@ -15,8 +16,8 @@
 from pearwell.affinity.flow_placement import FlowPlacement, NewFlow
 from pearwell.affinity.flow_table import SEQ_MASK, Flow, FlowTable, is_after
 from pearwell.affinity.held_syns import HeldSyns
-from pearwell.affinity.routes import RouteTable
-from pearwell.affinity.syn_retransmission import SYN_TIMEOUT_S, SynRetransmission
+from pearwell.affinity.routes import Route, RouteTable
+from pearwell.affinity.syn_retransmission import Step, SynRetransmission
 from pearwell.affinity.target import Target
 from pearwell.affinity.target_health import TargetHealth
 from pearwell.errors import Code
@@ -141,7 +142,7 @@
             # Fast path for most packets: no lookup by token.
             target: Target | None = flow.target
         else:
-            target = self._target_of(flow, token)
+            target = self._target_of(flow, token, ack)
         if target is None:
             listing_trusted = self._trusts_listing(now)
             return self._refuse(
@@ -167,19 +168,20 @@
         return target
 
     def due_retransmissions(self, now: float) -> list[Retransmission]:
-        """Returns unanswered SYNs to retransmit, each to a target that has not been tried."""
+        """Returns unanswered SYNs to retransmit, each with its target."""
         retransmissions: list[Retransmission] = []
-        for flow in self._retransmission.take_due(now):
-            limit = self._placement.flow_limit
-            if limit is not None and limit.record_unanswered_syn(flow.target, now):
-                self._count("syn_to_full_target")
-            else:
-                self._health.record_unanswered_syn(flow, now)
-            target = self._retransmission_target(flow, now)
+        for flow, step in self._retransmission.take_due(now):
+            self._record_unanswered_syn(flow, step, now)
+            target = self._retransmission_target(flow, step, now)
+            if step == Step.REPEAT and target in (None, flow.target):
+                self._retransmission.add_redirect(flow, now)
             if target is None:
                 continue
-            self._retransmission.spend()
-            self._record_syn(flow, target, now)
+            if target is flow.target:
+                self._placement.record_start(target, now)
+            else:
+                self._retransmission.spend()
+                self._record_syn(flow, target, now)
             self._count("syn_resent")
             self._log("syn_resent", flow=flow.key, target=target.name, tried=len(flow.tried))
             retransmissions.append((flow.syn, target))
@@ -196,6 +198,9 @@
             return []
         flows = [flow for flow in self._flows.on_targets(newly_gone) if not flow.ended]
         for flow in flows:
+            if not flow.opened and flow.syn:
+                self._retransmission.redirect_at_once(flow)
+                continue
             waiting = flow.awaiting_response
             self._flows.remove(flow.key)
             self._count(Code.FLOW_TARGET_GONE.name)
@@ -230,18 +235,13 @@
         if flow is not None and flow.opened:
             self._placement.record_start(flow.target, now)
             return flow.target
-        if (
-            flow is not None
-            and earlier_syns
-            and now - flow.syn_sent_at < SYN_TIMEOUT_S
-            and self._placement.allows(flow.target, now)
-        ):
-            # The client's retransmission crossed with one that was just sent to this target.
-            self._placement.record_start(flow.target, now)
-            return flow.target
-        tried = flow.tried if flow is not None else ()
-        is_first = flow is None and not earlier_syns
-        target, refused = self._placement.place(NewFlow(key, route, tried, is_first), now)
+        target: Target | None
+        if flow is not None and self._may_have_flow(flow, route, now):
+            target, refused = flow.target, False
+        else:
+            tried = flow.tried if flow is not None else ()
+            is_first = flow is None and not earlier_syns
+            target, refused = self._placement.place(NewFlow(key, route, tried, is_first), now)
         if refused:
             return self._refuse(Code.FLOW_OVERLOAD, packet, target)
         if target is None:
@@ -279,10 +279,35 @@
         self._placement.record_start(target, now)
         self._retransmission.add(flow, now)
 
-    def _retransmission_target(self, flow: Flow, now: float) -> Target | None:
-        """Returns another target for an unanswered SYN, or None if it must not be sent again."""
+    def _record_unanswered_syn(self, flow: Flow, step: str, now: float) -> None:
+        limit = self._placement.flow_limit
+        if limit is not None and limit.record_unanswered_syn(flow.target, now):
+            self._count("syn_to_full_target")
+        elif step == Step.REPEAT:
+            self._health.record_unanswered_syn(flow, now)
+
+    def _may_have_flow(self, flow: Flow, route: Route, now: float) -> bool:
+        """Whether the target that a SYN was sent to may have the flow, so that no other may get it.
+
+        Its answer may be lost or late. A target that must not get new flows any more doesn't count.
+        """
+        target = flow.target
+        return (
+            (target.listed or target.lapsed)
+            and not (target.gone or target.draining or target.token_conflict)
+            and route.allows(target.service)
+            and not self._health.is_unreachable(target, now)
+            and self._placement.allows_repeat(target, now)
+        )
+
+    def _retransmission_target(self, flow: Flow, step: str, now: float) -> Target | None:
+        """Returns the target for an unanswered SYN, or None if it must not be sent again."""
         route = self._routes.find(flow.address)
-        if route is None or not self._retransmission.allows(flow):
+        if route is None:
+            return None
+        if self._may_have_flow(flow, route, now):
+            return flow.target if step == Step.REPEAT else None
+        if not self._retransmission.allows_redirect(flow):
             return None
         target, _ = self._placement.place(NewFlow(flow.key, route, flow.tried, False), now)
         return None if target in flow.tried else target
@@ -292,19 +317,19 @@
         known = self._directory.find_by_token(token) is not None
         return known and not self._routes.was_removed(address)
 
-    def _target_of(self, flow: Flow | None, token: int) -> Target | None:
+    def _target_of(self, flow: Flow | None, token: int, ack: int) -> Target | None:
         """Returns the target of a packet that is not a SYN.
 
         A client sends the token that it received last, but its connection is with the target that
         answered the SYN first. The first packet after the SYN identifies that target; the record
-        keeps it despite late answers of other targets that got the SYN. A token of any other target
-        means that the record is outdated, for example because the flow opened through another
-        instance.
+        keeps it, whatever other targets answer later and whichever instance sent them the SYN. The
+        client's acknowledgements show that it is the same connection, as each target numbers its
+        data from a random start. With other ones the record is outdated: the port is used again.
         """
         token_target = self._directory.find_by_token(token)
         if flow is None:
             return token_target
-        if flow.opened and any(target.token == token for target in flow.tried):
+        if flow.opened and flow.continues(ack):
             return flow.target
         if token_target is None:
             return flow.target if flow.opened else None
--- a/pearwell/affinity/flow_limit.py
+++ b/pearwell/affinity/flow_limit.py
@@ -188,6 +188,11 @@
         watch = self._watches.get(target)
         return watch is not None and (watch.crowded or self._is_closed(target, watch))
 
+    def is_closed(self, target: Target) -> bool:
+        """Whether a target has left SYNs unanswered because it holds its most flows."""
+        watch = self._watches.get(target)
+        return watch is not None and self._is_closed(target, watch)
+
     def record_choice(self) -> None:
         """Records that the target of a flow is chosen, which may then try a closed target."""
         self._untried += 1
--- a/pearwell/affinity/flow_placement.py
+++ b/pearwell/affinity/flow_placement.py
@@ -140,6 +140,15 @@
         """Whether a target may get a new flow."""
         return all(limit.allows(target, now) for limit in self._limits if limit.active)
 
+    def allows_repeat(self, target: Target, now: float) -> bool:
+        """Whether a target may get the SYN of a flow again, which adds no flow there.
+
+        A target that is full has ignored the SYN, and one in an evacuated zone must not get it.
+        """
+        if self.flow_limit is not None and self.flow_limit.is_closed(target):
+            return False
+        return self._evacuations is None or self._evacuations.allows(target, now)
+
     def record_start(self, target: Target, now: float) -> None:
         """Records that the SYN of a flow is sent to a target."""
         for limit in self._limits:
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -14,6 +14,10 @@
 # Sequence numbers have 32 bits.
 SEQ_MASK = (1 << 32) - 1
 _HALF_RANGE = 1 << 31
+# Bytes by which an acknowledgement of the same connection may differ from the latest one seen here:
+# behind it when packets overtake one another, ahead when others went through another instance.
+MAX_ACK_BEHIND = 1 << 20
+MAX_ACK_AHEAD = 1 << 28
 
 
 def is_after(value: int, than: int) -> bool:
@@ -101,6 +105,10 @@
             self.target.held_flows -= self.opened
         self.clear_request()
 
+    def continues(self, ack: int) -> bool:
+        """Whether a client's acknowledgement number belongs to the connection recorded here."""
+        return (ack - self.last_ack + MAX_ACK_BEHIND) & SEQ_MASK < MAX_ACK_BEHIND + MAX_ACK_AHEAD
+
     def begins_request(self, end_seq: int) -> bool:
         """Whether the client's data up to a sequence number begins a request on the open flow."""
         if self.awaiting_response or not self.opened:
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -41,6 +41,7 @@
         in_flight: Number of requests of these flows that await a response.
         reported_gone: Whether an instance has reported it gone since its last response.
         probing: Whether a connection attempt is in progress or requested.
+        probe_started_at: When the latest connection attempt was requested, in seconds of the clock.
         probed_at: When the latest connection attempt ended, in seconds of the clock.
         probe_answered_at: When one was last accepted, in seconds of the clock.
     """
@@ -60,6 +61,7 @@
         "name",
         "open_flows",
         "probe_answered_at",
+        "probe_started_at",
         "probed_at",
         "probing",
         "removed_at",
@@ -110,6 +112,7 @@
         self.in_flight = 0
         self.reported_gone = False
         self.probing = False
+        self.probe_started_at = NEVER
         self.probed_at = NEVER
         self.probe_answered_at = NEVER
 
--- a/pearwell/affinity/target_health.py
+++ b/pearwell/affinity/target_health.py
@@ -19,6 +19,9 @@
 # Time without a response after which retransmitted data triggers a probe of the target; clients
 # retransmit after 200 ms.
 UNRESPONSIVE_S = 0.18
+# Time after which a connection attempt counts as unanswered for the SYNs that wait for its result;
+# a live target accepts within milliseconds.
+UNREACHABLE_S = 0.03
 # Minimum time between two probes of one target that hasn't responded since the first.
 PROBE_INTERVAL_S = 1.0
 
@@ -66,6 +69,17 @@
         else:
             self._postponed.append(target)
 
+    def is_unreachable(self, target: Target, now: float) -> bool:
+        """Whether a target leaves a connection attempt unanswered, or did the last one.
+
+        It may be down, or the path to it, and is thus unlikely to have a flow whose SYN it left
+        unanswered as well.
+        """
+        if target.probing:
+            return now - target.probe_started_at >= UNREACHABLE_S
+        answered_at = max(target.last_response_at, target.probe_answered_at)
+        return target.probed_at > answered_at
+
     def handle_slow_probe(self, target: Target, now: float) -> None:
         """Handles a connection attempt that is unanswered for longer than a live target takes.
 
@@ -125,8 +139,7 @@
             strikes=target.unanswered_syns,
             life_age=round(now - target.last_response_at, 3) if target.last_response_at > 0 else -1,
         )
-        if target.open_flows > 1:
-            self._probe(target, now)
+        self._probe(target, now)
 
     def record_retransmitted_data(self, flow: Flow, now: float) -> None:
         """Records data that a client sent again; probes the target if it is unresponsive."""
@@ -164,6 +177,7 @@
         responded_since = target.last_response_at >= target.probed_at
         if not target.probing and (responded_since or now - target.probed_at >= PROBE_INTERVAL_S):
             target.probing = True
+            target.probe_started_at = now
             self._probes.append(target)
 
     def _mark_suspect(self, target: Target, now: float) -> None:
--- a/tests/affinity/builders.py
+++ b/tests/affinity/builders.py
@@ -7,6 +7,7 @@
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_table import FlowTable
 from pearwell.affinity.routes import Route, Routes, RouteTable
+from pearwell.affinity.syn_retransmission import SYN_TIMEOUT_S
 from pearwell.affinity.target import NEVER, Target
 
 ROUTE = b"\x01\xbb\xc6\x12\x00\x01"
@@ -106,3 +107,16 @@
         """Advances the clock and returns the SYNs retransmitted by then."""
         self.now += seconds
         return self.director.due_retransmissions(self.now)
+
+    def answer_probes(self, *, answered=True, refused=False):
+        """Ends all connection attempts that were requested with a result."""
+        for probed in self.director.health.take_probes():
+            self.director.health.handle_probe_result(probed, answered, refused, self.now)
+
+    def redirect(self):
+        """Leaves the SYNs sent so far and connection attempts unanswered.
+
+        Returns the transmissions to other targets.
+        """
+        self.advance(SYN_TIMEOUT_S)
+        return self.advance(SYN_TIMEOUT_S)
