Drop SYNs that their clients have sent again while an instance stood still

Cause: the instance that woke forwarded SYNs of up to 1 s to targets of its own choice, which answered them. Their clients had sent them again after 200 and 600 ms, through another instance. The pause was noticed only if a wait ended 1 s after a timer that might itself be a second away, and not at all outside a wait: freezes that broke flows had no `paused` in the log. That later packets were taken for new flows is ruled out; they are no SYNs.

A poll now waits for 0.1 s at most and the time between two polls counts, so that a pause of 0.2 s is noticed wherever it falls; a shorter one leaves every SYN younger than its client's next transmission. After a pause, and at the start, SYNs that may be older than that (200, 400, 800 ms by copy) are dropped. The role's clock is the boot time, as the steady clock stands still on a suspended machine.

MAX_BACKLOG_S still bounds other packets.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -128,7 +128,7 @@
         """
         if packet[2] & SYN:
             if self._holds_flows:
-                held = self._held_syns.add(packet[0], data, now)
+                held = self._held_syns.add(packet[0], data, packet[4], now)
                 return self._refuse(Code.FLOW_HELD if held else Code.FLOW_UNSETTLED, packet)
             return self._on_syn(packet, data, now)
         key, address, flags, seq, ack, length, token = packet
--- a/pearwell/affinity/held_syns.py
+++ b/pearwell/affinity/held_syns.py
@@ -5,7 +5,7 @@
 one that is dropped just before the routes are known costs up to 400 ms.
 """
 
-from pearwell.affinity.lifecycle import is_stale_backlog
+from pearwell.affinity.lifecycle import is_stale_syn
 
 __all__ = ["MAX_HELD", "HeldSyns"]
 
@@ -17,19 +17,20 @@
     """The latest transmission of each SYN received during the start, in order of arrival."""
 
     def __init__(self) -> None:
-        self._held: dict[bytes, tuple[float, bytes]] = {}
+        self._held: dict[bytes, tuple[float, int, bytes]] = {}
 
-    def add(self, flow: bytes, data: bytes, now: float) -> bool:
+    def add(self, flow: bytes, data: bytes, earlier_syns: int, now: float) -> bool:
         """Holds a SYN; returns whether there was room for it.
 
         Args:
             flow: Key of the flow.
             data: The packet.
+            earlier_syns: Number of the client's earlier transmissions of it.
             now: Current time in seconds of the clock.
         """
         if flow not in self._held and len(self._held) >= MAX_HELD:
             return False
-        self._held[flow] = now, data
+        self._held[flow] = now, earlier_syns, data
         return True
 
     def discard(self, flow: bytes) -> None:
@@ -37,6 +38,10 @@
         self._held.pop(flow, None)
 
     def take(self, now: float) -> list[bytes]:
-        """Returns the held packets whose clients may still wait for an answer."""
+        """Returns the held packets that their clients have neither sent again nor given up."""
         held, self._held = self._held, {}
-        return [data for held_at, data in held.values() if not is_stale_backlog(now - held_at)]
+        return [
+            data
+            for held_at, earlier_syns, data in held.values()
+            if not is_stale_syn(earlier_syns, now - held_at)
+        ]
--- a/pearwell/affinity/lifecycle.py
+++ b/pearwell/affinity/lifecycle.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Mapping
 
-__all__ = ["MAX_BACKLOG_S", "Lifecycle", "Phase", "is_stale_backlog"]
+__all__ = ["MAX_BACKLOG_S", "SYN_LIFETIMES_S", "Lifecycle", "Phase", "is_stale", "is_stale_syn"]
 
-# Packets queued in the socket for longer are dropped unread. Clients retransmit a SYN for 0.6 s and
-# give up after 1.4 s; by then the flow may be open through another instance.
+# Packets queued in the socket for longer are dropped unread: the flow may have ended meanwhile.
 MAX_BACKLOG_S = 1.0
+# Time from each transmission of a SYN to the client's next one, or until it gives up. An older one
+# may have opened its flow through another instance already, on a target of that one's choice.
+SYN_LIFETIMES_S = (0.2, 0.4, 0.8)
 
 # Time between the request to stop and the exit. Routers probe every 500 ms and send flows elsewhere
 # after two failed probes; flows from routers that notice later are still forwarded.
@@ -88,6 +90,16 @@
         return self._phase != before
 
 
-def is_stale_backlog(waited_s: float) -> bool:
+def is_stale(waited_s: float) -> bool:
     """Whether packets queued for up to a time in seconds are too old to forward."""
     return waited_s > MAX_BACKLOG_S
+
+
+def is_stale_syn(earlier_syns: int, waited_s: float) -> bool:
+    """Whether a SYN queued for up to a time in seconds is too old to forward.
+
+    Args:
+        earlier_syns: Number of the client's earlier transmissions of it.
+        waited_s: Maximum time in seconds that it may have been queued.
+    """
+    return waited_s > SYN_LIFETIMES_S[min(earlier_syns, len(SYN_LIFETIMES_S) - 1)]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -19,7 +19,7 @@
 from pearwell.platform.settings import PATH_VARIABLE, InstanceSettings, read_settings
 from pearwell.platform.signals import watch_signals
 from pearwell.platform.store import StoreClient
-from pearwell.reactor import Reactor, Trigger
+from pearwell.reactor import Reactor, Trigger, boot_time
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
@@ -56,8 +56,8 @@
         self._settings = settings
         self._path = path
         self._modified_at = _modified_at(path)
-        self._log = EventLog(stdout_writer(), time.monotonic, instance=settings.instance)
-        self._reactor = Reactor(time.monotonic, self._on_error, self._on_pause)
+        self._log = EventLog(stdout_writer(), boot_time, instance=settings.instance)
+        self._reactor = Reactor(boot_time, self._on_error, self._on_pause)
         self._relay_addresses = order_relays(settings.instance, settings.control, settings.seeds)
         self._is_relay = settings.control in settings.seeds
         bounds = Bounds(
@@ -308,9 +308,9 @@
         await self._reactor.sleep(self._instance.lifecycle.stop_after_s)
         self._reactor.stop()
 
-    def _on_pause(self, late_s: float) -> None:
-        self._log.event("paused", late_s=round(late_s, 3))
-        self._packets.drop_stale(late_s)
+    def _on_pause(self, pause_s: float) -> None:
+        self._log.event("paused", up_to_s=round(pause_s, 3))
+        self._packets.catch_up(pause_s)
 
     def _on_error(self, error: BaseException) -> None:
         self._log.event("task_failed", error=repr(error))
--- a/pearwell/platform/hint_socket.py
+++ b/pearwell/platform/hint_socket.py
@@ -3,11 +3,16 @@
 import socket
 from collections.abc import Callable
 
-from pearwell.affinity.hints import RelayClients, decode_hint, encode_hint
+from pearwell.affinity.hints import decode_hint, encode_hint
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog
 from pearwell.reactor import Reactor, bind_socket
 
+# True for type checkers only, as in pearwell.affinity.sync.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from pearwell.affinity.relay_clients import RelayClients
+
 __all__ = ["HintSocket"]
 
 DATAGRAM_BYTES = 2_048
@@ -40,7 +45,8 @@
         self._is_relay = ip in relays
         self._log = log
         self._on_hint = on_hint
-        self._clients = RelayClients()
+        # Created with the first use.
+        self._relay_clients: RelayClients | None = None
         # Handles datagrams that aren't hints; returns False if they are malformed.
         self.on_other: Callable[[bytes], bool] = lambda data: False
         self._sock = None
@@ -59,6 +65,15 @@
         """Whether this instance forwards to clients."""
         return self._is_relay
 
+    @property
+    def _clients(self) -> "RelayClients":
+        if self._relay_clients is None:
+            # Imported only by the few relays, to keep the start of the others fast.
+            from pearwell.affinity.relay_clients import RelayClients
+
+            self._relay_clients = RelayClients()
+        return self._relay_clients
+
     def record_call(self, ip: str) -> None:
         """Records a call of a client to this relay."""
         self._clients.record_call(ip, self._reactor.now())
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -3,8 +3,8 @@
 import socket
 from collections.abc import Callable
 
-from pearwell.affinity.director import RST, Director
-from pearwell.affinity.lifecycle import is_stale_backlog
+from pearwell.affinity.director import RST, SYN, Director
+from pearwell.affinity.lifecycle import is_stale, is_stale_syn
 from pearwell.affinity.target import Target
 from pearwell.affinity.token import NO_TOKEN
 from pearwell.errors import Code, PacketError
@@ -65,26 +65,35 @@
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_at = reactor.now()
 
+    def close(self) -> None:
+        """Closes the socket."""
+        self._sock.close()
+
     def start(self) -> None:
         """Starts reading packets."""
-        self.drop_stale(self._reactor.now() - self._bound_at)
+        self.catch_up(self._reactor.now() - self._bound_at)
         self._reactor.add_reader(self._sock, self._read)
 
-    def drop_stale(self, waited_s: float) -> None:
-        """Drops the queued packets if they may have been queued for too long.
+    def catch_up(self, waited_s: float) -> None:
+        """Handles the queued packets, and drops those that may have been queued for too long.
 
         Args:
             waited_s: Maximum time in seconds that a packet may have been queued.
         """
-        if not is_stale_backlog(waited_s):
-            return
-        dropped = 0
+        packets = dropped = 0
         try:
             while True:
-                self._sock.recv(DATAGRAM_BYTES)
-                dropped += 1
+                data = self._sock.recv(DATAGRAM_BYTES)
+                packets += 1
+                if is_stale(waited_s) or _is_stale_syn(data, waited_s):
+                    dropped += 1
+                else:
+                    self._handle(data, self._reactor.now())
         except BlockingIOError:
-            self._log.event("backlog_dropped", packets=dropped, waited_s=round(waited_s, 3))
+            if dropped:
+                self._log.event(
+                    "backlog_dropped", packets=dropped, of=packets, waited_s=round(waited_s, 3)
+                )
 
     def send_retransmissions(self, now: float) -> None:
         """Retransmits the unanswered SYNs that are due, each to a target not tried yet."""
@@ -143,3 +152,11 @@
         except OSError as error:
             # The packet is lost, for example on a full link; the client retransmits it.
             self._log.flow("send_failed", to=address[0], error=error)
+
+
+def _is_stale_syn(data: bytes, waited_s: float) -> bool:
+    try:
+        _, _, flags, _, earlier_syns, _, _ = decode_packet(data)
+    except PacketError:
+        return False
+    return bool(flags & SYN) and is_stale_syn(earlier_syns, waited_s)
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -7,17 +7,25 @@
 import errno
 import select
 import socket
+import time
 from collections.abc import Callable, Coroutine, Generator
 from heapq import heappop, heappush
 
 from pearwell.errors import Code, SettingsError
 
-__all__ = ["Reactor", "Trigger", "Wait", "bind_socket"]
+__all__ = ["Reactor", "Trigger", "Wait", "bind_socket", "boot_time"]
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
-# A wait that ends this late indicates a pause of the process or the machine.
-MIN_PAUSE_S = 1.0
+# Time between two polls that indicates a pause of the process or the machine, and the maximum wait
+# of a poll: whatever arrives in a shorter pause is younger than the client's next transmission.
+MIN_PAUSE_S = 0.2
+MAX_WAIT_S = 0.1
+
+
+def boot_time() -> float:
+    """Returns the seconds since the machine started, with those in which it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Wait:
@@ -97,15 +105,15 @@
     Args:
         now: Returns the current time in seconds of a monotonic clock.
         on_error: Called with an exception that terminated a coroutine.
-        on_pause: Called with the duration in seconds of a pause of the process, before anything
-            that arrived meanwhile is read.
+        on_pause: Called with the maximum duration in seconds of a pause of the process, before
+            anything that arrived meanwhile is read.
     """
 
     def __init__(
         self,
         now: Callable[[], float],
         on_error: Callable[[BaseException], None],
-        on_pause: Callable[[float], None] = lambda late_s: None,
+        on_pause: Callable[[float], None] = lambda pause_s: None,
     ) -> None:
         self.now = now
         self._on_error = on_error
@@ -116,6 +124,7 @@
         self._timers: list[tuple[float, int, _Task, int]] = []
         self._timer_count = 0
         self._stopped = False
+        self._polled_at: float | None = None
 
     def add_reader(self, sock: socket.socket, callback: Callable[[], None]) -> None:
         """Registers a callback for whenever a socket is readable."""
@@ -176,11 +185,14 @@
         if self._timers:
             wakeups.append(self._timers[0][0])
         started = self.now()
-        timeout = max(0.0, min(wakeups) - started) if wakeups else None
+        timeout = min(MAX_WAIT_S, max(0.0, min(wakeups) - started)) if wakeups else MAX_WAIT_S
         ready = self._epoll.poll(timeout)
-        late_s = self.now() - started - (timeout or 0.0)
-        if timeout is not None and late_s > MIN_PAUSE_S:
-            self._on_pause(late_s)
+        now = self.now()
+        # What is readable now arrived after the previous poll, which a pause may have followed.
+        pause_s = now - (started if self._polled_at is None else self._polled_at)
+        self._polled_at = now
+        if pause_s > MIN_PAUSE_S:
+            self._on_pause(pause_s)
         for fd, _ in ready:
             callback = self._readers.get(fd)
             if callback is not None:
--- a/tests/affinity/test_fleet_size.py
+++ b/tests/affinity/test_fleet_size.py
@@ -3,8 +3,8 @@
 import pytest
 
 from pearwell.affinity.fleet_size import HOLD_S, LEASE_S, UNKNOWN_SIZE, FleetSize
-from pearwell.affinity.hints import CLIENT_TIMEOUT_S, RelayClients
 from pearwell.affinity.instance import order_relays
+from pearwell.affinity.relay_clients import CLIENT_TIMEOUT_S, RelayClients
 
 RELAYS = 3
 
--- a/tests/affinity/test_hints.py
+++ b/tests/affinity/test_hints.py
@@ -4,13 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearwell.affinity.hints import (
-    CLIENT_TIMEOUT_S,
-    DUPLICATE_WINDOW_S,
-    RelayClients,
-    decode_hint,
-    encode_hint,
-)
+from pearwell.affinity.hints import decode_hint, encode_hint
+from pearwell.affinity.relay_clients import CLIENT_TIMEOUT_S, DUPLICATE_WINDOW_S, RelayClients
 
 
 @pytest.mark.parametrize("forward", [True, False])
--- a/tests/affinity/test_lifecycle.py
+++ b/tests/affinity/test_lifecycle.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from pearwell.affinity.lifecycle import MAX_BACKLOG_S, STOP_S, Lifecycle, is_stale_backlog
+from pearwell.affinity.lifecycle import (
+    MAX_BACKLOG_S,
+    STOP_S,
+    Lifecycle,
+    is_stale,
+    is_stale_syn,
+)
 
 
 @pytest.mark.parametrize(
@@ -44,4 +50,21 @@
 )
 def test_packets_queued_for_too_long_are_stale(waited_s, stale):
     """Clients have given up by then, or opened the flow through another instance."""
-    assert is_stale_backlog(waited_s) == stale
+    assert is_stale(waited_s) == stale
+
+
+@pytest.mark.parametrize(
+    ("earlier_syns", "waited_s", "stale"),
+    [
+        (0, 0.19, False),
+        (0, 0.21, True),
+        (1, 0.39, False),
+        (1, 0.41, True),
+        (2, 0.79, False),
+        (2, 0.81, True),
+        (9, 0.79, False),
+    ],
+)
+def test_a_syn_is_stale_once_its_client_has_sent_the_next_one(earlier_syns, waited_s, stale):
+    """An instance that woke forwarded SYNs of flows that had opened elsewhere."""
+    assert is_stale_syn(earlier_syns, waited_s) == stale
--- a/tests/affinity/test_target_health.py
+++ b/tests/affinity/test_target_health.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pearwell.affinity.hints import RelayClients
+from pearwell.affinity.relay_clients import RelayClients
 from pearwell.affinity.target_health import PROBE_INTERVAL_S, UNRESPONSIVE_S
 from pearwell.platform.target_probes import PROBE_HINT_S, PROBE_TIMEOUT_S
 
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -18,6 +18,7 @@
     "pearwell.affinity.instance_metrics",
     "pearwell.affinity.list_cursor",
     "pearwell.affinity.relay",
+    "pearwell.affinity.relay_clients",
     "pearwell.affinity.shared_limits",
     "pearwell.affinity.slot_ratios",
     "pearwell.affinity.split_overflow",
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -1,11 +1,19 @@
 """Tests of pearwell.reactor."""
 
 import socket
+import time
 
 import pytest
 
 from pearwell.errors import Code, SettingsError
-from pearwell.reactor import Reactor, Trigger, bind_socket
+from pearwell.reactor import (
+    MAX_WAIT_S,
+    MIN_PAUSE_S,
+    Reactor,
+    Trigger,
+    bind_socket,
+    boot_time,
+)
 
 
 class SteppingClock:
@@ -149,6 +157,56 @@
     assert order == [5, b"packet"]
 
 
+class FakePoll:
+    """An epoll object whose polls take given times on a clock; stops the reactor with the last."""
+
+    def __init__(self, reactor, clock, polls):
+        self.reactor, self.clock, self.polls, self.timeouts = reactor, clock, polls, []
+
+    def poll(self, timeout):
+        self.timeouts.append(timeout)
+        self.clock[0] += self.polls.pop(0)
+        if not self.polls:
+            self.reactor.stop()
+        return []
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "paused"),
+    [(0.0, False), (MAX_WAIT_S, False), (MIN_PAUSE_S - 0.01, False), (MIN_PAUSE_S + 0.01, True)],
+)
+@pytest.mark.parametrize("timer_s", [0.01, 0.09, 60.0, None])
+def test_a_pause_is_noticed_whenever_the_next_timer_is_due(waited_s, paused, timer_s):
+    """A freeze that was shorter than the wait for the next timer let stale SYNs pass."""
+    clock, pauses = [0.0], []
+    reactor = Reactor(lambda: clock[0], lambda error: None, pauses.append)
+    fake = reactor._epoll = FakePoll(reactor, clock, [0.0, waited_s])
+    if timer_s is not None:
+        reactor.spawn(sleep_once(reactor, timer_s))
+    reactor.run()
+    assert bool(pauses) == paused
+    assert all(timeout <= MAX_WAIT_S for timeout in fake.timeouts)
+
+
+def test_a_pause_between_two_polls_is_noticed():
+    """What arrived while callbacks stood still is read after a poll that doesn't wait."""
+    clock, pauses = [0.0], []
+    reactor = Reactor(lambda: clock[0], lambda error: None, pauses.append)
+    reactor._epoll = FakePoll(reactor, clock, [0.0, 0.0, 0.0])
+    due = iter((None, None, None, 0.0, None, None, None, None))
+    reactor.run(lambda: next(due, None), lambda now: clock.__setitem__(0, clock[0] + 5.0))
+    assert pauses == [5.0]
+
+
+def test_the_boot_time_counts_with_the_steady_clock():
+    """A machine that is suspended stops the steady clock, but not this one."""
+    assert boot_time() >= time.monotonic() - 0.001
+
+
+async def sleep_once(reactor, seconds):
+    await reactor.sleep(seconds)
+
+
 @pytest.mark.parametrize("kind", [socket.SOCK_DGRAM, socket.SOCK_STREAM])
 @pytest.mark.parametrize(
     ("ip", "code"),
