Reset flows with an unknown token only as of a complete listing

Cause: an unknown token was taken for that of no target if no call had failed for 2.5 s. A call to a frozen relay waits for up to two seconds and hasn't failed meanwhile, and a relay whose own call hangs answers from its cache. That the target was taken for gone is ruled out by the code, 804.

Each instance now knows until when its listing is complete: the start of the latest answered call to the store, which relays pass on (CompleteS, optional: earlier builds ignore it, and count as 2.2 s behind). Packets with an unknown token are dropped while the listing isn't complete as of a time after them, and the store is asked at once in place of the watch in progress. A flow is younger than its target's entry, so the answer proves whether the target is there. Open flows on routes that aren't known here wait in the same way, and lapsed entries don't make a target gone while its source of events is overdue.

--- a/bench/overload_zone.py
+++ b/bench/overload_zone.py
@@ -178,7 +178,9 @@
         directory.replace(targets, 0.0)
         self._tables.append(table)
         random_number, ignore = self.rng.random, lambda *_, **__: None
-        return Director(zone, table, directory, lambda now: True, ignore, random_number)
+        return Director(
+            zone, table, directory, lambda now: True, ignore, random_number, lambda: float("inf")
+        )
 
     def change_routes(self, kinds: tuple[Kind, ...]) -> None:
         """Applies a configuration with the routes of kinds in all instances."""
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -53,7 +53,15 @@
         0.0,
     )
     routes.apply(Routes(1, {ROUTE[4:] + ROUTE[:4]: Route("r", (("s", 1),))}), 0.0)
-    return Director("z", routes, directory, lambda now: True, lambda *_, **__: None, lambda: 1.0)
+    return Director(
+        "z",
+        routes,
+        directory,
+        lambda now: True,
+        lambda *_, **__: None,
+        lambda: 1.0,
+        lambda: float("inf"),
+    )
 
 
 def _role_relay(director: Director) -> Relay:
--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -34,6 +34,9 @@
 
     Args:
         max_age_s: Maximum age in seconds of the store's latest response for a relay to serve it.
+
+    Attributes:
+        complete_at: Clock time in seconds until which it has all changes that the store made.
     """
 
     def __init__(self, max_age_s: float = MAX_AGE_S) -> None:
@@ -42,6 +45,7 @@
         self._era = -1
         self._revision = -1
         self._verified_at = float("-inf")
+        self.complete_at = float("-inf")
 
     @property
     def position(self) -> Position:
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -26,6 +26,7 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from pearwell.affinity.failing_targets import FailingTargets
+    from pearwell.affinity.unknown_flows import UnknownFlows
 
 __all__ = ["ACK", "FIN", "RST", "SYN", "Director", "Packet", "Retransmission"]
 
@@ -49,6 +50,7 @@
             token belongs to no live target.
         log: Logs an event's name and its fields.
         random: Returns random numbers between 0 and 1.
+        complete_at: Returns the clock time in seconds until which all targets are known.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         trusts_listing: Callable[[float], bool],
         log: Callable[..., None],
         random: Callable[[], float],
+        complete_at: Callable[[], float],
     ) -> None:
+        self._complete_at = complete_at
         self._routes = routes
         self._directory = directory
         self._trusts_listing = trusts_listing
@@ -72,6 +76,8 @@
         self._failing: FailingTargets | None = None
         self._holds_flows = False
         self._held_syns = HeldSyns()
+        # Created with the first unknown token.
+        self._unknown: UnknownFlows | None = None
 
     @property
     def flows(self) -> FlowTable:
@@ -134,7 +140,7 @@
         key, address, flags, seq, ack, length, token = packet
         if self._holds_flows:
             self._held_syns.discard(key)
-        if self._routes.find(address) is None and not self._may_be_newer_route(address, token):
+        if self._routes.find(address) is None and self._routes.was_removed(address):
             unsettled = self._holds_flows
             return self._refuse(Code.FLOW_UNSETTLED if unsettled else Code.FLOW_NO_ROUTE, packet)
         flow = self._flows.get(key)
@@ -144,11 +150,10 @@
         else:
             target = self._target_of(flow, token, ack)
         if target is None:
-            listing_trusted = self._trusts_listing(now)
-            return self._refuse(
-                Code.FLOW_UNKNOWN_TOKEN if listing_trusted else Code.FLOW_UNSETTLED, packet
-            )
+            return self._refuse_unknown(packet, now)
         if flow is None:
+            if self._unknown is not None:
+                self._unknown.discard(key)
             flow = self._flows.add(key, target)
             if flow is not None:
                 flow.record_opened()
@@ -187,6 +192,22 @@
             retransmissions.append((flow.syn, target))
         return retransmissions
 
+    def take_store_request(self) -> bool:
+        """Whether the store is to be asked now for changes, as a token is unknown."""
+        return self._unknown is not None and self._unknown.take_request()
+
+    def take_unknown_resets(self, now: float) -> list[tuple[bytes, int]]:
+        """Returns the flows to reset whose targets turned out to be gone: key and latest ack."""
+        if self._unknown is None or not self._trusts_listing(now):
+            return []
+        refuted = self._unknown.take_refuted(
+            lambda token: self._directory.find_by_token(token) is not None, now
+        )
+        for flow, _, token in refuted:
+            self._count(Code.FLOW_UNKNOWN_TOKEN.name)
+            self._log("flow_reset", flow=flow, token=token, code=int(Code.FLOW_UNKNOWN_TOKEN))
+        return [(flow, ack) for flow, ack, _ in refuted]
+
     def take_resets(self) -> list[Flow]:
         """Returns the flows to reset because their targets are gone.
 
@@ -224,8 +245,24 @@
         self._retransmission.tick()
         self._health.tick(now)
 
+    def _refuse_unknown(self, packet: Packet, now: float) -> Code:
+        """Returns the code for a packet of an open flow whose token is unknown."""
+        key, _, flags, _, ack, _, token = packet
+        if self._unknown is None:
+            # Imported with the first one, to keep the start fast.
+            from pearwell.affinity.unknown_flows import UnknownFlows
+
+            self._unknown = UnknownFlows(self._complete_at)
+        if flags & RST:
+            self._unknown.discard(key)
+            return self._refuse(Code.FLOW_UNSETTLED, packet)
+        is_refuted = self._unknown.add(key, token, ack, now) and self._trusts_listing(now)
+        return self._refuse(Code.FLOW_UNKNOWN_TOKEN if is_refuted else Code.FLOW_UNSETTLED, packet)
+
     def _on_syn(self, packet: Packet, data: bytes, now: float) -> Target | Code:
         key, address, _, seq, earlier_syns, _, _ = packet
+        if self._unknown is not None:
+            self._unknown.discard(key)
         route = self._routes.find(address)
         if route is None:
             return self._refuse(Code.FLOW_NO_ROUTE, packet)
@@ -312,11 +349,6 @@
         target, _ = self._placement.place(NewFlow(flow.key, route, flow.tried, False), now)
         return None if target in flow.tried else target
 
-    def _may_be_newer_route(self, address: bytes, token: int) -> bool:
-        """Whether a flow without a route may belong to a version not yet applied here."""
-        known = self._directory.find_by_token(token) is not None
-        return known and not self._routes.was_removed(address)
-
     def _target_of(self, flow: Flow | None, token: int, ack: int) -> Target | None:
         """Returns the target of a packet that is not a SYN.
 
--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -139,6 +139,7 @@
         self._position: Position | None = None
         self._era: int | None = None
         self._synced_at = float("-inf")
+        self._complete_at = float("-inf")
         # Latest response of the store itself; a relay's may be as old as its cache allows.
         self._store_read_at = float("-inf")
         self._failures = 0
@@ -172,6 +173,11 @@
         """Clock time in seconds of the latest response, of the store or a relay."""
         return self._synced_at
 
+    @property
+    def complete_at(self) -> float:
+        """Clock time in seconds until which all changes are known that the store made."""
+        return self._complete_at
+
     def awaits_leader(self, now: float) -> bool:
         """Whether the next call would go to the store while the calls of the leader fail."""
         if self._leader is None or not self._leader.store_failing:
@@ -218,6 +224,15 @@
         if event_count:
             self._events_at = now
 
+    def on_complete(self, at: float) -> None:
+        """Records that all changes are known that the store made until a time in seconds."""
+        self._complete_at = max(self._complete_at, at)
+
+    def require_catch_up(self) -> None:
+        """Schedules a call to the store for the changes until now."""
+        if self._catch_up == _CatchUp.NONE:
+            self._catch_up = _CatchUp.DUE
+
     def on_relay_status(self, relay: int, zone: str, store_healthy_since: float) -> None:
         """Records the status that a relay reports.
 
@@ -241,6 +256,7 @@
         if restored:
             self._position = None
             self._store_healthy_since = float("inf")
+            self._complete_at = float("-inf")
         return restored
 
     def require_list(self) -> None:
--- a/pearwell/affinity/flow_placement.py
+++ b/pearwell/affinity/flow_placement.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Sequence
 
-from pearwell.affinity.admission import FlowAdmission
 from pearwell.affinity.chooser import ZoneQueues, choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.routes import Route
@@ -13,6 +12,7 @@
 if TYPE_CHECKING:
     from typing import Protocol, TypeGuard
 
+    from pearwell.affinity.admission import FlowAdmission
     from pearwell.affinity.evacuations import Evacuations
     from pearwell.affinity.flow_limit import FlowLimit
     from pearwell.affinity.split_overflow import SplitOverflow
@@ -97,7 +97,7 @@
     ) -> None:
         self._zone = zone
         self._directory = directory
-        self._admission = FlowAdmission(random, log)
+        self._admission: FlowAdmission | None = None
         self._zone_queues = ZoneQueues(zone, log)
         self._random = random
         self._log = log
@@ -109,8 +109,13 @@
         self._overflow: SplitOverflow | None = None
 
     @property
-    def admission(self) -> FlowAdmission:
-        """Admission of new flows."""
+    def admission(self) -> "FlowAdmission":
+        """Admission of new flows; created with the first response, before which it refuses none."""
+        if self._admission is None:
+            # Imported then, to keep the start fast.
+            from pearwell.affinity.admission import FlowAdmission
+
+            self._admission = FlowAdmission(self._random, self._log)
         return self._admission
 
     @property
@@ -134,7 +139,8 @@
 
     def forget_zone(self, zone: str) -> None:
         """Removes what is known of the queues at a zone's targets."""
-        self._admission.forget_zone(zone)
+        if self._admission is not None:
+            self._admission.forget_zone(zone)
 
     def allows(self, target: Target, now: float) -> bool:
         """Whether a target may get a new flow."""
@@ -199,19 +205,20 @@
             return
         wait_s: float | None = 0.0
         if route is not None:
-            wait_s = self._admission.record_response(
+            wait_s = self.admission.record_response(
                 route, address, target.service, target.zone, seconds, size, is_first, now
             )
             if self._overflow is not None and route.objective_s is not None:
                 service = target.service
-                tolerable_s = self._admission.tolerable_wait(service)
-                service_s = self._admission.service_time(address, service)
+                tolerable_s = self.admission.tolerable_wait(service)
+                service_s = self.admission.service_time(address, service)
                 self._overflow.record_response(service, wait_s, tolerable_s, service_s, now)
         self._zone_queues.add(target, seconds, now, is_shed=wait_s is None)
 
     def tick(self, now: float) -> None:
         """Runs periodic work; called every second."""
-        self._admission.tick(now)
+        if self._admission is not None:
+            self._admission.tick(now)
         for target in self._directory:
             if target.counted_slots != target.slots:
                 target.adopt_slots()
@@ -227,7 +234,7 @@
                 targets = [target for target in targets if limit.allows(target, now)]
         self._limited_choices += len(targets) < listed
         queueing = self._zone_queues.is_queueing(service, now)
-        if not queueing:
+        if not queueing and self._admission is not None:
             queueing = self._admission.is_full(flow.route, flow.address, service, self._zone, now)
         target = None
         if self._evacuations is not None and self._evacuations.returning:
@@ -264,16 +271,20 @@
             found = self._choose(flow, other, now)
             if not flow.is_answered_by(found, now) or self._is_full(flow, found, now):
                 continue
-            service_s = self._admission.service_time(flow.address)
-            tolerable_s = self._admission.tolerable_wait(other, except_for=flow.address)
-            is_lower = self._admission.serves_higher_priority(other, flow.route.priority)
+            service_s = self.admission.service_time(flow.address)
+            tolerable_s = self.admission.tolerable_wait(other, except_for=flow.address)
+            is_lower = self.admission.serves_higher_priority(other, flow.route.priority)
             if self._overflow.take(other, service_s, tolerable_s, is_lower, now):
                 self._overflow.record_start(flow.route, other, cause, now)
                 return found
         return None
 
     def _is_full(self, flow: NewFlow, target: Target, now: float) -> bool:
+        if self._admission is None:
+            return False
         return self._admission.is_full(flow.route, flow.address, target.service, target.zone, now)
 
     def _refuses(self, flow: NewFlow, target: Target, now: float) -> bool:
+        if self._admission is None:
+            return False
         return self._admission.refuses(flow.route, flow.address, target.service, target.zone, now)
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -23,6 +23,9 @@
 # the rest is reserved for a failed call and its retry.
 DRAIN_SHARE = 0.33
 CONFIG_SHARE = 0.17
+# Time without a response of the store or a relay after which it is overdue: a relay answers within
+# a second, and the store answers relays within 1.5 s.
+OVERDUE_S = 1.6
 
 Address = tuple[str, int]
 
@@ -117,7 +120,13 @@
         self.config_cache = ObjectCache()
         self.target_cache = ObjectCache()
         self.director = Director(
-            zone, self.routes, self.directory, self.trusts_listing, log_flow, jitter
+            zone,
+            self.routes,
+            self.directory,
+            self.trusts_listing,
+            log_flow,
+            jitter,
+            lambda: self.target_scheduler.complete_at,
         )
         self.director.hold_flows()
         # None if zones are never evacuated.
@@ -159,7 +168,11 @@
             self._shared_limits.tick(now)
         if self.evacuation_feed is not None:
             self.evacuation_feed.tick(now)
-        for event, target in self.directory.expire(now, self.target_scheduler.store_healthy_since):
+        scheduler = self.target_scheduler
+        if now - scheduler.synced_at > OVERDUE_S:
+            # An entry that was written again may not have arrived yet.
+            return
+        for event, target in self.directory.expire(now, scheduler.store_healthy_since):
             self._log_event(event, target=target.name, service=target.service)
 
     def forward_if_synced(self) -> bool:
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from zlib import compress
 
-from pearwell.affinity.cache import ObjectCache, Position
+from pearwell.affinity.cache import MAX_AGE_S, ObjectCache, Position
 from pearwell.http_message import Response
 from pearwell.reactor import Trigger
 
@@ -65,19 +65,26 @@
             if cache.position[0] > 0:
                 return 410, b""
             position = (0, position[1])
-        end = self._now() + min(wait_s, MAX_WAIT_S)
+        called_at = self._now()
+        end = called_at + min(wait_s, MAX_WAIT_S)
         while cache.is_fresh(self._now()) and not cache.is_behind(position):
             events = cache.events_after(position)
             if events is None:
                 return 410, b""
             left = min(end, cache.stale_at()) - self._now()
             if events or left <= 0:
-                return 200, self._encode(kind, position, cache.position, events)
+                complete_s = cache.complete_at - called_at
+                return 200, self._encode(kind, position, cache.position, events, complete_s)
             await self._changed.wait(left)
         return 503, b""
 
     def _encode(
-        self, kind: str, position: Position, until: Position, events: list[object]
+        self,
+        kind: str,
+        position: Position,
+        until: Position,
+        events: list[object],
+        complete_s: float,
     ) -> bytes:
         callers = self._count_callers()
         *key, body = self._encoded.get(kind, (b"",))
@@ -92,6 +99,9 @@
             }
             if callers is not None:
                 payload["Callers"] = callers
+            if not events:
+                # Clients that called at other times share a response with events.
+                payload["CompleteS"] = round(max(complete_s, -MAX_AGE_S), 3)
             body = compress(json.dumps(payload).encode(), COMPRESSION)
             if events:
                 self._encoded[kind] = (position, until, callers, body)
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 
-from pearwell.affinity.cache import ObjectCache, Position
+from pearwell.affinity.cache import MAX_AGE_S, ObjectCache, Position
 from pearwell.affinity.fetch_scheduler import Call, FetchScheduler
 from pearwell.errors import Code, PlatformError
 
@@ -20,6 +20,9 @@
         async def watch(self, kind: str, position: Position, wait_s: float) -> "StoreResponse":
             """Returns the events after a position once there is one, or none after the wait."""
 
+        def interrupt(self) -> None:
+            """Ends the call that is waiting for its response, with PLATFORM_INTERRUPTED."""
+
     class ObjectHandler(Protocol):
         """Receives the objects of a kind as decoded from JSON."""
 
@@ -53,9 +56,20 @@
         zone: Availability zone of the relay; "" from the store itself.
         era: Number of times that the store was restored from a copy; 0 if it does not tell.
         callers: Number of instances that call the relay; None if it does not tell.
+        complete_s: Time in seconds after which the relay received the call, up to which the
+            response is complete; negative before it, None if the relay does not tell.
     """
 
-    __slots__ = ("callers", "era", "healthy_s", "items", "more", "revision", "zone")
+    __slots__ = (
+        "callers",
+        "complete_s",
+        "era",
+        "healthy_s",
+        "items",
+        "more",
+        "revision",
+        "zone",
+    )
 
     def __init__(
         self,
@@ -66,8 +80,10 @@
         zone: str = "",
         era: int = 0,
         callers: int | None = None,
+        complete_s: float | None = None,
     ) -> None:
         self.callers = callers
+        self.complete_s = complete_s
         self.era = era
         self.items = items
         self.revision = revision
@@ -123,6 +139,14 @@
         self._on_callers = on_callers
         # Consecutive failed calls by relay index; None is the store.
         self._failure_counts: dict[int | None, int] = {}
+        # The store or relay that is called at present.
+        self._called: Store | None = None
+
+    def ask_store(self) -> None:
+        """Asks the store for changes at once, in place of the watch that is waiting."""
+        self._scheduler.require_catch_up()
+        if self._called is not None:
+            self._called.interrupt()
 
     async def run(self) -> None:
         """Makes calls until cancelled."""
@@ -149,6 +173,8 @@
             else:
                 await self._watch_relay(call.relay, call.position, call.wait_s)
         except PlatformError as error:
+            if error.code is Code.PLATFORM_INTERRUPTED:
+                return
             self._scheduler.on_failure(call, error.code, self._now())
             self._log_failure(call, error, self._now() - started)
         else:
@@ -156,6 +182,7 @@
         self._on_change()
 
     async def _list(self) -> None:
+        started = self._now()
         items: list[object] = []
         position: Position | None = None
         after, more = "", True
@@ -178,6 +205,7 @@
         self._handler.replace(by_name, now)
         self._cache.reset(position, now)
         self._scheduler.on_list(position, now)
+        self._record_complete(started)
         self._log(
             "listed",
             kind=self._handler.kind,
@@ -187,17 +215,34 @@
         )
 
     async def _watch_store(self, position: Position, wait_s: float) -> None:
-        response = await self._store.watch(self._handler.kind, position, wait_s)
+        started = self._now()
+        response = await self._watch(self._store, position, wait_s)
         if self._observe_era(response):
             # The events follow the same revision of another history.
             return
         now = self._now()
         self._apply_events(response, now, from_store=True)
         self._cache.append_events(response.items, response.position, now)
+        self._record_complete(started)
+
+    async def _watch(self, called: "Store", position: Position, wait_s: float) -> StoreResponse:
+        self._called = called
+        try:
+            return await called.watch(self._handler.kind, position, wait_s)
+        finally:
+            self._called = None
+
+    def _record_complete(self, at: float) -> None:
+        """Records that all changes are known that the store made until a clock time in seconds.
+
+        This is the start of a call to the store: how long its response was on its way is unknown.
+        """
+        self._scheduler.on_complete(at)
+        self._cache.complete_at = at
 
     async def _watch_relay(self, relay: int, position: Position, wait_s: float) -> None:
         called_at = self._now()
-        response = await self._relays[relay].watch(self._handler.kind, position, wait_s)
+        response = await self._watch(self._relays[relay], position, wait_s)
         if response.callers is not None:
             self._on_callers(response.callers, called_at)
         if None in response.items:
@@ -210,6 +255,8 @@
         if response.healthy_s is not None:
             self._scheduler.on_relay_status(relay, response.zone, now - response.healthy_s)
         self._apply_events(response, now)
+        complete_s = -MAX_AGE_S if response.complete_s is None else response.complete_s
+        self._scheduler.on_complete(called_at + complete_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
         for name, item in [self._decode_event(event) for event in response.items]:
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -87,7 +87,7 @@
             self._instance.director,
             self._log,
             self._packet_times,
-            self._spawn_probes,
+            self._on_batch,
         )
         self._hints = HintSocket(
             self._reactor,
@@ -100,6 +100,7 @@
         self._checks: TargetChecks | None = None
         self._probes: TargetProbes | None = None
         self._changed = Trigger(self._reactor)
+        self._target_sync: ObjectSync | None = None
         # Caches that this instance serves as a relay, by kind.
         self._caches: dict[str, ObjectCache] = {}
         self._stores: list[StoreClient] = []
@@ -142,7 +143,9 @@
             instance.config_scheduler,
             instance.config_cache,
         )
-        self._spawn_sync(targets, instance.target_scheduler, instance.target_cache)
+        self._target_sync = self._spawn_sync(
+            targets, instance.target_scheduler, instance.target_cache
+        )
 
         feed = instance.evacuation_feed
         if feed is not None:
@@ -153,7 +156,7 @@
 
     def _spawn_sync(
         self, handler: "ObjectHandler", scheduler: FetchScheduler, cache: ObjectCache
-    ) -> None:
+    ) -> ObjectSync:
         store = StoreClient(self._reactor, self._settings.store, self._list_times)
         relays = [
             StoreClient(self._reactor, address, is_relay=True) for address in self._relay_addresses
@@ -174,6 +177,7 @@
             self._on_callers,
         )
         self._reactor.spawn(sync.run())
+        return sync
 
     def _listen(self) -> None:
         settings = self._settings
@@ -252,6 +256,11 @@
         self._instance.director.health.handle_hint(name, self._reactor.now())
         self._spawn_probes()
 
+    def _on_batch(self) -> None:
+        if self._target_sync is not None and self._instance.director.take_store_request():
+            self._target_sync.ask_store()
+        self._spawn_probes()
+
     def _spawn_probes(self) -> None:
         if self._checks is not None:
             self._checks.run_due()
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -104,6 +104,8 @@
         """Resets the flows whose targets are gone."""
         for flow in self._director.take_resets():
             self._reset(flow.key, encode_reset(flow_packet(flow.key, flow.last_ack)))
+        for key, ack in self._director.take_unknown_resets(self._reactor.now()):
+            self._reset(key, encode_reset(flow_packet(key, ack)))
 
     def replay(self, packets: list[bytes]) -> None:
         """Handles packets that were withheld or held as if they had just been received."""
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -9,7 +9,7 @@
 from pearwell.errors import Code, PlatformError
 from pearwell.histogram import Histogram
 from pearwell.http_message import MAX_BODY_BYTES, Message, MessageReader, encode_message
-from pearwell.reactor import Reactor
+from pearwell.reactor import Reactor, Trigger
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
@@ -34,6 +34,8 @@
 RECEIVE_BYTES = 262_144
 # Counts how often the store was restored from a copy; in all its responses.
 ERA_HEADER = "store-era"
+# Longest time in seconds that a response may claim to be complete after its call was received.
+MAX_WATCH_S = 30.0
 # Largest plausible number of callers of a relay.
 MAX_CALLERS = 100_000
 
@@ -73,6 +75,8 @@
         self._reader = MessageReader()
         self._used_at = float("-inf")
         self._calls = 0
+        self._interruption = Trigger(reactor)
+        self._interrupted = False
 
     @property
     def calls(self) -> int:
@@ -106,6 +110,11 @@
         """Changes the address for further connections."""
         self._address = address
 
+    def interrupt(self) -> None:
+        """Ends the call that is waiting for its response, with PLATFORM_INTERRUPTED."""
+        self._interrupted = True
+        self._interruption.fire()
+
     def close(self) -> None:
         """Closes the connection; the next call opens a new one."""
         if self._sock is not None:
@@ -138,9 +147,13 @@
         # Never partial: a request is far smaller than the send buffer of an idle connection.
         sock.send(encode_message(f"GET {path} HTTP/1.1", {"Host": host}))
         deadline = self._reactor.now() + timeout_s
+        self._interrupted = False
         while True:
             left = deadline - self._reactor.now()
-            if left <= 0 or not await self._reactor.readable(sock, left):
+            is_ready = left > 0 and await self._reactor.readable(sock, left, self._interruption)
+            if self._interrupted:
+                raise PlatformError(Code.PLATFORM_INTERRUPTED, "interrupted")
+            if not is_ready:
                 raise PlatformError(Code.PLATFORM_TIMEOUT, f"no response within {timeout_s:.1f} s")
             data = sock.recv(RECEIVE_BYTES)
             if not data:
@@ -199,6 +212,7 @@
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
     healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
+    complete_s = payload.get("CompleteS")
     return StoreResponse(
         items,
         revision,
@@ -207,6 +221,7 @@
         zone if isinstance(zone, str) else "",
         _era(response, payload),
         _callers(payload),
+        complete_s if isinstance(complete_s, int | float) and complete_s <= MAX_WATCH_S else None,
     )
 
 
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -135,9 +135,14 @@
         """Starts a coroutine."""
         self._step(_Task(coroutine), True)
 
-    def readable(self, sock: socket.socket, timeout_s: float) -> Wait:
-        """Returns an awaitable for readability; its result is False on a timeout."""
-        return Wait(sock, READ, self.now() + timeout_s)
+    def readable(
+        self, sock: socket.socket, timeout_s: float, trigger: Trigger | None = None
+    ) -> Wait:
+        """Returns an awaitable for readability; its result is False on a timeout.
+
+        A trigger that fires ends the wait as well.
+        """
+        return Wait(sock, READ, self.now() + timeout_s, trigger)
 
     def writable(self, sock: socket.socket, timeout_s: float) -> Wait:
         """Returns an awaitable for writability; its result is False on a timeout."""
--- a/tests/affinity/builders.py
+++ b/tests/affinity/builders.py
@@ -68,6 +68,7 @@
         self.now = 100.0
         self.zone = zone
         self.trusted = trusted
+        self.complete_at = float("inf")
         self.directory = Directory()
         self.directory.replace(targets, self.now)
         self.routes = RouteTable()
@@ -80,6 +81,7 @@
             lambda now: self.trusted,
             self._log,
             random.Random(1).random,
+            lambda: self.complete_at,
         )
 
     @property
--- a/tests/affinity/test_instance.py
+++ b/tests/affinity/test_instance.py
@@ -59,8 +59,13 @@
     instance.directory.replace([target(1)], 0.0)
     instance.target_scheduler.on_list((0, 5), 0.0)
     instance.directory.remove("i-00000001", 10.0)
+    instance.target_scheduler.on_watch(1, (0, 6), 10.0)
     instance.tick(11.0)
     assert events == []
+    # No response since: the relay may stand still, and withhold that the entry is back.
+    instance.tick(13.0)
+    assert events == []
+    instance.target_scheduler.on_watch(0, (0, 6), 12.9)
     instance.tick(13.0)
     assert events == ["target_gone"]
 
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -14,6 +14,7 @@
 DOWN = PlatformError(Code.PLATFORM_UNAVAILABLE)
 TIMED_OUT = PlatformError(Code.PLATFORM_TIMEOUT)
 INVALID = PlatformError(Code.PLATFORM_BAD_ANSWER)
+INTERRUPTED = PlatformError(Code.PLATFORM_INTERRUPTED)
 
 
 def config(version):
@@ -257,3 +258,38 @@
     assert store.calls == [("list", ""), ("watch", (0, 5)), ("list", "")]
     assert harness.slept == 0.0
     assert harness.logged.count("relay_lost") == 2
+
+
+def test_the_store_is_asked_in_place_of_a_relay_that_stands_still():
+    """An instance waited up to two seconds for a frozen relay to hear of a new target."""
+    store, relay = FakeStore(listed(5, 1), events(7, 2)), FakeStore(INTERRUPTED)
+    relay.interrupt = lambda: relay.calls.append("interrupt")
+    harness = SyncHarness(store, relay)
+    harness.steps(1)
+    harness.sync._called = relay
+    harness.sync.ask_store()
+    harness.sync._called = None
+    relay.script.clear()
+    assert harness.steps(1, each_s=1.0) == [2]
+    assert relay.calls == ["interrupt"]
+    assert store.calls == [("list", ""), ("watch", (0, 5))]
+
+
+def test_an_interrupted_watch_is_no_failure():
+    store, relay = FakeStore(listed(5, 1)), FakeStore(INTERRUPTED, events(6, 2))
+    harness = SyncHarness(store, relay)
+    assert harness.steps(3) == [1, 1, 2]
+    assert "relay_lost" not in harness.logged
+
+
+@pytest.mark.parametrize(
+    ("complete_s", "complete_at"), [(0.4, 1.4), (-0.5, 0.5), (None, 0.0), (-2.2, 0.0)]
+)
+def test_what_a_relay_knows_counts_from_the_start_of_the_call(complete_s, complete_at):
+    """A relay of an earlier build tells nothing and may be behind by what its cache allows."""
+    response = StoreResponse([], 5, healthy_s=9.0, complete_s=complete_s)
+    harness = SyncHarness(FakeStore(listed(5, 1)), FakeStore(response))
+    harness.steps(1)
+    harness.now = 1.0
+    harness.steps(1)
+    assert harness.sync._scheduler.complete_at == pytest.approx(complete_at)
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -8,8 +8,10 @@
 
 import pytest
 
-# Modules of features that settings or a configuration switch on, and of relays.
+# Modules of features that settings or a configuration switch on, of relays, and what a start
+# doesn't need.
 OPTIONAL = (
+    "pearwell.affinity.admission",
     "pearwell.affinity.evacuations",
     "pearwell.affinity.failing_targets",
     "pearwell.affinity.fleet_size",
@@ -22,6 +24,7 @@
     "pearwell.affinity.shared_limits",
     "pearwell.affinity.slot_ratios",
     "pearwell.affinity.split_overflow",
+    "pearwell.affinity.unknown_flows",
     "pearwell.affinity.warmup",
     "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -260,6 +260,36 @@
     assert run_query(lambda client: client.list("servers", "")) == Code.PLATFORM_UNAVAILABLE
 
 
+def test_a_call_that_waits_is_interrupted():
+    """A watch at a relay that stands still would go on for two seconds."""
+
+    async def query(client):
+        client._reactor.spawn(interrupt(client))
+        return await client.list("servers", "")
+
+    async def interrupt(client):
+        while not client.calls:
+            await client._reactor.sleep(0.001)
+        client.interrupt()
+
+    with StoreThread() as store_thread:
+        store_thread.server.faults.silent = True
+        assert run_query(query) == Code.PLATFORM_INTERRUPTED
+
+
+@pytest.mark.parametrize(
+    ("told", "complete_s"),
+    [
+        ("", None),
+        (',"CompleteS":-0.25', -0.25),
+        (',"CompleteS":"1"', None),
+        (',"CompleteS":1e9', None),
+    ],
+)
+def test_until_when_a_relay_knows_all_changes_is_read(told, complete_s):
+    assert decode(f'{{"items":[],"AsOf":3{told}}}'.encode()).complete_s == complete_s
+
+
 @pytest.mark.parametrize(("max_idle_s", "connections"), [(LONG_S, 1), (-1.0, 2)])
 def test_an_idle_connection_is_not_used_again(max_idle_s, connections, monkeypatch):
     """The other side may have closed it, or it may have gone silent, which costs a timeout."""
