Let an acknowledgement 4 MB ahead belong to another connection

An open flow's record holds against other tokens while the client's acknowledgements continue. The range of 256 MB was one in 16 of all sequence numbers: as often, a flow on a port that is used again through another instance would have stayed with the target of the earlier one. 4 MB are one in a thousand, and more than a flow receives between two of its packets here.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -6,8 +6,8 @@
 
 The SYN of a flow goes to one target only, as long as that target may have the flow. When a target
 is gone or unreachable, its unanswered SYNs are retransmitted to another one, and once it is
-confirmed gone its flows are reset. Flows on a target that drains while
-clients keep them open are never reset.
+confirmed gone its flows are reset. Flows on a target that drains while clients keep them open are
+never reset.
 """
 
 from collections.abc import Callable
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -17,7 +17,7 @@
 # Bytes by which an acknowledgement of the same connection may differ from the latest one seen here:
 # behind it when packets overtake one another, ahead when others went through another instance.
 MAX_ACK_BEHIND = 1 << 20
-MAX_ACK_AHEAD = 1 << 28
+MAX_ACK_AHEAD = 1 << 22
 
 
 def is_after(value: int, than: int) -> bool:
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -379,7 +379,8 @@
     [
         (500, 500, True),
         (500, 300, True),
-        (500, 5_000_000, True),
+        (500, 4_000_000, True),
+        (500, 5_000_000, False),
         ((1 << 32) - 10, 90, True),
         # The port is used again, for a flow that opened through another instance.
         (500, 3_000_000_000, False),
