Test flows on targets that instances don't know yet, in a fleet with relays that hang

Relays stand still, are cut off, or have lost the store, and a new target's flow moves to instances that call them, from 0 to 1.9 s after its entry was written: no flow is reset, and each packet is answered within 0.5 s. Flows of targets that are gone are reset within 0.5 s under the same faults.

--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -74,8 +74,25 @@
         self._node = node
         self._respond = respond
         self._link = link
+        self._task = None
+
+    def interrupt(self):
+        if self._task is not None:
+            self._task.cancel(Code.PLATFORM_INTERRUPTED)
 
     async def _exchange(self, path, timeout_s):
+        self._task = asyncio.ensure_future(self._reach(path, timeout_s))
+        try:
+            return await self._task
+        except asyncio.CancelledError as error:
+            self._task.cancel()
+            if error.args != (Code.PLATFORM_INTERRUPTED,):
+                raise
+            raise PlatformError(Code.PLATFORM_INTERRUPTED) from error
+        finally:
+            self._task = None
+
+    async def _reach(self, path, timeout_s):
         await self._node.running.wait()
         self._calls += 1
         try:
@@ -193,6 +210,7 @@
             handler = EvacuationHandler(feed.evacuations, feed.trusts_listing, self._log)
             pairs.append((handler, feed.scheduler))
         self._tasks = [asyncio.ensure_future(self._tick())]
+        self._syncs = {}
         for handler, scheduler in pairs:
             sync = ObjectSync(
                 handler,
@@ -205,8 +223,23 @@
                 self._on_change,
                 self._log,
             )
+            self._syncs[handler.kind] = sync
             self._tasks.append(asyncio.ensure_future(sync.run()))
 
+    def send(self, packet):
+        """Passes a packet to the director, as the packet socket does; returns its decision."""
+        director = self.instance.director
+        decision = director.on_packet(packet, b"", self.now())
+        if director.take_store_request():
+            # The rest of the batch is handled first.
+            self._loop.call_later(0.0001, self._syncs["servers"].ask_store)
+        return decision
+
+    def take_resets(self):
+        """Returns the flows that the packet socket would reset now."""
+        director = self.instance.director
+        return director.take_resets() + director.take_unknown_resets(self.now())
+
     def now(self):
         return self._loop.time()
 
--- a/tests/platform/test_hanging_relays.py
+++ b/tests/platform/test_hanging_relays.py
@@ -4,6 +4,10 @@
 
 import pytest
 
+from pearwell.affinity.target import Target
+from pearwell.affinity.token import token_of
+from pearwell.errors import Code
+from tests.affinity.builders import data
 from tests.platform.store_fleet import BOUNDS, Fleet
 from tests.virtual_time import run
 
@@ -47,3 +51,85 @@
         await fleet.stop()
 
     run(scenario())
+
+
+# Time between two transmissions of a client's packet, and in which one has to be answered: a call
+# to the store, and the next transmission.
+TRANSMISSION_S, ANSWER_S = 0.2, 0.5
+ROUTE = bytes.fromhex("20fbc6120001")
+FAULTS = [
+    [],
+    ["freeze"],
+    ["cut"],
+    ["freeze", "freeze", "freeze"],
+    ["cut", "cut", "cut"],
+    ["cut_from_store"] * 3,
+    ["cut_from_store", "freeze", "cut"],
+]
+
+
+async def send_until_answered(client, name):
+    """Sends a packet with a target's token, as its client does; returns decision and time."""
+    started = client.now()
+    packet = data(1, token_of(name), route=ROUTE)
+    while True:
+        decision = client.send(packet)
+        if decision is not Code.FLOW_UNSETTLED:
+            return decision, client.now() - started
+        resume_at = client.now() + TRANSMISSION_S
+        while client.now() < resume_at:
+            await asyncio.sleep(0.01)
+            if client.take_resets():
+                return Code.FLOW_UNKNOWN_TOKEN, client.now() - started
+
+
+@pytest.mark.parametrize("faults", FAULTS, ids="-".join)
+@pytest.mark.parametrize("heard_after_s", [0.0, 0.05, 0.4, 1.0, 1.9])
+def test_flows_on_a_target_not_yet_known_are_not_reset(faults, heard_after_s):
+    """Instances whose relay stood still or had lost the store reset flows on a new target."""
+
+    async def scenario():
+        fleet = Fleet(3, 4)
+        await fleet.configure()
+        await fleet.put_target(1)
+        for offset_s in (0.0, 0.3, 0.7):
+            await asyncio.sleep(20.0 + offset_s)
+            running = [
+                asyncio.ensure_future(getattr(relay, fault)(3.0))
+                for relay, fault in zip(fleet.relays, faults, strict=False)
+            ]
+            number = 2 + round(10 * offset_s)
+            await fleet.put_target(number)
+            await asyncio.sleep(heard_after_s)
+            sent = [send_until_answered(client, f"i-{number:08x}") for client in fleet.clients]
+            for decision, seconds in await asyncio.gather(*sent):
+                assert isinstance(decision, Target)
+                assert seconds <= ANSWER_S
+            await asyncio.gather(*running)
+        await fleet.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("faults", FAULTS, ids="-".join)
+def test_flows_on_a_target_that_is_gone_are_reset_soon(faults):
+    """Their clients would else wait for a response until their deadlines."""
+
+    async def scenario():
+        fleet = Fleet(3, 4)
+        await fleet.configure()
+        await fleet.put_target(1)
+        await asyncio.sleep(20.0)
+        running = [
+            asyncio.ensure_future(getattr(relay, fault)(3.0))
+            for relay, fault in zip(fleet.relays, faults, strict=False)
+        ]
+        await asyncio.sleep(0.3)
+        sent = [send_until_answered(client, "i-000000ff") for client in fleet.clients]
+        for decision, seconds in await asyncio.gather(*sent):
+            assert decision is Code.FLOW_UNKNOWN_TOKEN
+            assert seconds <= ANSWER_S
+        await asyncio.gather(*running)
+        await fleet.stop()
+
+    run(scenario())
