Bound the work after a pause, and leave packets queued until the start

Catching up now waits for the start, ends after 8,192 packets, and counts as no pause. The three new cases fail on the code before.

--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -26,6 +26,8 @@
 DATAGRAM_BYTES = 2_048
 # Holds the packets that arrive while an instance starts or is paused.
 RECEIVE_BUFFER_BYTES = 4_194_304
+# More packets than that buffer holds, with the kernel's overhead for each.
+MAX_BACKLOG_PACKETS = 8_192
 _NOT_RESET = (Code.FLOW_UNSETTLED, Code.FLOW_WITHHELD, Code.FLOW_HELD)
 
 
@@ -64,6 +66,7 @@
         self._sock = bind_socket(socket.SOCK_DGRAM, address)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_at = reactor.now()
+        self._started = False
 
     def close(self) -> None:
         """Closes the socket."""
@@ -71,32 +74,37 @@
 
     def start(self) -> None:
         """Starts reading packets."""
+        self._started = True
         self.catch_up(self._reactor.now() - self._bound_at)
         self._reactor.add_reader(self._sock, self._read)
 
     def catch_up(self, waited_s: float) -> None:
         """Handles the queued packets, and drops those that may have been queued for too long.
 
+        Packets go on queueing until start() is called.
+
         Args:
             waited_s: Maximum time in seconds that a packet may have been queued.
         """
         packets = dropped = 0
-        try:
-            while True:
+        while self._started and packets < MAX_BACKLOG_PACKETS:
+            try:
                 data = self._sock.recv(DATAGRAM_BYTES)
-                packets += 1
-                if is_stale(waited_s) or _is_stale_syn(data, waited_s):
-                    dropped += 1
-                else:
-                    self._handle(data, self._reactor.now())
-        except BlockingIOError:
-            if dropped:
-                self._log.event(
-                    "backlog_dropped", packets=dropped, of=packets, waited_s=round(waited_s, 3)
-                )
+            except OSError:
+                # BlockingIOError: all have been read.
+                break
+            packets += 1
+            if is_stale(waited_s) or _is_stale_syn(data, waited_s):
+                dropped += 1
+            else:
+                self._handle(data, self._reactor.now())
+        if dropped:
+            self._log.event(
+                "backlog_dropped", packets=dropped, of=packets, waited_s=round(waited_s, 3)
+            )
 
     def send_retransmissions(self, now: float) -> None:
-        """Retransmits the unanswered SYNs that are due, each to a target not tried yet."""
+        """Retransmits the unanswered SYNs that are due."""
         for data, target in self._director.due_retransmissions(now):
             self._forward(data, target, NO_TOKEN)
 
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -198,6 +198,8 @@
         self._polled_at = now
         if pause_s > MIN_PAUSE_S:
             self._on_pause(pause_s)
+            # Handling the backlog is no pause: what arrives meanwhile is read at its end.
+            self._polled_at = self.now()
         for fd, _ in ready:
             callback = self._readers.get(fd)
             if callback is not None:
--- a/tests/platform/test_packet_socket.py
+++ b/tests/platform/test_packet_socket.py
@@ -7,6 +7,7 @@
 from pearwell.affinity.token import NO_TOKEN
 from pearwell.event_log import EventLog
 from pearwell.histogram import Histogram
+from pearwell.platform import packet_socket as module
 from pearwell.platform.packet_socket import PacketSocket
 from pearwell.reactor import Reactor
 from pearwell.standins.token_packet import ACK, SYN, TokenPacket, flow_address
@@ -33,10 +34,22 @@
     log = EventLog(lambda data: len(data), lambda: harness.now)
     times = Histogram("packet_seconds", ())
     found = PacketSocket(reactor, (IP, PORT), harness.director, log, times, lambda: None)
+    found.start()
     yield found
     found.close()
 
 
+def test_packets_queue_until_the_start(host, packets):
+    """A pause during the start lost the packets of open flows that had queued."""
+    packets._started = False
+    send(40_001, SYN, 0)
+    packets.catch_up(0.1)
+    assert received(host) == []
+    packets._started = True
+    packets.catch_up(0.1)
+    assert received(host) == [0]
+
+
 def send(port, flags, ack):
     """Sends a client's packet to the instance; SYNs count their copies in `ack`."""
     local = flow_address(CLIENT_IP, port)
@@ -77,3 +90,12 @@
     send(40_001, ACK, 501)
     packets.catch_up(waited_s)
     assert len(received(host)) == 1 + count
+
+
+def test_catching_up_ends_under_a_steady_load(host, packets, monkeypatch):
+    """Other sockets and timers are served although packets arrive as fast as they are handled."""
+    monkeypatch.setattr(module, "MAX_BACKLOG_PACKETS", 10)
+    for number in range(15):
+        send(40_000 + number, SYN, 0)
+    packets.catch_up(0.0)
+    assert len(received(host)) == 10
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -198,6 +198,20 @@
     assert pauses == [5.0]
 
 
+def test_handling_the_backlog_of_a_pause_is_no_further_pause():
+    """A busy instance would else drop SYNs again and again."""
+    clock, pauses = [0.0], []
+
+    def handle_backlog(pause_s):
+        pauses.append(pause_s)
+        clock[0] += 0.5
+
+    reactor = Reactor(lambda: clock[0], lambda error: None, handle_backlog)
+    reactor._epoll = FakePoll(reactor, clock, [0.0, 1.0, 0.05, 0.1])
+    reactor.run()
+    assert pauses == [1.0]
+
+
 def test_the_boot_time_counts_with_the_steady_clock():
     """A machine that is suspended stops the steady clock, but not this one."""
     assert boot_time() >= time.monotonic() - 0.001
