Send SYNs elsewhere whose target was reported gone and hasn't responded since

A target that was found or reported gone is doubted until it responds to a flow: it isn't taken to have one whose SYN it left unanswered. The new cases fail on the code before.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -331,7 +331,7 @@
         target = flow.target
         return (
             (target.listed or target.lapsed)
-            and not (target.gone or target.draining or target.token_conflict)
+            and not (target.gone or target.doubted or target.draining or target.token_conflict)
             and route.allows(target.service)
             and not self._health.is_unreachable(target, now)
             and self._placement.allows_repeat(target, now)
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -40,6 +40,8 @@
         held_flows: Number of these that are open.
         in_flight: Number of requests of these flows that await a response.
         reported_gone: Whether an instance has reported it gone since its last response.
+        doubted: Whether it was found or reported gone since its last response. An accepted
+            connection doesn't end that, as its address may be another target's by now.
         probing: Whether a connection attempt is in progress or requested.
         probe_started_at: When the latest connection attempt was requested, in seconds of the clock.
         probed_at: When the latest connection attempt ended, in seconds of the clock.
@@ -50,6 +52,7 @@
         "address",
         "counted_slots",
         "started_ms",
+        "doubted",
         "draining",
         "gone",
         "reported_gone",
@@ -111,6 +114,7 @@
         self.held_flows = 0
         self.in_flight = 0
         self.reported_gone = False
+        self.doubted = False
         self.probing = False
         self.probe_started_at = NEVER
         self.probed_at = NEVER
@@ -139,6 +143,7 @@
     def record_response(self, now: float) -> None:
         """Records that the target has responded."""
         self.reported_gone = False
+        self.doubted = False
         self.last_response_at = now
         self.unanswered_syns = 0
         self.suspect_until = NEVER
--- a/pearwell/affinity/target_health.py
+++ b/pearwell/affinity/target_health.py
@@ -61,7 +61,7 @@
         target = self._directory.find_by_name(name)
         if target is None:
             return
-        target.reported_gone = True
+        target.reported_gone = target.doubted = True
         if target.gone or not target.open_flows:
             return
         if now - target.last_response_at >= UNRESPONSIVE_S:
@@ -114,6 +114,7 @@
             self._restore(target)
         if answered or not unresponsive or target.gone:
             return
+        target.doubted = True
         self._directory.mark_gone(target)
         self._mark_suspect(target, now)
         self._count("target_found_gone")
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -243,6 +243,29 @@
     assert sum(known.open_flows for known in harness.directory) == 1
 
 
+@pytest.mark.parametrize("reported_by", ["probe", "hint"])
+@pytest.mark.parametrize("responds", [True, False])
+def test_a_syn_leaves_a_target_that_came_back_without_a_response(reported_by, responds):
+    """Another target that got the address of one that is gone accepts connections, but no SYN."""
+    harness = DirectorHarness(target(1), target(2))
+    back = harness.open(1)
+    harness.directory.put(target(3 - int(back.name[2:], 16), draining=True))
+    harness.now += 1.0
+    if reported_by == "hint":
+        harness.director.health.handle_hint(back.name, harness.now)
+    else:
+        harness.director.health.handle_probe_result(back, False, True, harness.now)
+    harness.now += 2.0
+    harness.director.health.take_probes()
+    harness.director.health.handle_probe_result(back, True, False, harness.now)
+    if responds:
+        harness.send(data(1, back.token, ack=700))
+    assert harness.send(syn(2)) is back
+    harness.directory.put(target(3 - int(back.name[2:], 16)))
+    [(_, second)] = harness.advance(SYN_TIMEOUT_S)
+    assert (second is back) == responds
+
+
 def test_a_refused_connection_redirects_the_waiting_syns_at_once():
     harness = DirectorHarness(target(1), target(2))
     first = harness.send(syn(1))
