Let a probe or check without a free descriptor end nothing

An instance whose descriptors are used up ended with its first probe of a silent target: the socket was created outside of the try block, and the exception of the task ended the process. Had it been caught there, the target would have counted as gone, and its flows would have been reset.

A connection attempt that this machine couldn't make now tells nothing of the target and is counted (target_probe_failed); health checks create their socket inside the try block too, and regular checks start again after a failure. Only a refused connection is logged as refused. The tests of the four errors fail before with the OSError that ended the process.

--- a/pearwell/affinity/target_health.py
+++ b/pearwell/affinity/target_health.py
@@ -120,6 +120,15 @@
         self._count("target_found_gone")
         self._report(target)
 
+    def handle_failed_probe(self, target: Target, error: OSError) -> None:
+        """Handles a connection attempt that this machine couldn't make.
+
+        It tells nothing of the target: without a free descriptor, all would seem to be gone.
+        """
+        target.probing = False
+        self._count("target_probe_failed")
+        self._log("target_probe_failed", target=target.name, error=error)
+
     def record_response(self, target: Target, now: float) -> None:
         """Records a packet of an open flow that shows that its target responds."""
         target.record_response(now)
--- a/pearwell/platform/target_checks.py
+++ b/pearwell/platform/target_checks.py
@@ -96,34 +96,43 @@
             self._reactor.spawn(self._watch())
 
     async def _watch(self) -> None:
-        while self._failing.watching:
-            await self._reactor.sleep(CHECK_INTERVAL_S)
-            for target in self._failing.take_regular_checks(self._reactor.now()):
-                self._reactor.spawn(self._check(target))
-        self._watching = False
+        try:
+            while self._failing.watching:
+                await self._reactor.sleep(CHECK_INTERVAL_S)
+                for target in self._failing.take_regular_checks(self._reactor.now()):
+                    self._reactor.spawn(self._check(target))
+        finally:
+            self._watching = False
 
     async def _check(self, target: Target) -> None:
         service = self._routes.find_service(target.service)
         if service is None or service.health_path is None:
             return
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
         data = b""
         try:
-            if await connect(self._reactor, sock, target.address, CHECK_TIMEOUT_S):
-                host = f"{target.address[0]}:{target.address[1]}"
-                headers = {"Host": host, "Connection": "close"}
-                sock.send(encode_message(f"GET {service.health_path} HTTP/1.1", headers))
-                if await self._reactor.readable(sock, CHECK_TIMEOUT_S):
-                    data = sock.recv(RECEIVE_BYTES)
+            data = await self._fetch(target.address, service.health_path)
         except OSError as error:
             # A target that has ended is found by a probe.
             self._log.flow("target_check_failed", target=target.name, error=error)
-        sock.close()
         serves = _SERVES.get(data[9:12]) if data.startswith(b"HTTP/1.") else None
         self._failing.handle_check(target, serves, self._reactor.now())
         self._apply()
 
+    async def _fetch(self, address: tuple[str, int], path: str) -> bytes:
+        """Returns the start of the response to a request; b"" if there is none in time."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            if not await connect(self._reactor, sock, address, CHECK_TIMEOUT_S):
+                return b""
+            headers = {"Host": f"{address[0]}:{address[1]}", "Connection": "close"}
+            sock.send(encode_message(f"GET {path} HTTP/1.1", headers))
+            if not await self._reactor.readable(sock, CHECK_TIMEOUT_S):
+                return b""
+            return sock.recv(RECEIVE_BYTES)
+        finally:
+            sock.close()
+
     def _on_datagram(self, data: bytes) -> bool:
         """Handles a datagram; returns False if it is no notice."""
         decoded = decode_notice(data)
--- a/pearwell/platform/target_probes.py
+++ b/pearwell/platform/target_probes.py
@@ -1,5 +1,6 @@
 """Probes of targets that leave packets unanswered: connection attempts to their addresses."""
 
+import errno
 import socket
 
 from pearwell.affinity.target import Target
@@ -15,6 +16,17 @@
 # for the shorter time, the other instances start theirs.
 PROBE_HINT_S = 0.05
 PROBE_TIMEOUT_S = 0.3
+# Errors of an attempt that never left this machine.
+_NOT_MADE = (
+    errno.EACCES,
+    errno.EADDRNOTAVAIL,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.ENOMEM,
+    errno.ENOSPC,
+    errno.EPERM,
+)
 
 
 class TargetProbes:
@@ -37,19 +49,27 @@
 
     async def probe(self, target: Target) -> None:
         """Probes a target with a connection attempt, which is refused if its process has ended."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
         answered, refused = False, False
         try:
-            answered = await connect(self._reactor, sock, target.address, PROBE_HINT_S)
-            if not answered:
-                self._health.handle_slow_probe(target, self._reactor.now())
-                self._hints.send_hints(self._health.take_hints())
-                rest_s = PROBE_TIMEOUT_S - PROBE_HINT_S
-                answered = await finish_connect(self._reactor, sock, rest_s)
-        except OSError:
-            refused = True
-        sock.close()
+            answered = await self._connect(target)
+        except OSError as error:
+            if error.errno in _NOT_MADE:
+                self._health.handle_failed_probe(target, error)
+                return
+            refused = error.errno == errno.ECONNREFUSED
         self._health.handle_probe_result(target, answered, refused, self._reactor.now())
         self._packets.send_resets()
         self._hints.send_hints(self._health.take_hints())
+
+    async def _connect(self, target: Target) -> bool:
+        """Returns whether a target accepts a connection in time; raises OSError on a failure."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            if await connect(self._reactor, sock, target.address, PROBE_HINT_S):
+                return True
+            self._health.handle_slow_probe(target, self._reactor.now())
+            self._hints.send_hints(self._health.take_hints())
+            return await finish_connect(self._reactor, sock, PROBE_TIMEOUT_S - PROBE_HINT_S)
+        finally:
+            sock.close()
