Start without a standard output

With a closed standard output the role ended at once with a traceback: setting the closed descriptor to non-blocking failed. With that alone left out, the next socket would have become descriptor 1, and log lines would have gone out on it.

Each standard stream that is closed is opened on the null device first. The test starts the role without all three and failed before.

--- a/pearwell/event_log.py
+++ b/pearwell/event_log.py
@@ -87,11 +87,24 @@
 
 
 def stdout_writer() -> Callable[[bytes], int]:
-    """Returns a writer to standard output that never blocks."""
+    """Returns a writer to standard output that never blocks; without one it writes nowhere."""
+    open_standard_streams()
     os.set_blocking(1, False)
     return lambda data: os.write(1, data)
 
 
+def open_standard_streams() -> None:
+    """Opens the null device as each standard stream that is closed.
+
+    The next socket would else become standard output, and carry log lines.
+    """
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _render(value: object) -> str:
     if isinstance(value, bytes):
         return flow_name(value)
