Keep signals pending until the role handles them

A SIGHUP during the start ended the process, with no line: the handlers were installed last, after all imports and sockets.

The first lines of the script block SIGHUP, SIGINT and SIGTERM, before anything is imported that takes time, and they are unblocked once their handlers are in place: a SIGHUP then reloads the settings, a SIGTERM stops.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -1,7 +1,12 @@
 """Starts the platform's role. It is a script because running a module takes 5 ms longer."""
 
-import os
-import sys
+# The module signal takes 9 ms to import, in which a signal would end the process.
+import _signal
+
+_signal.pthread_sigmask(_signal.SIG_BLOCK, (_signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM))
+
+import os  # noqa: E402
+import sys  # noqa: E402
 
 sys.path[0] = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
--- a/pearwell/platform/signals.py
+++ b/pearwell/platform/signals.py
@@ -1,4 +1,8 @@
-"""Signal handling: the reactor reads the signal numbers from a socket."""
+"""Signal handling: the reactor reads the signal numbers from a socket.
+
+deploy/edge.py blocks the signals in its first lines, as they would end a process that doesn't
+handle them yet. They stay pending until the process waits for them or handles them.
+"""
 
 import signal
 import socket
@@ -6,7 +10,21 @@
 
 from pearwell.reactor import Reactor
 
-__all__ = ["watch_signals"]
+__all__ = ["wait_for_stop", "watch_signals"]
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+_SIGNALS = (*_STOP_SIGNALS, signal.SIGHUP)
+
+
+def wait_for_stop(timeout_s: float) -> bool:
+    """Waits for a signal during the start, while signals are blocked.
+
+    Returns:
+        Whether the process is to stop. False at once if the settings have changed, else after the
+        timeout in seconds.
+    """
+    received = signal.sigtimedwait(_SIGNALS, timeout_s)
+    return received is not None and received.si_signo in _STOP_SIGNALS
 
 
 def watch_signals(
@@ -34,7 +52,8 @@
                 on_stop(number)
 
     signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+    for number in _SIGNALS:
         signal.signal(number, lambda *_: None)
     reactor.add_reader(inner, read)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
     return inner, outer
