Wait at the start for valid settings and free addresses

An instance ended at once when, at its start, an address was in use or not yet one of the machine, or the settings file was missing, half-written or wrong; the platform started it again after a fraction of a second, and it ended again, until the trouble was over: three ends of an instance within two seconds. A port of thousands of digits, a name in place of an address, or internal ports out of range ended it with a traceback.

An ended process helps nobody: its successor meets the same trouble. Internal ports that are invalid only cost the hints and are logged (setting_ignored). Addresses have to be IP addresses, as the platform's are.

--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -5,7 +5,7 @@
 
 from pearwell.errors import PlatformError
 from pearwell.http_message import Message, MessageReader, Response, encode_message
-from pearwell.reactor import Reactor, Wait, bind_socket
+from pearwell.reactor import Reactor, Wait
 
 __all__ = ["HttpServer"]
 
@@ -26,19 +26,16 @@
 
     Args:
         reactor: Event loop.
-        address: IP address and TCP port to listen on.
+        sock: Bound TCP socket.
         handle: Returns the response to a path with its query.
         headers: Header fields of all responses.
         on_request: Called with the client's IP address for each request.
-
-    Raises:
-        SettingsError: If the address can't be bound; see bind_socket().
     """
 
     def __init__(
         self,
         reactor: Reactor,
-        address: tuple[str, int],
+        sock: socket.socket,
         handle: Handler,
         headers: dict[str, str],
         on_request: Callable[[str], None] = lambda ip: None,
@@ -47,9 +44,9 @@
         self._on_request = on_request
         self._handle = handle
         self._headers = headers
-        self._sock = bind_socket(socket.SOCK_STREAM, address)
-        self._sock.listen(BACKLOG)
-        reactor.add_reader(self._sock, self._accept)
+        self._sock = sock
+        sock.listen(BACKLOG)
+        reactor.add_reader(sock, self._accept)
 
     def _accept(self) -> None:
         try:
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -1,6 +1,7 @@
 """The platform's role: one instance with its sockets, store clients and signal handlers."""
 
 import os
+import socket
 import sys
 import time
 
@@ -8,7 +9,7 @@
 from pearwell.affinity.fetch_scheduler import FetchScheduler
 from pearwell.affinity.instance import Bounds, Instance, order_relays
 from pearwell.affinity.sync import ObjectSync
-from pearwell.errors import SettingsError
+from pearwell.errors import Code, SettingsError
 from pearwell.event_log import EventLog, stdout_writer
 from pearwell.histogram import Histogram
 from pearwell.http_message import Response
@@ -16,10 +17,11 @@
 from pearwell.platform.hint_socket import HintSocket
 from pearwell.platform.objects import ConfigHandler, TargetHandler
 from pearwell.platform.packet_socket import PacketSocket
-from pearwell.platform.settings import PATH_VARIABLE, InstanceSettings, read_settings
+from pearwell.platform.settings import PATH_VARIABLE, read_settings
 from pearwell.platform.signals import watch_signals
+from pearwell.platform.startup import Startup, modified_at
 from pearwell.platform.store import StoreClient
-from pearwell.reactor import Reactor, Trigger, boot_time
+from pearwell.reactor import Reactor, Trigger, bind_socket, boot_time
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
@@ -45,21 +47,19 @@
     """One instance on the platform.
 
     Args:
-        settings: Settings that the platform provides.
+        startup: Settings that the platform provides, and bound sockets.
         path: Path of the settings file, which is reloaded when it changes.
-
-    Raises:
-        SettingsError: SETTINGS_PORT_IN_USE if an address in the settings is already in use.
     """
 
-    def __init__(self, settings: InstanceSettings, path: str) -> None:
+    def __init__(self, startup: Startup, path: str) -> None:
+        settings = startup.settings
         self._settings = settings
         self._path = path
-        self._modified_at = _modified_at(path)
+        self._modified_at = startup.modified_at
         self._log = EventLog(stdout_writer(), boot_time, instance=settings.instance)
         self._reactor = Reactor(boot_time, self._on_error, self._on_pause)
         self._relay_addresses = order_relays(settings.instance, settings.control, settings.seeds)
-        self._is_relay = settings.control in settings.seeds
+        self._is_relay = settings.is_relay
         bounds = Bounds(
             settings.drain_s,
             settings.config_s,
@@ -83,7 +83,8 @@
         self._list_times = Histogram("store_list_seconds", CALL_BOUNDS_S)
         self._packets = PacketSocket(
             self._reactor,
-            settings.packets,
+            startup.listeners.packets,
+            settings.packets[1],
             self._instance.director,
             self._log,
             self._packet_times,
@@ -97,6 +98,7 @@
             self._log,
             self._on_hint,
         )
+        self._listeners = startup.listeners
         self._checks: TargetChecks | None = None
         self._probes: TargetProbes | None = None
         self._changed = Trigger(self._reactor)
@@ -111,6 +113,10 @@
         # With the Unix time, the logs of several instances can be merged in order.
         unix = round(time.time(), 3)
         self._log.event("start", zone=self._settings.zone, relay=self._is_relay, unix=unix)
+        for setting in self._settings.ignored:
+            self._log.event(
+                "setting_ignored", code=int(Code.SETTINGS_INVALID_VALUE), detail=setting
+            )
         self._start_sync()
         self._listen()
         signals = watch_signals(self._reactor, self._on_stop, self._reload)
@@ -180,22 +186,21 @@
         return sync
 
     def _listen(self) -> None:
-        settings = self._settings
-        HttpServer(self._reactor, settings.ready, self._respond_readiness, {})
+        HttpServer(self._reactor, self._listeners.ready, self._respond_readiness, {})
         try:
-            metrics_address = (settings.ip, METRICS_PORT)
-            HttpServer(self._reactor, metrics_address, self._respond_metrics, METRICS_HEADERS)
+            sock = bind_socket(socket.SOCK_STREAM, (self._settings.ip, METRICS_PORT))
+            HttpServer(self._reactor, sock, self._respond_metrics, METRICS_HEADERS)
         except SettingsError as error:
             # Forward packets without metrics if the platform uses the port for something else.
             self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
-        if settings.control is None or not self._is_relay:
+        if self._listeners.control is None:
             return
         # Imported only by the few relays, to keep the start of the others fast.
         from pearwell.affinity.relay import Relay
 
         instance = self._instance
         relay = Relay(
-            settings.zone,
+            self._settings.zone,
             self._caches,
             lambda: instance.target_scheduler.store_healthy_since,
             self._changed,
@@ -203,7 +208,11 @@
             self._count_callers,
         )
         HttpServer(
-            self._reactor, settings.control, relay.respond, RELAY_HEADERS, self._hints.record_call
+            self._reactor,
+            self._listeners.control,
+            relay.respond,
+            RELAY_HEADERS,
+            self._hints.record_call,
         )
 
     async def _respond_readiness(self, path: str) -> Response:
@@ -291,9 +300,9 @@
                 self._checks.tick()
             self._packets.send_resets()
             self._spawn_probes()
-            modified_at = _modified_at(self._path)
-            if modified_at != self._modified_at:
-                self._modified_at = modified_at
+            changed_at = modified_at(self._path)
+            if changed_at != self._modified_at:
+                self._modified_at = changed_at
                 self._reload()
             self._log.flush()
 
@@ -332,30 +341,21 @@
     return int.from_bytes(os.urandom(4), "big") / (1 << 32)
 
 
-def _modified_at(path: str) -> float:
-    try:
-        return os.stat(path).st_mtime
-    except OSError:
-        # Reading a missing file reports it.
-        return 0.0
-
-
 def main() -> None:
     """Runs the role with the settings file that the environment variable names."""
     path = os.environ.get(PATH_VARIABLE, "")
-    check_only = len(sys.argv) > 1
-    if check_only:
+    if len(sys.argv) > 1:
         # Imported only if there are arguments, to keep the start fast.
-        from pearwell.platform.arguments import parse_arguments
+        from pearwell.platform.arguments import check_settings
 
-        path = parse_arguments(path)
+        sys.exit(check_settings(path))
+    startup: Startup | None
     try:
-        settings = read_settings(path)
-        if check_only:
-            print(f"{path}: instance {settings.instance} in zone {settings.zone}", flush=True)
-            return
-        edge = Edge(settings, path)
-        edge.run()
+        startup = Startup.attempt(path)
     except SettingsError as error:
-        print(f"event=start_failed code={int(error.code)} detail={error.detail!r}", flush=True)
-        sys.exit(2)
+        # Imported only if the start has to wait, to keep others fast.
+        from pearwell.platform.start_wait import wait_for_start
+
+        startup = wait_for_start(path, error, EventLog(stdout_writer(), boot_time))
+    if startup is not None:
+        Edge(startup, path).run()
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -17,7 +17,7 @@
     encode_reset,
     flow_packet,
 )
-from pearwell.reactor import Reactor, bind_socket
+from pearwell.reactor import Reactor
 
 __all__ = ["PacketSocket"]
 
@@ -34,36 +34,35 @@
 class PacketSocket:
     """Reads packets and forwards or resets them as the director decides.
 
-    The socket is bound at once, so that packets queue in it until start() is called.
+    The socket is bound already, and packets queue in it until start() is called.
 
     Args:
         reactor: Event loop.
-        address: Address that routers send to; clients receive on the same port number.
+        sock: Socket bound to the address that routers send to.
+        client_port: Port at which clients receive.
         director: Makes the decisions.
         log: Event log.
         times: Histogram of the processing time of a packet in seconds.
         on_batch: Called after each batch of packets.
-
-    Raises:
-        SettingsError: If the address can't be bound; see bind_socket().
     """
 
     def __init__(
         self,
         reactor: Reactor,
-        address: tuple[str, int],
+        sock: socket.socket,
+        client_port: int,
         director: Director,
         log: EventLog,
         times: Histogram,
         on_batch: Callable[[], None],
     ) -> None:
         self._reactor = reactor
-        self._client_port = address[1]
+        self._client_port = client_port
         self._director = director
         self._log = log
         self._times = times
         self._on_batch = on_batch
-        self._sock = bind_socket(socket.SOCK_DGRAM, address)
+        self._sock = sock
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._bound_at = reactor.now()
         self._started = False
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the platform's settings file: lines of the form a.b=value."""
 
 from collections.abc import Mapping
+from socket import AF_INET, AF_INET6, inet_pton
 
 from pearwell.errors import Code, SettingsError
 
@@ -9,6 +10,8 @@
 # Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "PEARWELL_BOOT"
 
+MAX_PORT_DIGITS = 5
+
 Address = tuple[str, int]
 
 
@@ -34,6 +37,7 @@
             None if zones are never evacuated.
         warmup_overage: Factor by which the starts of flows on a cold target may exceed its rate.
         warmup_slack: Number of starts per second by which they may exceed it besides.
+        ignored: Invalid settings that an instance can do without, as KEY=VALUE.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "drain_s",
         "evacuate_s",
         "grace_s",
+        "ignored",
         "instance",
         "ip",
         "packets",
@@ -55,17 +60,24 @@
         "zone",
     )
 
+    @property
+    def is_relay(self) -> bool:
+        """Whether other instances call this one for the objects of the store."""
+        return self.control is not None and self.control in self.seeds
+
     def __init__(self, fields: Mapping[str, str]) -> None:
         self.instance = _text(fields, "NodeName")
         self.zone = _text(fields, "Zone")
-        self.ip = _text(fields, "Ip")
+        self.ip = _parse_ip("Ip", _text(fields, "Ip"))
         self.packets = _address(fields, "ListenAddrs.DatagramAddr")
         self.ready = _address(fields, "ListenAddrs.Ready")
         self.control = (
             _address(fields, "ListenAddrs.Control") if "ListenAddrs.Control" in fields else None
         )
         first_port = fields.get("InternalPorts", "").partition(",")[0]
-        self.peer_port = int(first_port) if first_port.isdecimal() else None
+        self.peer_port = _parse_port(first_port)
+        is_invalid = first_port != "" and self.peer_port is None
+        self.ignored = (f"InternalPorts={first_port[:20]}",) if is_invalid else ()
         self.seeds = tuple(
             _parse_address("Seeds", seed) for seed in fields.get("Seeds", "").split(",") if seed
         )
@@ -135,7 +147,24 @@
 
 
 def _parse_address(key: str, value: str) -> Address:
-    ip, _, port = value.strip().rpartition(":")
-    if not (ip and port.isdecimal() and 0 < int(port) < 1 << 16):
+    ip, _, digits = value.strip().rpartition(":")
+    port = _parse_port(digits)
+    if port is None:
         raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={value}")
-    return ip, int(port)
+    return _parse_ip(key, ip), port
+
+
+def _parse_ip(key: str, ip: str) -> str:
+    try:
+        inet_pton(AF_INET6 if ":" in ip else AF_INET, ip)
+    except (OSError, ValueError) as error:
+        raise SettingsError(Code.SETTINGS_INVALID_VALUE, f"{key}={ip}") from error
+    return ip
+
+
+def _parse_port(digits: str) -> int | None:
+    """Returns a port; None if the text is no valid one."""
+    if not digits.isdecimal() or len(digits) > MAX_PORT_DIGITS:
+        return None
+    port = int(digits)
+    return port if 0 < port < 1 << 16 else None
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -250,16 +250,19 @@
         SettingsError: SETTINGS_PORT_IN_USE, or SETTINGS_INVALID_VALUE for other bind errors.
     """
     ip, port = address
-    sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, kind)
-    sock.setblocking(False)
-    if kind == socket.SOCK_STREAM:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock = None
     try:
+        sock = socket.socket(socket.AF_INET6 if ":" in ip else socket.AF_INET, kind)
+        sock.setblocking(False)
+        if kind == socket.SOCK_STREAM:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-    except OSError as error:
-        sock.close()
-        in_use = error.errno == errno.EADDRINUSE
+    except (OSError, OverflowError) as error:
+        if sock is not None:
+            sock.close()
+        in_use = isinstance(error, OSError) and error.errno == errno.EADDRINUSE
         code = Code.SETTINGS_PORT_IN_USE if in_use else Code.SETTINGS_INVALID_VALUE
         protocol = "UDP" if kind == socket.SOCK_DGRAM else "TCP"
-        raise SettingsError(code, f"{protocol} {ip}:{port}: {error.strerror}") from error
+        reason = error.strerror if isinstance(error, OSError) else error
+        raise SettingsError(code, f"{protocol} {ip}:{port}: {reason}") from error
     return sock
--- /dev/null
+++ b/tests/platform/test_listeners.py
@@ -0,0 +1,59 @@
+"""Tests of pearwell.platform.listeners."""
+
+import socket
+
+import pytest
+
+from pearwell.errors import Code, SettingsError
+from pearwell.platform.listeners import Listeners
+from pearwell.platform.settings import parse_settings
+from pearwell.reactor import bind_socket
+from tests.addresses import loopback_address
+from tests.platform.settings_text import settings_text
+
+IP = loopback_address(6)
+PACKETS, READY, CONTROL = ((IP, port) for port in (20851, 20852, 20853))
+
+
+def settings(seeds=f"{IP}:20853"):
+    return parse_settings(
+        settings_text(
+            Ip=IP,
+            ListenAddrs__DatagramAddr=f"{IP}:20851",
+            ListenAddrs__Ready=f"{IP}:20852",
+            ListenAddrs__Control=f"{IP}:20853",
+            Seeds=seeds,
+        )
+    )
+
+
+@pytest.mark.parametrize(("seeds", "is_relay"), [(f"{IP}:20853", True), ("127.0.0.1:1", False)])
+def test_only_a_relay_has_a_control_socket(seeds, is_relay):
+    found = Listeners.bind(settings(seeds))
+    addresses = [found.packets.getsockname(), found.ready.getsockname()]
+    assert addresses == [PACKETS, READY]
+    assert (found.control is not None) == is_relay
+    for sock in (found.packets, found.ready, found.control):
+        if sock is not None:
+            sock.close()
+
+
+@pytest.mark.parametrize(
+    ("kind", "address"),
+    [
+        (socket.SOCK_DGRAM, PACKETS),
+        (socket.SOCK_STREAM, READY),
+        (socket.SOCK_STREAM, CONTROL),
+    ],
+)
+def test_no_socket_stays_bound_if_one_address_is_in_use(kind, address):
+    """Routers would send packets to an instance that doesn't start."""
+    with bind_socket(kind, address) as held:
+        if kind == socket.SOCK_STREAM:
+            held.listen()
+        with pytest.raises(SettingsError) as caught:
+            Listeners.bind(settings())
+    assert caught.value.code is Code.SETTINGS_PORT_IN_USE
+    found = Listeners.bind(settings())
+    for sock in (found.packets, found.ready, found.control):
+        sock.close()
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -1,5 +1,6 @@
 """Tests of pearwell.reactor."""
 
+import errno
 import socket
 import time
 
@@ -236,3 +237,20 @@
         with pytest.raises(SettingsError) as caught:
             bind_socket(kind, (ip, held.getsockname()[1]))
     assert caught.value.code is code
+
+
+@pytest.mark.parametrize("port", [-1, 65_536, 77_200])
+def test_a_port_out_of_range_has_a_code(port):
+    with pytest.raises(SettingsError) as caught:
+        bind_socket(socket.SOCK_DGRAM, ("127.0.0.1", port))
+    assert caught.value.code is Code.SETTINGS_INVALID_VALUE
+
+
+def test_a_socket_without_a_free_descriptor_has_a_code(monkeypatch):
+    def fail(*_):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr("pearwell.reactor.socket.socket", fail)
+    with pytest.raises(SettingsError) as caught:
+        bind_socket(socket.SOCK_DGRAM, ("127.0.0.1", 0))
+    assert caught.value.code is Code.SETTINGS_INVALID_VALUE
