Let no exception of a task or callback end an instance

Any exception that nothing else had handled ended the process: one line task_failed, a traceback, status 1. So did a request for a revision of 5,000 digits at a relay, and what can be used up: descriptors, memory, watches of epoll. The platform started it again, to meet the same input.

The event loop reports the exception and goes on with all other callbacks and coroutines. What an instance can't do without, the syncs and the periodic work, starts again a second after a failure. A socket that can't be watched fails in the coroutine that waits for it, which closes what it holds. Exceptions are counted by place and logged with the innermost calls, each place ever more rarely (task_failed, task_failures_total); the line of the start has the process id and the processor time that the start took, and is written at once.

--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server on the reactor, for probes, metrics and relays."""
 
+import errno
 import socket
 from collections.abc import Callable, Coroutine
 
@@ -15,6 +16,9 @@
 # Time after which a response that the peer does not read is abandoned.
 SEND_TIMEOUT_S = 5.0
 RECEIVE_BYTES = 4_096
+# Time for which no connections are accepted once the process has used up its descriptors.
+ACCEPT_PAUSE_S = 0.1
+_NO_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 _REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 503: "Service Unavailable"}
 
@@ -51,12 +55,20 @@
     def _accept(self) -> None:
         try:
             sock, (ip, _) = self._sock.accept()
-        except OSError:
+        except OSError as error:
             # The client has disconnected, or no file descriptor is free; the client retries.
+            if error.errno in _NO_RESOURCES:
+                self._reactor.remove_reader(self._sock)
+                self._reactor.spawn(self._resume())
             return
         sock.setblocking(False)
         self._reactor.spawn(self._serve(sock, ip))
 
+    async def _resume(self) -> None:
+        """Accepts connections again after a pause; the waiting ones would be reported at once."""
+        await self._reactor.sleep(ACCEPT_PAUSE_S)
+        self._reactor.add_reader(self._sock, self._accept)
+
     async def _serve(self, sock: socket.socket, ip: str) -> None:
         reader = MessageReader()
         try:
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -11,6 +11,7 @@
 from pearwell.affinity.sync import ObjectSync
 from pearwell.errors import Code, SettingsError
 from pearwell.event_log import EventLog, stdout_writer
+from pearwell.failure_log import FailureLog
 from pearwell.histogram import Histogram
 from pearwell.http_message import Response
 from pearwell.http_server import HttpServer
@@ -57,7 +58,8 @@
         self._path = path
         self._modified_at = startup.modified_at
         self._log = EventLog(stdout_writer(), boot_time, instance=settings.instance)
-        self._reactor = Reactor(boot_time, self._on_error, self._on_pause)
+        self._failures = FailureLog(self._log.event)
+        self._reactor = Reactor(boot_time, self._failures.record, self._on_pause)
         self._relay_addresses = order_relays(settings.instance, settings.control, settings.seeds)
         self._is_relay = settings.is_relay
         bounds = Bounds(
@@ -112,15 +114,24 @@
         """Serves until the platform stops the process."""
         # With the Unix time, the logs of several instances can be merged in order.
         unix = round(time.time(), 3)
-        self._log.event("start", zone=self._settings.zone, relay=self._is_relay, unix=unix)
+        self._log.event(
+            "start",
+            zone=self._settings.zone,
+            relay=self._is_relay,
+            unix=unix,
+            pid=os.getpid(),
+            cpu_s=round(time.process_time(), 3),
+        )
         for setting in self._settings.ignored:
             self._log.event(
                 "setting_ignored", code=int(Code.SETTINGS_INVALID_VALUE), detail=setting
             )
+        # A process that is killed while it starts leaves at least this.
+        self._log.flush()
         self._start_sync()
         self._listen()
         signals = watch_signals(self._reactor, self._on_stop, self._reload)
-        self._reactor.spawn(self._tick())
+        self._reactor.keep_running(self._tick)
         director = self._instance.director
         self._reactor.run(lambda: director.next_retransmission_at, self._on_due)
         for sock in signals:
@@ -182,7 +193,7 @@
             self._log.event,
             self._on_callers,
         )
-        self._reactor.spawn(sync.run())
+        self._reactor.keep_running(sync.run)
         return sync
 
     def _listen(self) -> None:
@@ -226,6 +237,7 @@
 
         samples = self._instance.samples(self._reactor.now())
         histograms = (self._packet_times, self._list_times)
+        samples.append(("task_failures_total", "counter", {}, self._failures.total))
         return 200, render_page(samples, self._stores, self._relays, histograms, self._log)
 
     def _on_change(self) -> None:
@@ -330,11 +342,6 @@
         self._log.event("paused", up_to_s=round(pause_s, 3))
         self._packets.catch_up(pause_s)
 
-    def _on_error(self, error: BaseException) -> None:
-        self._log.event("task_failed", error=repr(error))
-        self._log.flush()
-        raise error
-
 
 def _jitter() -> float:
     """Returns a random number between 0 and 1; importing the module random takes 4 ms."""
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -17,6 +17,8 @@
 
 READ = select.EPOLLIN
 WRITE = select.EPOLLOUT
+# Time in seconds after which a coroutine of keep_running() that has failed starts again.
+RESTART_DELAY_S = 1.0
 # Time between two polls that indicates a pause of the process or the machine, and the maximum wait
 # of a poll: whatever arrives in a shorter pause is younger than the client's next transmission.
 MIN_PAUSE_S = 0.2
@@ -104,7 +106,8 @@
 
     Args:
         now: Returns the current time in seconds of a monotonic clock.
-        on_error: Called with an exception that terminated a coroutine.
+        on_error: Called with an exception that a callback raised or that terminated a coroutine;
+            all others go on.
         on_pause: Called with the maximum duration in seconds of a pause of the process, before
             anything that arrived meanwhile is read.
     """
@@ -112,7 +115,7 @@
     def __init__(
         self,
         now: Callable[[], float],
-        on_error: Callable[[BaseException], None],
+        on_error: Callable[[Exception], None],
         on_pause: Callable[[float], None] = lambda pause_s: None,
     ) -> None:
         self.now = now
@@ -131,10 +134,19 @@
         self._readers[sock.fileno()] = callback
         self._epoll.register(sock.fileno(), READ)
 
+    def remove_reader(self, sock: socket.socket) -> None:
+        """Removes the callback of a socket."""
+        del self._readers[sock.fileno()]
+        self._unregister(sock.fileno())
+
     def spawn(self, coroutine: Coroutine[Wait, bool, None]) -> None:
         """Starts a coroutine."""
         self._step(_Task(coroutine), True)
 
+    def keep_running(self, start: Callable[[], Coroutine[Wait, bool, None]]) -> None:
+        """Starts a coroutine, and starts it again a while after it failed."""
+        self.spawn(self._keep_running(start))
+
     def readable(
         self, sock: socket.socket, timeout_s: float, trigger: Trigger | None = None
     ) -> Wait:
@@ -181,7 +193,23 @@
                     self._step(task, False)
             due = next_due()
             if due is not None and due <= now:
-                on_due(now)
+                self._call(on_due, now)
+
+    async def _keep_running(self, start: Callable[[], Coroutine[Wait, bool, None]]) -> None:
+        while True:
+            try:
+                await start()
+            except Exception as error:
+                self._on_error(error)
+                await self.sleep(RESTART_DELAY_S)
+            else:
+                return
+
+    def _call(self, callback: Callable[..., None], *arguments: float) -> None:
+        try:
+            callback(*arguments)
+        except Exception as error:
+            self._on_error(error)
 
     def _poll(self, due: float | None) -> None:
         wakeups = [due] if due is not None else []
@@ -197,13 +225,13 @@
         pause_s = now - (started if self._polled_at is None else self._polled_at)
         self._polled_at = now
         if pause_s > MIN_PAUSE_S:
-            self._on_pause(pause_s)
+            self._call(self._on_pause, pause_s)
             # Handling the backlog is no pause: what arrives meanwhile is read at its end.
             self._polled_at = self.now()
         for fd, _ in ready:
             callback = self._readers.get(fd)
             if callback is not None:
-                callback()
+                self._call(callback)
                 continue
             task = self._waiting.get(fd)
             if task is not None:
@@ -215,26 +243,39 @@
             self._waiting.pop(task.fd, None)
             self._unregister(task.fd)
             task.fd = -1
+        value = ready if task.generation > 1 else None
         try:
-            wait = task.coroutine.send(ready if task.generation > 1 else None)  # type: ignore[arg-type]
+            wait = task.coroutine.send(value)  # type: ignore[arg-type]
+            while (failure := self._watch(task, wait)) is not None:
+                wait = task.coroutine.throw(failure)
         except StopIteration:
             return
         except Exception as error:
             self._on_error(error)
             return
-        if wait.sock is not None:
-            task.fd = wait.sock.fileno()
-            self._waiting[task.fd] = task
-            self._epoll.register(task.fd, wait.events)
         if wait.trigger is not None:
             wait.trigger.add(task)
         self._timer_count += 1
         heappush(self._timers, (wait.deadline, self._timer_count, task, task.generation))
 
+    def _watch(self, task: _Task, wait: Wait) -> Exception | None:
+        """Watches the socket that a coroutine waits for; returns why that is impossible, if so."""
+        if wait.sock is None:
+            return None
+        fd = wait.sock.fileno()
+        try:
+            self._epoll.register(fd, wait.events)
+        except (OSError, ValueError) as error:
+            # A closed socket, one that another coroutine waits for, or no memory.
+            return error
+        task.fd = fd
+        self._waiting[fd] = task
+        return None
+
     def _unregister(self, fd: int) -> None:
         try:
             self._epoll.unregister(fd)
-        except FileNotFoundError:
+        except OSError:
             # Closing the descriptor has already removed it from the epoll set.
             return
 
--- a/tests/test_reactor.py
+++ b/tests/test_reactor.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import time
+from itertools import pairwise
 
 import pytest
 
@@ -10,6 +11,7 @@
 from pearwell.reactor import (
     MAX_WAIT_S,
     MIN_PAUSE_S,
+    RESTART_DELAY_S,
     Reactor,
     Trigger,
     bind_socket,
@@ -122,6 +124,104 @@
     assert [str(error) for error in seen] == ["broken"]
 
 
+@pytest.mark.parametrize("place", ["reader", "due", "pause", "coroutine"])
+def test_an_exception_of_a_callback_ended_the_loop(place):
+    """All others go on."""
+    seen, rounds = [], []
+
+    def fail_at(here):
+        if here == place:
+            raise ValueError(here)
+
+    reactor = Reactor(SteppingClock().now, seen.append, lambda pause_s: fail_at("pause"))
+    one, other = pair()
+
+    def read():
+        one.recv(10)
+        fail_at("reader")
+
+    def due(now):
+        fail_at("due")
+
+    async def task():
+        fail_at("coroutine")
+        await reactor.sleep(0.01)
+
+    async def last():
+        for _ in range(3):
+            await reactor.sleep(0.01)
+            rounds.append(place)
+        reactor.stop()
+
+    reactor.add_reader(one, read)
+    other.send(b"packet")
+    reactor.spawn(task())
+    reactor.spawn(last())
+    reactor._polled_at = -60.0
+    reactor.run(lambda: 0.0, due)
+    assert len(rounds) == 3
+    assert {str(error) for error in seen} == {place}
+
+
+def test_a_coroutine_that_is_kept_running_starts_again_after_a_failure(reactor):
+    starts, seen = [], []
+    reactor._on_error = seen.append
+
+    async def task():
+        starts.append(reactor.now())
+        await reactor.sleep(0.01)
+        if len(starts) < 3:
+            raise ValueError("broken")
+        reactor.stop()
+
+    reactor.keep_running(task)
+    reactor.run()
+    gaps = [after - before for before, after in pairwise(starts)]
+    assert len(seen) == 2
+    assert min(gaps) >= RESTART_DELAY_S
+
+
+@pytest.mark.parametrize("makes_unwatchable", ["closed", "watched"])
+def test_a_socket_that_cannot_be_watched_fails_in_its_coroutine(reactor, makes_unwatchable):
+    """It ended the loop; the coroutine can close what it holds."""
+    one, _ = pair()
+    ended = []
+
+    async def waiter():
+        await reactor.readable(one, 0.02)
+
+    async def failing():
+        try:
+            await reactor.readable(one, 0.01)
+        except (OSError, ValueError):
+            ended.append(makes_unwatchable)
+        await reactor.sleep(0.05)
+        reactor.stop()
+
+    if makes_unwatchable == "closed":
+        one.close()
+    else:
+        reactor.spawn(waiter())
+    reactor.spawn(failing())
+    reactor.run()
+    assert ended == [makes_unwatchable]
+
+
+def test_a_removed_reader_is_not_called(reactor):
+    one, other = pair()
+    reactor.add_reader(one, lambda: pytest.fail("called"))
+    reactor.remove_reader(one)
+    other.send(b"packet")
+
+    async def wait():
+        await reactor.sleep(0.01)
+        reactor.stop()
+
+    reactor.spawn(wait())
+    reactor.run()
+    assert one.recv(10) == b"packet"
+
+
 def test_closing_a_socket_does_not_affect_its_coroutine(reactor):
     one, _ = pair()
     seen = []
