Keep the metrics from the address of a relay, and load what is needed later

A relay whose control address has the port of the metrics never started: the metrics took it first. Metrics and hints whose port was in use at the start were off until the next one. Modules that are imported with their first use could be out of reach by then, without a free descriptor or because the files had been replaced by those of another release.

The metrics are opened after all that the role needs, a second after the start, and both are tried again each second until their ports are free.

--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -15,29 +15,26 @@
 from pearwell.histogram import Histogram
 from pearwell.http_message import Response
 from pearwell.http_server import HttpServer
-from pearwell.platform.hint_socket import HintSocket
 from pearwell.platform.objects import ConfigHandler, TargetHandler
 from pearwell.platform.packet_socket import PacketSocket
 from pearwell.platform.settings import PATH_VARIABLE, read_settings
 from pearwell.platform.signals import watch_signals
 from pearwell.platform.startup import Startup, modified_at
 from pearwell.platform.store import StoreClient
-from pearwell.reactor import Reactor, Trigger, bind_socket, boot_time
+from pearwell.reactor import Reactor, Trigger, boot_time
 
 # True for type checkers only, as in pearwell.affinity.sync.
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from pearwell.affinity.sync import ObjectHandler
+    from pearwell.platform.hint_socket import HintSocket
+    from pearwell.platform.metrics_endpoint import MetricsEndpoint
     from pearwell.platform.target_checks import TargetChecks
     from pearwell.platform.target_probes import TargetProbes
 
 __all__ = ["Edge", "main"]
 
 TICK_INTERVAL_S = 1.0
-# Port and path of the metrics endpoint; deploy/system.toml names the same.
-METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
-METRICS_HEADERS = {"Content-Type": "text/plain; version=0.0.4"}
 RELAY_HEADERS = {"Content-Type": "application/json", "Content-Encoding": "deflate"}
 # Histogram bounds in seconds: a decision takes microseconds, a call milliseconds.
 DECISION_BOUNDS_S = (0.00002, 0.00005, 0.0001, 0.0002, 0.0005, 0.001, 0.005, 0.05)
@@ -92,15 +89,9 @@
             self._packet_times,
             self._on_batch,
         )
-        self._hints = HintSocket(
-            self._reactor,
-            settings.ip,
-            settings.peer_port,
-            [ip for ip, _ in settings.seeds],
-            self._log,
-            self._on_hint,
-        )
+        self._hint_socket: HintSocket | None = None
         self._listeners = startup.listeners
+        self._metrics: MetricsEndpoint | None = None
         self._checks: TargetChecks | None = None
         self._probes: TargetProbes | None = None
         self._changed = Trigger(self._reactor)
@@ -110,6 +101,23 @@
         self._stores: list[StoreClient] = []
         self._relays: list[StoreClient] = []
 
+    @property
+    def _hints(self) -> "HintSocket":
+        if self._hint_socket is None:
+            # Imported with the first use, to keep the start fast.
+            from pearwell.platform.hint_socket import HintSocket
+
+            settings = self._settings
+            self._hint_socket = HintSocket(
+                self._reactor,
+                settings.ip,
+                settings.peer_port,
+                [ip for ip, _ in settings.seeds],
+                self._log,
+                self._on_hint,
+            )
+        return self._hint_socket
+
     def run(self) -> None:
         """Serves until the platform stops the process."""
         # With the Unix time, the logs of several instances can be merged in order.
@@ -128,10 +136,11 @@
             )
         # A process that is killed while it starts leaves at least this.
         self._log.flush()
+        signals = watch_signals(self._reactor, self._on_stop, self._reload)
         self._start_sync()
         self._listen()
-        signals = watch_signals(self._reactor, self._on_stop, self._reload)
         self._reactor.keep_running(self._tick)
+        self._reactor.keep_running(self._load_late_modules)
         director = self._instance.director
         self._reactor.run(lambda: director.next_retransmission_at, self._on_due)
         for sock in signals:
@@ -198,14 +207,20 @@
 
     def _listen(self) -> None:
         HttpServer(self._reactor, self._listeners.ready, self._respond_readiness, {})
-        try:
-            sock = bind_socket(socket.SOCK_STREAM, (self._settings.ip, METRICS_PORT))
-            HttpServer(self._reactor, sock, self._respond_metrics, METRICS_HEADERS)
-        except SettingsError as error:
-            # Forward packets without metrics if the platform uses the port for something else.
-            self._log.event("metrics_unavailable", code=int(error.code), detail=error.detail)
-        if self._listeners.control is None:
-            return
+        if self._listeners.control is not None:
+            self._serve_relay(self._listeners.control)
+
+    def _open_metrics(self) -> None:
+        if self._metrics is None:
+            # Imported after the start, to keep it fast.
+            from pearwell.platform.metrics_endpoint import MetricsEndpoint
+
+            self._metrics = MetricsEndpoint(
+                self._reactor, self._settings.ip, self._log, self._render_metrics
+            )
+        self._metrics.open()
+
+    def _serve_relay(self, sock: socket.socket) -> None:
         # Imported only by the few relays, to keep the start of the others fast.
         from pearwell.affinity.relay import Relay
 
@@ -218,27 +233,19 @@
             self._reactor.now,
             self._count_callers,
         )
-        HttpServer(
-            self._reactor,
-            self._listeners.control,
-            relay.respond,
-            RELAY_HEADERS,
-            self._hints.record_call,
-        )
+        HttpServer(self._reactor, sock, relay.respond, RELAY_HEADERS, self._record_call)
 
     async def _respond_readiness(self, path: str) -> Response:
         return (200 if self._instance.lifecycle.ready else 503), b""
 
-    async def _respond_metrics(self, path: str) -> Response:
-        if path != METRICS_PATH:
-            return 404, b""
+    def _render_metrics(self) -> bytes:
         # Imported only once metrics are fetched, to keep the start fast.
         from pearwell.platform.metrics_page import render_page
 
         samples = self._instance.samples(self._reactor.now())
         histograms = (self._packet_times, self._list_times)
         samples.append(("task_failures_total", "counter", {}, self._failures.total))
-        return 200, render_page(samples, self._stores, self._relays, histograms, self._log)
+        return render_page(samples, self._stores, self._relays, histograms, self._log)
 
     def _on_change(self) -> None:
         instance = self._instance
@@ -263,6 +270,9 @@
         if limits is not None:
             limits.fleet_size.record_callers(callers, called_at, self._reactor.now())
 
+    def _record_call(self, ip: str) -> None:
+        self._hints.record_call(ip)
+
     def _count_callers(self) -> int | None:
         """Returns the number of callers of this relay; None if it is unknown or not needed."""
         if self._instance.shared_limits is None:
@@ -312,12 +322,24 @@
                 self._checks.tick()
             self._packets.send_resets()
             self._spawn_probes()
+            self._hints.open()
+            self._open_metrics()
             changed_at = modified_at(self._path)
             if changed_at != self._modified_at:
                 self._modified_at = changed_at
                 self._reload()
             self._log.flush()
 
+    async def _load_late_modules(self) -> None:
+        while not self._instance.lifecycle.accepts_flows:
+            await self._reactor.sleep(TICK_INTERVAL_S)
+        from pearwell.platform.late_modules import LATE_MODULES, LOAD_INTERVAL_S
+
+        for name in LATE_MODULES:
+            await self._reactor.sleep(LOAD_INTERVAL_S)
+            __import__(name)
+        self._log.event("modules_loaded", count=len(LATE_MODULES))
+
     def _reload(self) -> None:
         try:
             settings = read_settings(self._path)
--- a/pearwell/platform/hint_socket.py
+++ b/pearwell/platform/hint_socket.py
@@ -49,16 +49,9 @@
         self._relay_clients: RelayClients | None = None
         # Handles datagrams that aren't hints; returns False if they are malformed.
         self.on_other: Callable[[bytes], bool] = lambda data: False
-        self._sock = None
-        if port is None:
-            return
-        try:
-            self._sock = bind_socket(socket.SOCK_DGRAM, (ip, port))
-        except SettingsError as error:
-            # Hints only save some requests; traffic does not depend on them.
-            log.event("hints_unavailable", code=int(error.code), detail=error.detail)
-            return
-        reactor.add_reader(self._sock, self._read)
+        self._ip = ip
+        self._sock: socket.socket | None = None
+        self._unavailable = False
 
     @property
     def is_relay(self) -> bool:
@@ -74,6 +67,20 @@
             self._relay_clients = RelayClients()
         return self._relay_clients
 
+    def open(self) -> None:
+        """Binds the socket if it isn't; called again every second, as its port may be in use."""
+        if self._sock is not None or not self._port:
+            return
+        try:
+            self._sock = bind_socket(socket.SOCK_DGRAM, (self._ip, self._port))
+        except SettingsError as error:
+            # Hints only save some requests; traffic does not depend on them.
+            if not self._unavailable:
+                self._log.event("hints_unavailable", code=int(error.code), detail=error.detail)
+            self._unavailable = True
+            return
+        self._reactor.add_reader(self._sock, self._read)
+
     def record_call(self, ip: str) -> None:
         """Records a call of a client to this relay."""
         self._clients.record_call(ip, self._reactor.now())
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pearwell.affinity.token import token_of
-from pearwell.platform.edge import METRICS_PORT
+from pearwell.platform.metrics_endpoint import METRICS_PORT
 from pearwell.soak.processes import ROOT
 from pearwell.standins.object_server import ObjectServer
 from pearwell.standins.token_packet import ACK, SYN, TokenPacket, flow_address
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from pearwell.platform.late_modules import LATE_MODULES
+
 # Modules of features that settings or a configuration switch on, of relays, and what a start
 # doesn't need.
 OPTIONAL = (
@@ -17,6 +19,7 @@
     "pearwell.affinity.fleet_size",
     "pearwell.affinity.flow_limit",
     "pearwell.affinity.flow_limit_watch",
+    "pearwell.affinity.hints",
     "pearwell.affinity.instance_metrics",
     "pearwell.affinity.list_cursor",
     "pearwell.affinity.relay",
@@ -29,7 +32,11 @@
     "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
     "pearwell.platform.extreme_values",
+    "pearwell.platform.hint_socket",
+    "pearwell.platform.late_modules",
+    "pearwell.platform.metrics_endpoint",
     "pearwell.platform.metrics_page",
+    "pearwell.platform.start_wait",
     "pearwell.platform.target_checks",
     "pearwell.platform.target_probes",
     "pearwell.text_metrics",
@@ -79,6 +86,26 @@
     assert name not in loaded_modules
 
 
+def test_late_modules_are_those_that_a_start_leaves_out():
+    """Except those of settings or arguments, which are loaded at the start or never."""
+    at_start = {
+        "pearwell.affinity.evacuations",
+        "pearwell.affinity.relay",
+        "pearwell.platform.arguments",
+        "pearwell.platform.evacuation_handler",
+        "pearwell.platform.late_modules",
+        "pearwell.platform.start_wait",
+    }
+    loaded_with_others = {
+        "pearwell.affinity.failing_targets",
+        "pearwell.affinity.fleet_size",
+        "pearwell.affinity.hints",
+        "pearwell.platform.hint_socket",
+        "pearwell.text_metrics",
+    }
+    assert set(OPTIONAL) - at_start - loaded_with_others == set(LATE_MODULES)
+
+
 @pytest.mark.parametrize("name", HEAVY)
 def test_a_heavy_module_is_not_imported(loaded_modules, name):
     assert name not in loaded_modules
--- a/tests/platform/test_start_faults.py
+++ b/tests/platform/test_start_faults.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pearwell.platform.edge import METRICS_PORT
+from pearwell.platform.metrics_endpoint import METRICS_PORT
 from pearwell.soak.processes import ROOT
 from pearwell.standins.object_server import ObjectServer
 from tests.platform.role_process import (
