Read the other entries of a response where one is no JSON, at little cost

What callers saw: one entry with bytes that are no JSON (a control character in a text, a text for a number, raw bytes outside of texts) failed every list and watch that carried it, for as long as it was there: the instances went on without following the targets. One entry of 1 MB with 500,000 levels, or with 100,000 levels and keys and commas between, cost each instance 0.42 to 0.57 s of a whole core with each list and watch (over 2.5 s at a share of 0.163), in which it forwarded nothing.

Cause: the response was decoded as a whole. Values that the JSON parser refuses were replaced by null first, but only nesting and long numbers, and by a loop in Python over every token of the text.

The response is now split into its entries and each is decoded by itself; one that fails is reduced to its name (and an event to that and whether it is a deletion), so that it is refused and logged as any unusable entry, and takes a target out that another writer has overwritten. An entry of over 100,000 values is reduced too.

Why it works: an error in an entry can't reach another one, as none of its bytes is decoded together with theirs.

--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -38,6 +38,10 @@
 MAX_WATCH_S = 30.0
 # Largest plausible number of callers of a relay.
 MAX_CALLERS = 100_000
+# Most values (commas and opening brackets) of a response that is decoded at once.
+MAX_VALUES = 100_000
+# Longest part of the reason for an invalid response that is logged.
+MAX_DETAIL_CHARS = 200
 
 _CODES = {
     404: Code.PLATFORM_NOT_FOUND,
@@ -203,12 +207,11 @@
 
 def _decode(response: Message, key: str) -> StoreResponse:
     try:
-        # Invalid UTF-8 from another writer affects only the entry that contains it; its name can
-        # still be sent back as the cursor of a list.
-        payload = _parse(_body(response).decode("utf-8", "surrogateescape"))
+        payload = _parse(_body(response), key)
         items, revision = payload[key], payload["AsOf"]
     except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid response: {error!r}") from error
+        detail = f"invalid response: {error!r}"[:MAX_DETAIL_CHARS]
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
     if not isinstance(items, list) or not isinstance(revision, int):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
     healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
@@ -225,15 +228,20 @@
     )
 
 
-def _parse(text: str) -> "Any":
-    """Returns the value of a JSON text, without the extreme values in it if they can't be read."""
-    try:
-        return json.loads(text)
-    except (RecursionError, ValueError):
-        # Imported only where it is needed, to keep the start fast.
-        from pearwell.platform.extreme_values import remove_extreme_values
-
-        return json.loads(remove_extreme_values(text))
+def _parse(body: bytes, key: str) -> "Any":
+    """Returns the value of a JSON text; of entries that can't be read only their names."""
+    if body.count(b",") + body.count(b"[") + body.count(b"{") < MAX_VALUES:
+        try:
+            # Invalid UTF-8 from another writer affects only the entry that contains it; its name
+            # can still be sent back as the cursor of a list.
+            return json.loads(body.decode("utf-8", "surrogateescape"))
+        except (RecursionError, ValueError):
+            # Read entry by entry below.
+            pass
+    # Imported only where it is needed, to keep the start fast.
+    from pearwell.platform.extreme_values import read_entries
+
+    return read_entries(body, key)
 
 
 def _era(response: Message, payload: dict[str, object]) -> int:
