Bound the lengths and lines of chunks in HTTP messages

What callers saw: nothing yet. One request to any port of an instance (readiness, metrics, relay) with a chunk whose length has 9,000 hexadecimal digits ended the process, and a chunk without a line break took memory without limit.

Cause: the length was read, found too large, and shown in the refusal; Python refuses to make the text of an integer of over 4,300 digits with a ValueError, which nothing awaits there. Lines between chunks had no limit, and the lengths of all chunks were added up again with each of them.

Lengths have at most 16 digits now, lines between chunks 1,024 bytes, and the lengths of the chunks are summed up as they come.

Why it works: a length that is too long is refused before it is read as a number.

--- a/pearwell/http_message.py
+++ b/pearwell/http_message.py
@@ -12,6 +12,9 @@
 # object.
 MAX_BODY_BYTES = 4_000_000
 MAX_HEADER_BYTES = 16_384
+# Longest line with the length of a chunk, and most digits of a length.
+MAX_CHUNK_LINE_BYTES = 1_024
+MAX_LENGTH_DIGITS = 16
 _HEADER_END = b"\r\n\r\n"
 
 # Status and body.
@@ -53,6 +56,7 @@
         self._buffer = bytearray()
         self._header: tuple[list[str], dict[str, str]] | None = None
         self._chunks: list[bytes] = []
+        self._chunk_bytes = 0
 
     def feed(self, data: bytes) -> Message | None:
         """Adds received bytes; returns a message once it is complete."""
@@ -65,7 +69,7 @@
         if body is None:
             return None
         start_line, headers = self._header
-        self._header, self._chunks = None, []
+        self._header, self._chunks, self._chunk_bytes = None, [], 0
         return Message(start_line, headers, body)
 
     def _read_header(self) -> tuple[list[str], dict[str, str]] | None:
@@ -98,8 +102,10 @@
     def _read_chunks(self) -> bytes | None:
         while True:
             end = self._buffer.find(b"\r\n")
-            if end < 0:
+            if end < 0 and len(self._buffer) <= MAX_CHUNK_LINE_BYTES:
                 return None
+            if not 0 <= end <= MAX_CHUNK_LINE_BYTES:
+                raise PlatformError(Code.PLATFORM_BAD_ANSWER, "line of a chunk is too long")
             size = _parse_length(self._buffer[:end].decode("latin-1").partition(";")[0].strip(), 16)
             after = end + 2 + size + 2
             if len(self._buffer) < after:
@@ -108,7 +114,8 @@
             del self._buffer[:after]
             if not size:
                 return b"".join(self._chunks)
-            if sum(map(len, self._chunks)) > MAX_BODY_BYTES:
+            self._chunk_bytes += size
+            if self._chunk_bytes > MAX_BODY_BYTES:
                 raise PlatformError(Code.PLATFORM_BAD_ANSWER, "message body is too long")
 
 
@@ -126,9 +133,10 @@
 
 def _parse_length(text: str, base: int) -> int:
     try:
-        number = int(text, base)
+        # An integer of thousands of digits can't be read, or not be shown.
+        number = int(text, base) if len(text) <= MAX_LENGTH_DIGITS else -1
     except ValueError as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid length {text[:20]!r}") from error
     if not 0 <= number <= MAX_BODY_BYTES:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid length {number}")
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid length {text[:20]!r}")
     return number
--- a/tests/test_http_message.py
+++ b/tests/test_http_message.py
@@ -48,6 +48,9 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
         f"HTTP/1.1 200 OK\r\nContent-Length: {MAX_BODY_BYTES + 1}\r\n\r\n".encode(),
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: %b\r\n\r\n" % (b"1" * 5_000),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%b\r\n" % (b"f" * 5_000),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1" * 5_000,
         b"x" * (MAX_HEADER_BYTES + 1),
     ],
 )
@@ -65,3 +68,33 @@
             assert message.status
     except PlatformError as error:
         assert error.code is Code.PLATFORM_BAD_ANSWER
+
+
+def test_a_length_of_thousands_of_digits_does_not_end_the_process():
+    """Its text can't be made, so that one request to any port of an instance ended it."""
+    with pytest.raises(PlatformError):
+        read(b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"f" * 9_000 + b"\r\n")
+
+
+def test_many_small_chunks_are_counted_once(monkeypatch):
+    """The lengths of all chunks were added up again with each of them."""
+    count = 0
+
+    def count_calls(*arguments):
+        nonlocal count
+        count += 1
+        return len(*arguments)
+
+    monkeypatch.setattr("pearwell.http_message.len", count_calls, raising=False)
+    head, end = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"0\r\n\r\n"
+    assert read(head + b"1\r\nx\r\n" * 1_000 + end).body == b"x" * 1_000
+    assert count <= 10_000
+
+
+def test_the_chunks_of_a_message_are_limited_together():
+    reader = MessageReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    chunk = b"%x\r\n" % MAX_BODY_BYTES + b"x" * MAX_BODY_BYTES + b"\r\n"
+    assert reader.feed(chunk) is None
+    with pytest.raises(PlatformError):
+        reader.feed(b"1\r\nx\r\n")
