Read no integer of thousands of digits from a path, an era or a relay

What callers saw: nothing yet. One request to a relay with 5,000 digits as revision, era or wait ended its process, as did a header Store-Era of as many digits, and a time of 400 digits in a response of a relay.

Cause: int() refuses integers of over 4,300 digits with a ValueError, and an integer of over 308 digits can't be added to a time (OverflowError). Both came from where no error was expected.

Numbers in paths and eras have at most 20 digits, revisions and eras are whole numbers in that range, and times that a relay tells are finite.

Why it works: the length of a text is checked before it is read as a number, and a number before it is used in sums.

--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -16,6 +16,8 @@
 PATH = "/objects/"
 # Maximum time that a watch waits for events.
 MAX_WAIT_S = 5.0
+# Most digits of a number in a path.
+MAX_DIGITS = 20
 
 
 class Relay:
@@ -116,7 +118,12 @@
     kind, _, query = path.removeprefix(PATH).partition("?")
     fields = dict(part.partition("=")[::2] for part in query.split("&"))
     numbers = fields.get("Era", "0"), fields.get("Watch", ""), fields.get("WaitMs", "0")
-    if not path.startswith(PATH) or not all(number.isdecimal() for number in numbers):
+    if not path.startswith(PATH) or not all(map(_is_number, numbers)):
         return kind, None, 0.0
     era, revision, wait_ms = map(int, numbers)
     return kind, (era if "Era" in fields else -1, revision), wait_ms / 1000
+
+
+def _is_number(text: str) -> bool:
+    # Python refuses to read integers of thousands of digits.
+    return text.isdecimal() and len(text) <= MAX_DIGITS
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -36,8 +36,12 @@
 ERA_HEADER = "store-era"
 # Longest time in seconds that a response may claim to be complete after its call was received.
 MAX_WATCH_S = 30.0
+# Largest plausible time in seconds that a relay tells.
+MAX_TOLD_S = 1e9
 # Largest plausible number of callers of a relay.
 MAX_CALLERS = 100_000
+# Most digits of a revision or an era.
+MAX_DIGITS = 20
 # Most values (commas and opening brackets) of a response that is decoded at once.
 MAX_VALUES = 100_000
 # Longest part of the reason for an invalid response that is logged.
@@ -212,19 +216,18 @@
     except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
         detail = f"invalid response: {error!r}"[:MAX_DETAIL_CHARS]
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
-    if not isinstance(items, list) or not isinstance(revision, int):
+    if not isinstance(items, list) or not _is_count(revision):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
-    healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
-    complete_s = payload.get("CompleteS")
+    zone = payload.get("Zone")
     return StoreResponse(
         items,
         revision,
         payload.get("HasMore") is True,
-        healthy_s if isinstance(healthy_s, int | float) else None,
+        _seconds(payload, "GoodS", float("inf")),
         zone if isinstance(zone, str) else "",
         _era(response, payload),
         _callers(payload),
-        complete_s if isinstance(complete_s, int | float) and complete_s <= MAX_WATCH_S else None,
+        _seconds(payload, "CompleteS", MAX_WATCH_S),
     )
 
 
@@ -246,10 +249,27 @@
 
 def _era(response: Message, payload: dict[str, object]) -> int:
     """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
-    text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
-    if not text.isdecimal():
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {text[:20]!r}")
-    return int(text)
+    text = response.headers.get(ERA_HEADER)
+    if text is None:
+        era = payload.get("Era", 0)
+    else:
+        era = int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
+    if not _is_count(era):
+        shown = type(era).__name__ if text is None else repr(text[:20])
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {shown}")
+    return era  # type: ignore[return-value]
+
+
+def _is_count(value: object) -> bool:
+    return type(value) is int and 0 <= value < 10**MAX_DIGITS
+
+
+def _seconds(payload: dict[str, object], key: str, longest: float) -> float | None:
+    """Returns a time that a relay tells; None if it is missing or invalid."""
+    value = payload.get(key)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    is_valid = is_number and -MAX_TOLD_S <= value <= min(longest, MAX_TOLD_S)
+    return value if is_valid else None  # type: ignore[return-value]
 
 
 def _callers(payload: dict[str, object]) -> int | None:
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -92,12 +92,18 @@
         ("/objects/servers?Watch=5&WaitMs=x", 404),
         ("/objects/servers?Watch=5&WaitMs=0&Era=x", 404),
         ("/objects/servers?Watch=5&WaitMs=0&Era=1", 503),
+        (f"/objects/servers?Watch={'9' * 5_000}", 404),
+        (f"/objects/servers?Watch=5&WaitMs={'9' * 5_000}", 404),
+        (f"/objects/servers?Watch=5&WaitMs={'9' * 400}", 404),
+        (f"/objects/servers?Watch=5&WaitMs=0&Era={'9' * 5_000}", 404),
+        ("/objects/servers?Watch=5&WaitMs=0&Era=\u00b2", 404),
         ("/objects/other?Watch=5", 404),
         ("/ready", 404),
         ("", 404),
     ],
 )
 def test_requests_that_a_relay_refuses(path, status):
+    """A number of thousands of digits ended the process."""
     assert RelayHarness().request(path)[0] == status
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -87,13 +87,41 @@
     assert (response.callers, response.revision) == (callers, 3)
 
 
-@pytest.mark.parametrize("text", ["", "x", "-1", "1.5"])
+@pytest.mark.parametrize("text", ["", "x", "-1", "1.5", "9" * 21, "9" * 5_000])
 def test_an_invalid_era_has_a_code(text):
+    """One of thousands of digits ended the process."""
     with pytest.raises(PlatformError) as caught:
         decode(b'{"items":[],"AsOf":3}', **{"Store-Era": text})
     assert caught.value.code is Code.PLATFORM_BAD_ANSWER
 
 
+@pytest.mark.parametrize(
+    "told",
+    [
+        b'"AsOf":-1',
+        b'"AsOf":true',
+        b'"AsOf":%b' % (b"9" * 4_300),
+        b'"AsOf":3,"Era":-1',
+        b'"AsOf":3,"Era":"x"',
+        b'"AsOf":3,"Era":%b' % (b"9" * 4_300),
+        b'"AsOf":3,"Era":%b' % (b"[" * 900 + b"]" * 900),
+    ],
+    ids=range(7),
+)
+def test_an_invalid_position_has_a_code(told):
+    with pytest.raises(PlatformError) as caught:
+        decode(b'{"items":[],%b}' % told)
+    assert caught.value.code is Code.PLATFORM_BAD_ANSWER
+
+
+@pytest.mark.parametrize("key", ["GoodS", "CompleteS"])
+@pytest.mark.parametrize("value", ["1e999", "-1e999", "NaN", "true", "9" * 4_300, "-" + "9" * 400])
+def test_an_implausible_time_that_a_relay_tells_is_missing(key, value):
+    """Adding an integer of hundreds of digits to a time ended the process."""
+    response = decode(f'{{"items":[],"AsOf":3,"{key}":{value}}}'.encode())
+    assert (response.healthy_s, response.complete_s) == (None, None)
+
+
 def test_a_compressed_response_is_decoded():
     body = compress(b'{"items":[{"meta":{"Name":"i-2"}}],"AsOf":3}')
     assert len(decode(body, **{"Content-Encoding": "deflate"}).items) == 1
