Refuse extreme texts, ports, weights and versions of entries in one short line

What callers saw: nothing yet. A configuration whose version is nested 5,000 levels ended the process in the text of its refusal. A service that is a list, or a weight of NaN, was taken and would have failed at each SYN, and a version of 400 digits would have kept out all later ones. Names, services and zones of 1 MB were taken, which each SYN hashes and no log line can hold, and so were ports with spaces, signs, underscores or the digits of other scripts.

Cause: values were checked for their types but hardly for their length and range, and details were not cut.

Texts of a target have at most 256 characters, ports are up to five digits, services of routes are texts, weights and versions numbers in range, details are cut, and of the unusable entries of a list ten are logged and the rest counted.

Why it works: what the adapter hands on is short and in range.

--- a/pearwell/platform/evacuation_handler.py
+++ b/pearwell/platform/evacuation_handler.py
@@ -4,7 +4,7 @@
 
 from pearwell.affinity.evacuations import Evacuations
 from pearwell.errors import Code
-from pearwell.platform.objects import describe, object_name
+from pearwell.platform.objects import MAX_NUMBER, MAX_TEXT_CHARS, describe, object_name
 
 __all__ = ["EvacuationHandler"]
 
@@ -38,31 +38,37 @@
         return object_name(item)
 
     def replace(self, items: Mapping[str, object], now: float) -> None:
-        """Replaces all evacuations with those given by name; ignores objects without a name."""
-        revisions = {name: _revision(item) for name, item in items.items() if name}
-        if "" in items:
-            self._log_unusable(items[""])
+        """Replaces all evacuations with those given by name; ignores objects without a zone's."""
+        revisions = {name: _revision(item) for name, item in items.items() if _is_zone(name)}
+        unusable = [name for name in items if not _is_zone(name)]
+        if unusable:
+            self._log_unusable(unusable[0], len(unusable))
         self._evacuations.replace(revisions, now, self._trusts_listing(now))
 
     def apply(self, name: str, item: object | None, now: float) -> None:
         """Applies one object, or its removal if it is None."""
-        if not name:
-            self._log_unusable(item)
+        if not _is_zone(name):
+            self._log_unusable(name)
         elif item is None:
             self._evacuations.end(name, now, self._trusts_listing(now))
         else:
             self._evacuations.begin(name, _revision(item), now)
 
-    def _log_unusable(self, item: object) -> None:
+    def _log_unusable(self, name: str, count: int = 1) -> None:
         self._log(
             "evacuation_unusable",
             code=int(Code.PLATFORM_BAD_ANSWER),
-            detail=f"object without a name: {describe(item)}",
+            detail=f"{count} without the name of a zone: {describe(name)}",
         )
 
 
+def _is_zone(name: str) -> bool:
+    return 0 < len(name) <= MAX_TEXT_CHARS
+
+
 def _revision(item: object) -> int:
     """Returns the revision of an object, which is logged; -1 if it is unreadable."""
     meta = item.get("meta") if isinstance(item, Mapping) else None
     revision = meta.get("Revision") if isinstance(meta, Mapping) else None
-    return revision if isinstance(revision, int) else -1
+    is_valid = isinstance(revision, int) and 0 <= revision <= MAX_NUMBER
+    return revision if is_valid else -1
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -32,8 +32,15 @@
 MAX_ROUTE_MS = 3_600_000
 # Largest plausible number of slots or flows of a target, and of flow starts per second.
 MAX_TARGET_COUNT = 1_000_000
-# Longest part of an invalid value that is logged.
+# Longest name, service or zone of a target: each flow hashes and compares them, and log lines hold
+# them.
+MAX_TEXT_CHARS = 256
+MAX_PORT_DIGITS = 5
+# Longest part of an invalid value, and of an error, that is logged.
 MAX_DETAIL_CHARS = 80
+MAX_ERROR_CHARS = 200
+# Most unusable entries of a list that are logged one by one.
+MAX_LOGGED_ENTRIES = 10
 MAX_PATH_CHARS = 1_000
 # Largest magnitude of a number: JSON texts can hold some that floats can't.
 MAX_NUMBER = 1 << 53
@@ -74,6 +81,8 @@
         self._log = log
         # Starts of the incarnations whose slots were ignored, by name.
         self._slots_ignored: dict[str, float] = {}
+        # Unusable entries of the latest list or event.
+        self._unusable = 0
 
     def name_of(self, item: object) -> str:
         """Returns an object's name; "" if it has none."""
@@ -81,12 +90,16 @@
 
     def replace(self, items: Mapping[str, object], now: float) -> None:
         """Replaces all entries with those given by name; skips entries that can't be decoded."""
+        self._unusable = 0
         found = [self._decode(item, now) for item in items.values()]
         targets = [target for target in found if target is not None]
+        if self._unusable > MAX_LOGGED_ENTRIES:
+            self._log("entries_unusable", code=int(Code.PLATFORM_BAD_ANSWER), count=self._unusable)
         self._log_changes(self._directory.replace(targets, now, self._trusts_listing(now)))
 
     def apply(self, name: str, item: object | None, now: float) -> None:
         """Applies one entry, or its removal if it is None."""
+        self._unusable = 0
         target = None if item is None else self._decode(item, now)
         if target is None:
             self._log_changes(self._directory.remove(name, now, self._trusts_listing(now)))
@@ -97,7 +110,9 @@
         try:
             target = decode_target(item, now)
         except PlatformError as error:
-            self._log("entry_unusable", code=int(error.code), detail=error.detail)
+            self._unusable += 1
+            if self._unusable <= MAX_LOGGED_ENTRIES:
+                self._log("entry_unusable", code=int(error.code), detail=error.detail)
             return None
         invalid = invalid_slots(item)
         if invalid and self._slots_ignored.get(target.name) != target.started_ms:
@@ -248,9 +263,9 @@
         for route in spec["Routes"]:
             split = route.get("TrafficSplit")
             services = (
-                tuple((part["Service"], part["Weight"]) for part in split)
+                tuple((_service(part), _weight(part)) for part in split)
                 if split
-                else ((route["Service"], 1),)
+                else ((_service(route), 1),)
             )
             # PathPrefix holds the port between slashes, Host an IP address.
             port = int(route["PathPrefix"].strip("/"))
@@ -265,11 +280,12 @@
             )
         idle_ms = spec.get("Limits", {}).get("IdleTimeoutMs")
     except _INVALID_CONFIGURATION as error:
+        detail = f"invalid configuration: {error!r}"[:MAX_ERROR_CHARS]
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
+    if not isinstance(version, int) or not _is_number(version):
         raise PlatformError(
-            Code.PLATFORM_BAD_ANSWER, f"invalid configuration: {error!r}"
-        ) from error
-    if not isinstance(version, int):
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid configuration version {version!r}")
+            Code.PLATFORM_BAD_ANSWER, f"invalid configuration version {describe(version)}"
+        )
     idle_s = idle_ms / 1000 if _is_number(idle_ms) and idle_ms > 0 else DEFAULT_IDLE_S
     return Routes(version, routes, idle_s, _decode_services(spec))
 
@@ -301,6 +317,20 @@
     ]
 
 
+def _service(entry: Mapping[str, object]) -> str:
+    name = entry["Service"]
+    if not isinstance(name, str):
+        raise TypeError(f"service of type {type(name).__name__}")
+    return name
+
+
+def _weight(part: Mapping[str, object]) -> "Any":
+    weight = part["Weight"]
+    if not _is_number(weight) or weight < 0:  # type: ignore[operator]
+        raise ValueError(f"weight {describe(weight)}")
+    return weight
+
+
 def _label(entry: Mapping[str, object]) -> str:
     """Returns the name of a route or service for log lines; "" if it has none."""
     name = entry.get("Name", "")
@@ -350,7 +380,7 @@
 
 
 def _is_priority(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+    return isinstance(value, int) and _is_number(value) and value >= 0
 
 
 def _is_count(value: object) -> bool:
@@ -397,9 +427,11 @@
     try:
         # Unlike inet_aton(), refuses text behind the address.
         inet_pton(AF_INET, ip)
-        number = int(port)
     except (OSError, ValueError) as error:
         raise _invalid(name, "Address", address) from error
+    # int() also reads spaces, signs, underscores and the digits of other scripts.
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    number = int(port) if is_number else 0
     if not 0 < number < 1 << 16:
         raise _invalid(name, "Address", address)
     return ip, number
@@ -412,8 +444,8 @@
 
 
 def _is_text(value: object) -> bool:
-    """Whether a value is text that can be encoded, logged in one line and sent in a header."""
-    return isinstance(value, str) and value != "" and value.isprintable()
+    """Whether a value is short text that can be encoded, logged and sent in a header."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARS and value.isprintable()
 
 
 def _invalid(name: str, key: str, value: object) -> PlatformError:
--- a/tests/platform/test_evacuation_handler.py
+++ b/tests/platform/test_evacuation_handler.py
@@ -96,3 +96,23 @@
     harness.replace(item("c"), now=1.0)
     harness.handler.apply("c", None, 2.0)
     assert sorted(harness.evacuations.zones) == ["b", "c"]
+
+
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_a_name_that_is_too_long_for_a_zone_is_logged_and_ignored(is_listed):
+    """It would be a label of the metrics and a field of log lines."""
+    harness = Harness()
+    long = item("z" * 1_000_000)
+    harness.replace(item("b"), *([long] if is_listed else []))
+    if not is_listed:
+        harness.apply(long)
+    assert harness.evacuations.zones == ["b"]
+    [detail] = [fields["detail"] for event, fields in harness.events if "detail" in fields]
+    assert len(detail) <= 200
+
+
+@pytest.mark.parametrize("revision", [10**400, -1, 1e300, None, [], "3", float("nan")])
+def test_the_revision_of_an_object_is_logged_only_if_it_is_plausible(revision):
+    harness = Harness()
+    harness.apply(item("b", revision))
+    assert harness.events == [("zone_evacuated", {"zone": "b", "revision": -1})]
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -1,12 +1,14 @@
 """Tests of pearwell.platform.objects."""
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from pearwell.affinity.directory import Directory
+from pearwell.affinity.instance import Bounds, Instance
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.target import NEVER
+from pearwell.affinity.token import rendezvous_score
 from pearwell.errors import Code, PlatformError
 from pearwell.event_log import EventLog
 from pearwell.platform.objects import (
@@ -133,6 +135,15 @@
         entry(Address=NESTED),
         entry(State=NESTED),
         entry(Zone=NESTED),
+        entry(name="n" * 1_000_000 + "-00000001"),
+        entry(Service="s" * 1_000_000),
+        entry(Zone="z" * 257),
+        *(
+            entry(Address=f"10.128.0.9:{port}")
+            for port in ("0", "65536", "-1", "1e9", "9" * 5_000, " 80 ", "+80", "8_0", "080080")
+        ),
+        entry(Address="10.128.0.9:\u0668\u0660"),
+        entry(Address="10.128.0.9:\u00b2"),
     ],
 )
 def test_invalid_entries_are_refused(item):
@@ -140,6 +151,7 @@
     with pytest.raises(PlatformError) as caught:
         decode_target(item, 0.0)
     assert caught.value.code is Code.PLATFORM_BAD_ANSWER
+    assert len(caught.value.detail) <= 600
 
 
 @pytest.mark.parametrize(
@@ -333,3 +345,108 @@
     assert (found.objective_s, found.timeout_s, found.priority) == goals
     ignored = [fields["count"] for event, fields in logged if event == "route_goals_ignored"]
     assert ignored == ([invalid] if invalid else [])
+
+
+LONG_NAME = "n" * 1_000_000
+EXTREMES = (
+    st.sampled_from(
+        [
+            10**400,
+            -(10**400),
+            1 << 53,
+            float("inf"),
+            float("-inf"),
+            float("nan"),
+            -1,
+            0,
+            LONG_NAME,
+            "\ud800",
+            "\x00",
+            "a\nb",
+            NESTED,
+            {"meta": {"Name": "i-00000001"}},
+            "10.128.0.9:0",
+            "10.128.0.9:8080",
+            "ready",
+            "draining",
+        ]
+    )
+    | JSON
+)
+FIELDS = ["Service", "Address", "Zone", "State", "WarmupLeftMs", "Concurrency", "born", "x"]
+ODD_ENTRIES = st.builds(
+    lambda name, changes: entry(name=name, **changes),
+    st.sampled_from(["i-00000001", "i-00000002", LONG_NAME + "-01", "", "\ud800-01", 7]),
+    st.dictionaries(st.sampled_from(FIELDS), EXTREMES | st.just(...), max_size=4),
+)
+
+
+@given(st.lists(st.tuples(st.booleans(), ODD_ENTRIES), max_size=8))
+@settings(deadline=None, derandomize=True)
+def test_odd_entries_do_not_affect_the_others(changes):
+    """From the entry to the directory, the log, the choice of a target and the metrics."""
+    written = bytearray()
+    log = EventLog(lambda data: written.extend(data) or len(data), lambda: 0.0, instance="a")
+    instance = Instance(
+        "pnw-a", Bounds(3.0, 3.0, 4.0, 6.0), 0, True, lambda: 0.5, log.flow, log.event, 1
+    )
+    handler = TargetHandler(instance.directory, lambda now: True, log.event)
+    good = entry(name="i-0000000a")
+    handler.replace({"i-0000000a": good}, 1.0)
+    for number, (listed, item) in enumerate(changes):
+        now = 2.0 + number
+        if listed:
+            handler.replace({object_name(item): item, "i-0000000a": good}, now)
+        else:
+            handler.apply(object_name(item), item, now)
+        assert instance.directory.find_by_name("i-0000000a").listed
+        for target in instance.directory.find_by_service("huvo11a"):
+            assert rendezvous_score(b"flow", target.name.encode()) >= 0
+        instance.tick(now)
+        assert instance.samples(now)
+        log.flush()
+    assert all(len(line) <= 2_000 for line in written.splitlines())
+
+
+def test_many_unusable_entries_are_logged_together():
+    events = []
+    handler = TargetHandler(
+        Directory(), lambda now: True, lambda event, **fields: events.append((event, fields))
+    )
+    items = {f"odd-{number}": {"meta": {"Name": f"odd-{number}"}} for number in range(300)}
+    handler.replace(items, 0.0)
+    assert [event for event, _ in events].count("entry_unusable") == 10
+    assert [fields["count"] for event, fields in events if event == "entries_unusable"] == [300]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Version": NESTED},
+        {"Version": 10**400},
+        {"Version": True},
+        {"Version": float("nan")},
+        {"Routes": NESTED},
+        {"Routes": [NESTED]},
+        {"Routes": [{**CONFIG["Routes"][1], "Service": ["a"]}]},
+        {"Routes": [{**CONFIG["Routes"][1], "Service": {}}]},
+        {"Routes": [{**CONFIG["Routes"][1], "PathPrefix": "/" + "9" * 5_000 + "/"}]},
+        {"Routes": [{**CONFIG["Routes"][1], "Host": "9" * 1_000_000}]},
+        *(
+            {
+                "Routes": [
+                    {**CONFIG["Routes"][0], "TrafficSplit": [{"Service": "a", "Weight": weight}]}
+                ]
+            }
+            for weight in (float("nan"), float("inf"), 10**400, -1, "1", None, NESTED, True)
+        ),
+    ],
+)
+def test_an_extreme_configuration_is_refused_in_one_line(changes):
+    """The text of a refused version of 5,000 levels couldn't be made, which ended the process."""
+    events = []
+    handler = ConfigHandler(RouteTable(), lambda event, **fields: events.append((event, fields)))
+    handler.apply("main", config(**changes), 0.0)
+    [(event, fields)] = events
+    assert event == "configuration_unusable"
+    assert len(fields["detail"]) <= 300
