Go on behind an object that can't be applied, and count unforeseen errors as failed calls

What callers saw: nothing yet. An error in applying one object ended the process. Where errors of tasks are only logged, the watch would start again before the object and fail again, for as long as it is there, and the instance would no longer follow the targets.

Cause: the position advances after all events of a response are applied, and only the platform's own errors counted as failed calls.

Each object is applied by itself now. Where the handler fails at one, the others are applied, the position advances, and one line entry_failed tells name, reason and number. A list is applied without such objects. Any other error in a call or its response is a failed call, with its reason in store_lost or relay_lost, a pause and a list.

Evidence: the four new tests failed before, with the error of the handler or the store. Why it works: there is no error in applying a response any more after which the same call is made again at once.

--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -42,6 +42,9 @@
 
 # Interval in which a kind that makes no calls while those of its leader fail looks whether they do.
 LEADER_INTERVAL_S = 0.2
+# Longest part of an unforeseen error and of a name that is logged.
+MAX_DETAIL_CHARS = 200
+MAX_NAME_CHARS = 80
 
 
 class StoreResponse:
@@ -175,8 +178,11 @@
         except PlatformError as error:
             if error.code is Code.PLATFORM_INTERRUPTED:
                 return
-            self._scheduler.on_failure(call, error.code, self._now())
-            self._log_failure(call, error, self._now() - started)
+            self._record_failure(call, error, started)
+        except Exception as error:
+            # A response that can't be applied would fail again without the list that follows.
+            unforeseen = PlatformError(Code.PLATFORM_BAD_ANSWER, _describe(error))
+            self._record_failure(call, unforeseen, started)
         else:
             self._log_recovery(call)
         self._on_change()
@@ -202,7 +208,7 @@
         assert position is not None
         now = self._now()
         by_name = {self._handler.name_of(item): item for item in items}
-        self._handler.replace(by_name, now)
+        self._replace(by_name, now)
         self._cache.reset(position, now)
         self._scheduler.on_list(position, now)
         self._record_complete(started)
@@ -259,10 +265,44 @@
         self._scheduler.on_complete(called_at + complete_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
-        for name, item in [self._decode_event(event) for event in response.items]:
-            self._handler.apply(name, item, now)
+        self._apply([self._decode_event(event) for event in response.items], now)
         self._scheduler.on_watch(len(response.items), response.position, now, from_store)
 
+    def _replace(self, items: dict[str, object], now: float) -> None:
+        """Replaces all objects; leaves out those that the handler fails at."""
+        try:
+            self._handler.replace(items, now)
+        except Exception:
+            # Which of them it fails at, and why, is logged as each is applied by itself.
+            failed = self._apply([*items.items()], now)
+            if not failed:
+                raise
+            usable = {name: item for name, item in items.items() if name not in failed}
+            self._handler.replace(usable, now)
+
+    def _apply(self, changes: list[tuple[str, object | None]], now: float) -> set[str]:
+        """Applies objects one by one; returns the names of those that the handler fails at.
+
+        An object of another writer may hold what nobody has foreseen. It affects itself only: the
+        others are applied, and the synchronization goes on behind it.
+        """
+        failed: dict[str, str] = {}
+        for name, item in changes:
+            try:
+                self._handler.apply(name, item, now)
+            except Exception as error:
+                failed[name] = _describe(error)
+        for name, detail in [*failed.items()][:1]:
+            self._log(
+                "entry_failed",
+                kind=self._handler.kind,
+                name=name[:MAX_NAME_CHARS],
+                count=len(failed),
+                code=int(Code.PLATFORM_BAD_ANSWER),
+                detail=detail,
+            )
+        return {*failed}
+
     def _observe_era(self, response: StoreResponse) -> bool:
         """Records the era of a response of the store; returns whether the store was restored."""
         previous_era, previous = self._scheduler.era, self._scheduler.position
@@ -284,6 +324,10 @@
         item = event.get("Object")
         return self._handler.name_of(item), None if event.get("Deleted") is True else item
 
+    def _record_failure(self, call: Call, error: PlatformError, started: float) -> None:
+        self._scheduler.on_failure(call, error.code, self._now())
+        self._log_failure(call, error, self._now() - started)
+
     def _log_failure(self, call: Call, error: PlatformError, waited_s: float) -> None:
         failures = self._failure_counts.get(call.relay, 0)
         self._failure_counts[call.relay] = failures + 1
@@ -315,3 +359,8 @@
 
 def _revision(position: Position | None) -> int | None:
     return None if position is None else position[1]
+
+
+def _describe(error: Exception) -> str:
+    """Returns an unforeseen error as log lines show it."""
+    return f"{type(error).__name__}: {error}"[:MAX_DETAIL_CHARS]
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -293,3 +293,78 @@
     harness.now = 1.0
     harness.steps(1)
     assert harness.sync._scheduler.complete_at == pytest.approx(complete_at)
+
+
+class OddHandler:
+    """Fails at one object, as no handler should."""
+
+    kind = "servers"
+
+    def __init__(self):
+        self.known = {}
+
+    def name_of(self, item):
+        return item["meta"]["Name"]
+
+    def replace(self, items, now):
+        for name, item in items.items():
+            self.apply(name, item, now)
+        self.known = {name: item for name, item in self.known.items() if name in items}
+
+    def apply(self, name, item, now):
+        if name == "odd" and item is not None:
+            raise ZeroDivisionError("x" * 1_000)
+        self.known[name] = item
+
+    def shorten(self, item):
+        return {"meta": item["meta"]}
+
+
+def objects(revision, *names):
+    return StoreResponse([{"meta": {"Name": name}} for name in names], revision)
+
+
+def object_events(revision, *names):
+    return StoreResponse([{"Object": {"meta": {"Name": name}}} for name in names], revision)
+
+
+def odd_harness(store, *relays):
+    harness = SyncHarness(store, *relays)
+    harness.sync._handler = OddHandler()
+    return harness
+
+
+@pytest.mark.parametrize("from_relay", [False, True])
+def test_an_object_that_the_handler_fails_at_does_not_stop_the_sync(from_relay):
+    """The watch was made again from before it, and failed again, for as long as it was there."""
+    listing, changes = objects(5, "a", "odd", "b"), object_events(6, "c", "odd", "d")
+    rest = [changes, object_events(7, "e")]
+    store = FakeStore(listing, *([] if from_relay else rest))
+    relays = [FakeStore(*rest)] if from_relay else []
+    harness = odd_harness(store, *relays)
+    harness.steps(3)
+    assert sorted(harness.sync._handler.known) == ["a", "b", "c", "d", "e"]
+    assert store.calls.count(("list", "")) == 1
+    assert harness.logged.count("entry_failed") == 2
+    assert not {"store_lost", "relay_lost"} & {*harness.logged}
+
+
+def test_an_error_that_nobody_has_foreseen_is_a_failed_call():
+    """With its reason in the log, a pause and a list; it ended the process."""
+    harness = SyncHarness(FakeStore(listed(5, 1), ZeroDivisionError("x" * 1_000), listed(7, 2)))
+    details = []
+    harness.sync._log = lambda event, **fields: details.append((event, fields))
+    assert harness.steps(3, each_s=1.0) == [1, 1, 2]
+    assert harness.store.calls[-1] == ("list", "")
+    [lost] = [fields for event, fields in details if event == "store_lost"]
+    assert lost["code"] == int(Code.PLATFORM_BAD_ANSWER)
+    assert lost["detail"].startswith("ZeroDivisionError: x")
+    assert len(lost["detail"]) <= 200
+    assert harness.slept > 0
+
+
+def test_an_error_of_a_relay_that_nobody_has_foreseen_is_a_failed_call():
+    store = FakeStore(listed(5, 1), listed(8, 2))
+    harness = SyncHarness(store, FakeStore(ZeroDivisionError()))
+    assert harness.steps(3, each_s=RELAY_FAILS_AFTER_S) == [1, 1, 2]
+    assert harness.logged.count("relay_lost") == 1
