--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -267,9 +267,9 @@
 def _seconds(payload: dict[str, object], key: str, longest: float) -> float | None:
     """Returns a time that a relay tells; None if it is missing or invalid."""
     value = payload.get(key)
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    is_valid = is_number and -MAX_TOLD_S <= value <= min(longest, MAX_TOLD_S)
-    return value if is_valid else None  # type: ignore[return-value]
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return None
+    return value if -MAX_TOLD_S <= value <= min(longest, MAX_TOLD_S) else None
 
 
 def _callers(payload: dict[str, object]) -> int | None:
