Read a response to its end while it keeps coming in

What callers saw: nothing yet. A page of the list holds about 1 MB, and more where one entry has nearly 1 MB itself. At 5 Mbit/s, the slowest links, 1.2 MB take 1.9 s, while a list was given up after 1.8 s and made again: no list would ever succeed, and the instance would no longer follow the targets.

Cause: the timeout of a call covered the transfer as well, however large the response.

A response that has begun may now go on beyond the timeout, up to 2 s, as long as a part of it comes in every 0.6 s. A store that doesn't respond, or stops in the middle, is given up as before or 0.6 s after the last part.

Why it works: the timeouts are there to find a connection that has gone silent, and one that delivers hasn't.

--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -23,6 +23,10 @@
 CONNECT_TIMEOUT_S = 0.6
 RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
+# While a response is coming in, the longest pause between two parts of it, and the time by which
+# its end may be later: one entry of 1 MB makes a page larger than 1 MB.
+PART_TIMEOUT_S = 0.6
+MAX_TRANSFER_S = 2.0
 # TCP keepalive: idle time, interval and number of probes. A dead connection is detected in 3 s,
 # within the time in which a configuration must be applied.
 KEEPALIVE_IDLE_S = 1
@@ -155,6 +159,7 @@
         # Never partial: a request is far smaller than the send buffer of an idle connection.
         sock.send(encode_message(f"GET {path} HTTP/1.1", {"Host": host}))
         deadline = self._reactor.now() + timeout_s
+        last_deadline = deadline + MAX_TRANSFER_S
         self._interrupted = False
         while True:
             left = deadline - self._reactor.now()
@@ -167,9 +172,11 @@
             if not data:
                 raise PlatformError(Code.PLATFORM_UNAVAILABLE, "connection closed by peer")
             response = self._reader.feed(data)
+            now = self._reactor.now()
             if response is not None:
-                self._used_at = self._reactor.now()
+                self._used_at = now
                 return response
+            deadline = min(max(deadline, now + PART_TIMEOUT_S), last_deadline)
 
     async def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 import time
+from collections import deque
 from zlib import compress
 
 import pytest
@@ -15,6 +16,7 @@
 from pearwell.standins.object_server import ObjectServer
 from pearwell.url_text import quote
 from tests.addresses import loopback_address
+from tests.affinity.fakes import FakeWait, run
 
 PORT = 20811
 # Timeouts: one that even a busy machine does not reach, and one that a test waits for.
@@ -332,3 +334,63 @@
     with StoreThread():
         run_query(query)
     assert len(found) == connections
+
+
+class SlowLink:
+    """A reactor and a socket at once: parts of a response that come in after some time each."""
+
+    def __init__(self, *parts):
+        self._time = 100.0
+        self._parts = deque(parts)
+
+    def now(self):
+        return self._time
+
+    def readable(self, sock, timeout_s, trigger):
+        after_s = self._parts[0][0]
+        self._time += min(after_s, timeout_s)
+        return FakeWait(after_s <= timeout_s)
+
+    def send(self, data):
+        return len(data)
+
+    def recv(self, size):
+        return self._parts.popleft()[1]
+
+    def close(self):
+        pass
+
+
+LONG_RESPONSE = encode_message("HTTP/1.1 200 OK", {}, b'{"items":[],"AsOf":3}' + b" " * 10_000)
+PART = len(LONG_RESPONSE) // 10 + 1
+
+
+@pytest.mark.parametrize(
+    ("first_s", "pause_s", "is_read"),
+    [(0.1, 0.1, True), (0.2, 0.3, True), (1.7, 0.2, True), (1.9, 0.0, False), (0.1, 0.7, False)],
+)
+def test_a_response_that_keeps_coming_in_is_read_to_its_end(first_s, pause_s, is_read, monkeypatch):
+    """An entry of 1 MB beside others takes over 1.8 s on a slow link: no list ever succeeded."""
+    monkeypatch.setattr(module, "LIST_TIMEOUT_S", 1.8)
+    parts = [LONG_RESPONSE[start : start + PART] for start in range(0, len(LONG_RESPONSE), PART)]
+    link = SlowLink(*((pause_s if number else first_s, part) for number, part in enumerate(parts)))
+    client = StoreClient(link, ("127.0.0.1", 1))
+    client._sock, client._used_at = link, link.now()
+    if is_read:
+        assert run(client.list("servers", "")).revision == 3
+        return
+    with pytest.raises(PlatformError) as caught:
+        run(client.list("servers", ""))
+    assert caught.value.code is Code.PLATFORM_TIMEOUT
+
+
+def test_a_response_that_never_ends_is_given_up(monkeypatch):
+    monkeypatch.setattr(module, "LIST_TIMEOUT_S", 1.8)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
+    link = SlowLink((0.1, head), *((0.5, b"x") for _ in range(100)))
+    client = StoreClient(link, ("127.0.0.1", 1))
+    client._sock, client._used_at = link, link.now()
+    with pytest.raises(PlatformError) as caught:
+        run(client.list("servers", ""))
+    assert caught.value.code is Code.PLATFORM_TIMEOUT
+    assert link.now() == pytest.approx(100.0 + 1.8 + module.MAX_TRANSFER_S)
