--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -23,6 +23,10 @@
 CONNECT_TIMEOUT_S = 0.6
 RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
+# While a response is coming in, the longest pause between two parts of it, and the time by which
+# its end may be later: one entry of 1 MB makes a page larger than 1 MB.
+PART_TIMEOUT_S = 0.6
+MAX_TRANSFER_S = 2.0
 # TCP keepalive: idle time, interval and number of probes. A dead connection is detected in 3 s,
 # within the time in which a configuration must be applied.
 KEEPALIVE_IDLE_S = 1
@@ -36,8 +40,16 @@
 ERA_HEADER = "store-era"
 # Longest time in seconds that a response may claim to be complete after its call was received.
 MAX_WATCH_S = 30.0
+# Largest plausible time in seconds that a relay tells.
+MAX_TOLD_S = 1e9
 # Largest plausible number of callers of a relay.
 MAX_CALLERS = 100_000
+# Most digits of a revision or an era.
+MAX_DIGITS = 20
+# Most values (commas and opening brackets) of a response that is decoded at once.
+MAX_VALUES = 100_000
+# Longest part of the reason for an invalid response that is logged.
+MAX_DETAIL_CHARS = 200
 
 _CODES = {
     404: Code.PLATFORM_NOT_FOUND,
@@ -147,6 +159,7 @@
         # Never partial: a request is far smaller than the send buffer of an idle connection.
         sock.send(encode_message(f"GET {path} HTTP/1.1", {"Host": host}))
         deadline = self._reactor.now() + timeout_s
+        last_deadline = deadline + MAX_TRANSFER_S
         self._interrupted = False
         while True:
             left = deadline - self._reactor.now()
@@ -159,9 +172,11 @@
             if not data:
                 raise PlatformError(Code.PLATFORM_UNAVAILABLE, "connection closed by peer")
             response = self._reader.feed(data)
+            now = self._reactor.now()
             if response is not None:
-                self._used_at = self._reactor.now()
+                self._used_at = now
                 return response
+            deadline = min(max(deadline, now + PART_TIMEOUT_S), last_deadline)
 
     async def _connect(self) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -203,45 +218,65 @@
 
 def _decode(response: Message, key: str) -> StoreResponse:
     try:
-        # Invalid UTF-8 from another writer affects only the entry that contains it; its name can
-        # still be sent back as the cursor of a list.
-        payload = _parse(_body(response).decode("utf-8", "surrogateescape"))
+        payload = _parse(_body(response), key)
         items, revision = payload[key], payload["AsOf"]
     except (KeyError, RecursionError, TypeError, ValueError, zlib.error) as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid response: {error!r}") from error
-    if not isinstance(items, list) or not isinstance(revision, int):
+        detail = f"invalid response: {error!r}"[:MAX_DETAIL_CHARS]
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
+    if not isinstance(items, list) or not _is_count(revision):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, "response with fields of the wrong type")
-    healthy_s, zone = payload.get("GoodS"), payload.get("Zone")
-    complete_s = payload.get("CompleteS")
+    zone = payload.get("Zone")
     return StoreResponse(
         items,
         revision,
         payload.get("HasMore") is True,
-        healthy_s if isinstance(healthy_s, int | float) else None,
+        _seconds(payload, "GoodS", float("inf")),
         zone if isinstance(zone, str) else "",
         _era(response, payload),
         _callers(payload),
-        complete_s if isinstance(complete_s, int | float) and complete_s <= MAX_WATCH_S else None,
+        _seconds(payload, "CompleteS", MAX_WATCH_S),
     )
 
 
-def _parse(text: str) -> "Any":
-    """Returns the value of a JSON text, without the extreme values in it if they can't be read."""
-    try:
-        return json.loads(text)
-    except (RecursionError, ValueError):
-        # Imported only where it is needed, to keep the start fast.
-        from pearwell.platform.extreme_values import remove_extreme_values
+def _parse(body: bytes, key: str) -> "Any":
+    """Returns the value of a JSON text; of entries that can't be read only their names."""
+    if body.count(b",") + body.count(b"[") + body.count(b"{") < MAX_VALUES:
+        try:
+            # Invalid UTF-8 from another writer affects only the entry that contains it; its name
+            # can still be sent back as the cursor of a list.
+            return json.loads(body.decode("utf-8", "surrogateescape"))
+        except (RecursionError, ValueError):
+            # Read entry by entry below.
+            pass
+    # Imported only where it is needed, to keep the start fast.
+    from pearwell.platform.extreme_values import read_entries
 
-        return json.loads(remove_extreme_values(text))
+    return read_entries(body, key)
 
 
 def _era(response: Message, payload: dict[str, object]) -> int:
     """Returns the era of the store, which a relay passes on in the body; 0 if it is missing."""
-    text = response.headers.get(ERA_HEADER, str(payload.get("Era", 0)))
-    if not text.isdecimal():
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {text[:20]!r}")
-    return int(text)
+    text = response.headers.get(ERA_HEADER)
+    if text is None:
+        era = payload.get("Era", 0)
+    else:
+        era = int(text) if text.isdecimal() and len(text) <= MAX_DIGITS else None
+    if not _is_count(era):
+        shown = type(era).__name__ if text is None else repr(text[:20])
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid era {shown}")
+    return era  # type: ignore[return-value]
+
+
+def _is_count(value: object) -> bool:
+    return type(value) is int and 0 <= value < 10**MAX_DIGITS
+
+
+def _seconds(payload: dict[str, object], key: str, longest: float) -> float | None:
+    """Returns a time that a relay tells; None if it is missing or invalid."""
+    value = payload.get(key)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return None
+    return value if -MAX_TOLD_S <= value <= min(longest, MAX_TOLD_S) else None
 
 
 def _callers(payload: dict[str, object]) -> int | None:
