--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -82,7 +82,7 @@
         self._list_times = Histogram("store_list_seconds", CALL_BOUNDS_S)
         self._packets = PacketSocket(
             self._reactor,
-            startup.listeners.packets,
+            startup.packets,
             settings.packets[1],
             self._instance.director,
             self._log,
@@ -90,7 +90,7 @@
             self._on_batch,
         )
         self._hint_socket: HintSocket | None = None
-        self._listeners = startup.listeners
+        self._startup = startup
         self._metrics: MetricsEndpoint | None = None
         self._checks: TargetChecks | None = None
         self._probes: TargetProbes | None = None
@@ -206,9 +206,9 @@
         return sync
 
     def _listen(self) -> None:
-        HttpServer(self._reactor, self._listeners.ready, self._respond_readiness, {})
-        if self._listeners.control is not None:
-            self._serve_relay(self._listeners.control)
+        HttpServer(self._reactor, self._startup.ready, self._respond_readiness, {})
+        if self._startup.control is not None:
+            self._serve_relay(self._startup.control)
 
     def _open_metrics(self) -> None:
         if self._metrics is None:
@@ -380,7 +380,7 @@
         sys.exit(check_settings(path))
     startup: Startup | None
     try:
-        startup = Startup.attempt(path)
+        startup = Startup(path)
     except SettingsError as error:
         # Imported only if the start has to wait, to keep others fast.
         from pearwell.platform.start_wait import wait_for_start
--- a/pearwell/platform/signals.py
+++ b/pearwell/platform/signals.py
@@ -10,21 +10,10 @@
 
 from pearwell.reactor import Reactor
 
-__all__ = ["wait_for_stop", "watch_signals"]
+__all__ = ["SIGNALS", "STOP_SIGNALS", "watch_signals"]
 
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-_SIGNALS = (*_STOP_SIGNALS, signal.SIGHUP)
-
-
-def wait_for_stop(timeout_s: float) -> bool:
-    """Waits for a signal during the start, while signals are blocked.
-
-    Returns:
-        Whether the process is to stop. False at once if the settings have changed, else after the
-        timeout in seconds.
-    """
-    received = signal.sigtimedwait(_SIGNALS, timeout_s)
-    return received is not None and received.si_signo in _STOP_SIGNALS
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
 def watch_signals(
@@ -52,8 +41,8 @@
                 on_stop(number)
 
     signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-    for number in _SIGNALS:
+    for number in SIGNALS:
         signal.signal(number, lambda *_: None)
     reactor.add_reader(inner, read)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, _SIGNALS)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     return inner, outer
--- a/pearwell/platform/start_wait.py
+++ b/pearwell/platform/start_wait.py
@@ -4,12 +4,14 @@
 addresses. A process that ended for it would be started, and end, again and again.
 """
 
+import signal
+
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog
-from pearwell.platform.signals import wait_for_stop
+from pearwell.platform.signals import SIGNALS, STOP_SIGNALS
 from pearwell.platform.startup import Startup
 
-__all__ = ["wait_for_start"]
+__all__ = ["wait_for_start", "wait_for_stop"]
 
 RETRY_INTERVAL_S = 0.1
 # Number of attempts after which the reason for waiting is logged again.
@@ -36,7 +38,18 @@
         if wait_for_stop(RETRY_INTERVAL_S):
             return None
         try:
-            return Startup.attempt(path)
+            return Startup(path)
         except SettingsError as failure:
             error = failure
         attempts += 1
+
+
+def wait_for_stop(timeout_s: float) -> bool:
+    """Waits for a signal during the start, while signals are blocked.
+
+    Returns:
+        Whether the process is to stop. False at once if the settings have changed, else after the
+        timeout in seconds.
+    """
+    received = signal.sigtimedwait(SIGNALS, timeout_s)
+    return received is not None and received.si_signo in STOP_SIGNALS
--- a/tests/platform/test_start_wait.py
+++ b/tests/platform/test_start_wait.py
@@ -7,9 +7,7 @@
 from pearwell.errors import Code, SettingsError
 from pearwell.event_log import EventLog
 from pearwell.platform import start_wait
-from pearwell.platform.signals import wait_for_stop
-from pearwell.platform.start_wait import REPORT_ATTEMPTS, wait_for_start
-from pearwell.platform.startup import Startup
+from pearwell.platform.start_wait import REPORT_ATTEMPTS, wait_for_start, wait_for_stop
 
 STARTED = object()
 
@@ -19,7 +17,7 @@
     error, *later = outcomes
     found = iter(later)
 
-    def attempt(path):
+    def start(path):
         outcome = next(found)
         if isinstance(outcome, SettingsError):
             raise outcome
@@ -31,7 +29,7 @@
         lines.extend(data.decode().splitlines())
         return len(data)
 
-    monkeypatch.setattr(Startup, "attempt", attempt)
+    monkeypatch.setattr(start_wait, "Startup", start)
     monkeypatch.setattr(start_wait, "wait_for_stop", lambda timeout_s: stops)
     return lines, wait_for_start("node.conf", error, EventLog(write, lambda: 0.0))
 
