Let a failure stop neither packets, probes, the reload nor a request to stop

- targets whose probe failed before or beside the connection attempt stayed marked as being probed, and were never probed again.
They are taken once all is there, and each failure ends the probe.
- the periodic work stopped at the first failure: the settings weren't checked and the log not written.
These come first.
- a failure to accept connections again ended the server for good.
It is tried again.
- a reload that failed dropped a request to stop that came with it.
Stops come first, and one reload serves many signals.
- listen() could fail after the start.
It belongs to binding, which is tried again.
- a start without a path of a settings file waited for ever.
It ends with status 2.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -29,6 +29,8 @@
 RELAY_MAX_WATCH_S = 1.5
 # Minimum time between two watches by a relay while there are events.
 RELAY_EVENT_INTERVAL_S = 0.3
+# Time between two responses below which the store doesn't let watches wait.
+MIN_RESPONSE_INTERVAL_S = 0.1
 # Maximum wait of a watch at a relay: a relay that hangs or is unreachable is detected after this
 # wait plus a timeout.
 WATCH_AT_RELAY_S = 1.0
@@ -214,14 +216,18 @@
     def on_watch(
         self, event_count: int, position: Position, now: float, from_store: bool = False
     ) -> None:
-        """Records the response to a watch; without events the next watch starts at once."""
+        """Records the response to a watch; without events the next watch starts at once.
+
+        A store that doesn't let watches wait would be asked without end.
+        """
         self._catch_up = _CatchUp.NONE
+        came_at_once = now - self._synced_at < MIN_RESPONSE_INTERVAL_S
         self._synced_at = now
         if from_store:
             self._store_read_at = now
         if self._position is None or position > self._position:
             self._position = position
-        if event_count:
+        if event_count or came_at_once:
             self._events_at = now
 
     def on_complete(self, at: float) -> None:
@@ -294,7 +300,7 @@
             self._catch_up = _CatchUp.FAILED
             return
         self._position = None
-        self._list_at = now
+        self._list_at = max(now, self._list_at)
         if code is not Code.PLATFORM_WATCH_EXPIRED:
             self._failures += 1
             self._store_healthy_since = float("inf")
--- a/pearwell/affinity/target_health.py
+++ b/pearwell/affinity/target_health.py
@@ -46,6 +46,11 @@
         # Targets that responded just before a hint.
         self._postponed: list[Target] = []
 
+    @property
+    def has_probes(self) -> bool:
+        """Whether there are targets to probe."""
+        return bool(self._probes)
+
     def take_probes(self) -> list[Target]:
         """Returns the targets to probe with a connection attempt; each is returned once."""
         probes, self._probes = self._probes, []
@@ -120,11 +125,8 @@
         self._count("target_found_gone")
         self._report(target)
 
-    def handle_failed_probe(self, target: Target, error: OSError) -> None:
-        """Handles a connection attempt that this machine couldn't make.
-
-        It tells nothing of the target: without a free descriptor, all would seem to be gone.
-        """
+    def handle_failed_probe(self, target: Target, error: Exception) -> None:
+        """Handles a connection attempt that failed here, which tells nothing of the target."""
         target.probing = False
         self._count("target_probe_failed")
         self._log("target_probe_failed", target=target.name, error=error)
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -10,7 +10,6 @@
 
 __all__ = ["HttpServer"]
 
-BACKLOG = 128
 # Connections without a request for this time are closed; clients of a relay call every second.
 IDLE_TIMEOUT_S = 10.0
 # Time after which a response that the peer does not read is abandoned.
@@ -30,7 +29,7 @@
 
     Args:
         reactor: Event loop.
-        sock: Bound TCP socket.
+        sock: Listening TCP socket.
         handle: Returns the response to a path with its query.
         headers: Header fields of all responses.
         on_request: Called with the client's IP address for each request.
@@ -49,7 +48,6 @@
         self._handle = handle
         self._headers = headers
         self._sock = sock
-        sock.listen(BACKLOG)
         reactor.add_reader(sock, self._accept)
 
     def _accept(self) -> None:
@@ -59,7 +57,7 @@
             # The client has disconnected, or no file descriptor is free; the client retries.
             if error.errno in _NO_RESOURCES:
                 self._reactor.remove_reader(self._sock)
-                self._reactor.spawn(self._resume())
+                self._reactor.keep_running(self._resume)
             return
         sock.setblocking(False)
         self._reactor.spawn(self._serve(sock, ip))
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -107,14 +107,8 @@
             # Imported with the first use, to keep the start fast.
             from pearwell.platform.hint_socket import HintSocket
 
-            settings = self._settings
-            self._hint_socket = HintSocket(
-                self._reactor,
-                settings.ip,
-                settings.peer_port,
-                [ip for ip, _ in settings.seeds],
-                self._log,
-                self._on_hint,
+            self._hint_socket = HintSocket.from_settings(
+                self._reactor, self._settings, self._log, self._on_hint
             )
         return self._hint_socket
 
@@ -262,6 +256,7 @@
                 held=len(held),
             )
             self._packets.replay(held)
+            self._open_metrics()
         self._packets.send_resets()
         self._changed.fire()
 
@@ -295,21 +290,26 @@
     def _spawn_probes(self) -> None:
         if self._checks is not None:
             self._checks.run_due()
-        targets = self._instance.director.health.take_probes()
-        if not targets:
+        health = self._instance.director.health
+        if not health.has_probes:
             return
         if self._probes is None:
             # Imported with the first probe, to keep the start fast.
             from pearwell.platform.target_probes import TargetProbes
 
-            health = self._instance.director.health
             self._probes = TargetProbes(self._reactor, health, self._packets, self._hints)
-        for target in targets:
+        for target in health.take_probes():
             self._reactor.spawn(self._probes.probe(target))
 
     async def _tick(self) -> None:
         while True:
             await self._reactor.sleep(TICK_INTERVAL_S)
+            # First what must go on if the rest fails.
+            self._log.flush()
+            changed_at = modified_at(self._path)
+            if changed_at != self._modified_at:
+                self._modified_at = changed_at
+                self._reload()
             now = self._reactor.now()
             callers = self._count_callers() if self._is_relay else None
             if callers is not None:
@@ -324,21 +324,13 @@
             self._spawn_probes()
             self._hints.open()
             self._open_metrics()
-            changed_at = modified_at(self._path)
-            if changed_at != self._modified_at:
-                self._modified_at = changed_at
-                self._reload()
-            self._log.flush()
 
     async def _load_late_modules(self) -> None:
         while not self._instance.lifecycle.accepts_flows:
             await self._reactor.sleep(TICK_INTERVAL_S)
-        from pearwell.platform.late_modules import LATE_MODULES, LOAD_INTERVAL_S
+        from pearwell.platform.late_modules import load_modules
 
-        for name in LATE_MODULES:
-            await self._reactor.sleep(LOAD_INTERVAL_S)
-            __import__(name)
-        self._log.event("modules_loaded", count=len(LATE_MODULES))
+        await load_modules(self._reactor, self._log)
 
     def _reload(self) -> None:
         try:
--- a/pearwell/platform/hint_socket.py
+++ b/pearwell/platform/hint_socket.py
@@ -6,6 +6,7 @@
 from pearwell.affinity.hints import decode_hint, encode_hint
 from pearwell.errors import SettingsError
 from pearwell.event_log import EventLog
+from pearwell.platform.settings import InstanceSettings
 from pearwell.reactor import Reactor, bind_socket
 
 # True for type checkers only, as in pearwell.affinity.sync.
@@ -53,6 +54,18 @@
         self._sock: socket.socket | None = None
         self._unavailable = False
 
+    @classmethod
+    def from_settings(
+        cls,
+        reactor: Reactor,
+        settings: InstanceSettings,
+        log: EventLog,
+        on_hint: Callable[[str], None],
+    ) -> "HintSocket":
+        """Returns the socket of an instance, which open() binds."""
+        relays = [ip for ip, _ in settings.seeds]
+        return cls(reactor, settings.ip, settings.peer_port, relays, log, on_hint)
+
     @property
     def is_relay(self) -> bool:
         """Whether this instance forwards to clients."""
--- a/pearwell/platform/late_modules.py
+++ b/pearwell/platform/late_modules.py
@@ -4,7 +4,10 @@
 a free descriptor, or after their files were replaced.
 """
 
-__all__ = ["LATE_MODULES", "LOAD_INTERVAL_S"]
+from pearwell.event_log import EventLog
+from pearwell.reactor import Reactor
+
+__all__ = ["LATE_MODULES", "load_modules"]
 
 # Time between two modules in seconds, so that packets don't wait for all of them.
 LOAD_INTERVAL_S = 0.2
@@ -28,3 +31,11 @@
     "pearwell.platform.metrics_page",
     "pearwell.affinity.instance_metrics",
 )
+
+
+async def load_modules(reactor: Reactor, log: EventLog) -> None:
+    """Loads the modules one after the other."""
+    for name in LATE_MODULES:
+        await reactor.sleep(LOAD_INTERVAL_S)
+        __import__(name)
+    log.event("modules_loaded", count=len(LATE_MODULES))
--- a/pearwell/platform/packet_socket.py
+++ b/pearwell/platform/packet_socket.py
@@ -74,8 +74,8 @@
     def start(self) -> None:
         """Starts reading packets."""
         self._started = True
-        self.catch_up(self._reactor.now() - self._bound_at)
         self._reactor.add_reader(self._sock, self._read)
+        self.catch_up(self._reactor.now() - self._bound_at)
 
     def catch_up(self, waited_s: float) -> None:
         """Handles the queued packets, and drops those that may have been queued for too long.
--- a/pearwell/platform/signals.py
+++ b/pearwell/platform/signals.py
@@ -34,7 +34,8 @@
     outer.setblocking(False)
 
     def read() -> None:
-        for number in inner.recv(64):
+        # A request to stop first: a reload may fail.
+        for number in sorted({*inner.recv(64)}, reverse=True):
             if number == signal.SIGHUP:
                 on_hangup()
             else:
--- a/pearwell/platform/start_wait.py
+++ b/pearwell/platform/start_wait.py
@@ -28,7 +28,15 @@
 
     Returns:
         What the instance starts with; None if the process is to stop first.
+
+    Raises:
+        SystemExit: With status 2 if there is no path.
     """
+    if not path:
+        # No attempt can succeed, as the environment of a process doesn't change.
+        log.event("start_failed", code=int(error.code), detail="no path of a settings file")
+        log.flush()
+        raise SystemExit(2)
     attempts, reported = 1, ""
     while True:
         if str(error) != reported or attempts % REPORT_ATTEMPTS == 0:
--- a/pearwell/platform/target_probes.py
+++ b/pearwell/platform/target_probes.py
@@ -57,6 +57,10 @@
                 self._health.handle_failed_probe(target, error)
                 return
             refused = error.errno == errno.ECONNREFUSED
+        except Exception as error:
+            # The target may be probed again.
+            self._health.handle_failed_probe(target, error)
+            raise
         self._health.handle_probe_result(target, answered, refused, self._reactor.now())
         self._packets.send_resets()
         self._hints.send_hints(self._health.take_hints())
--- a/pearwell/reactor.py
+++ b/pearwell/reactor.py
@@ -23,6 +23,8 @@
 # of a poll: whatever arrives in a shorter pause is younger than the client's next transmission.
 MIN_PAUSE_S = 0.2
 MAX_WAIT_S = 0.1
+# Connections of a listening socket that wait to be accepted.
+BACKLOG = 128
 
 
 def boot_time() -> float:
@@ -281,7 +283,7 @@
 
 
 def bind_socket(kind: int, address: tuple[str, int]) -> socket.socket:
-    """Returns a bound non-blocking socket.
+    """Returns a bound non-blocking socket; a TCP socket listens.
 
     Args:
         kind: SOCK_DGRAM or SOCK_STREAM.
@@ -298,6 +300,8 @@
         if kind == socket.SOCK_STREAM:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
+        if kind == socket.SOCK_STREAM:
+            sock.listen(BACKLOG)
     except (OSError, OverflowError) as error:
         if sock is not None:
             sock.close()
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -31,6 +31,18 @@
     assert (call.delay_s, call.position) == (delay_s, (0, 9))
 
 
+@pytest.mark.parametrize(
+    ("waited_s", "delay_s"), [(0.0, 1.0), (0.05, 1.0), (0.11, 0.0), (2.4, 0.0)]
+)
+def test_a_store_that_answers_watches_at_once_was_asked_without_end(waited_s, delay_s):
+    """868 times a second by each instance, which used its whole share of the processor."""
+    scheduler = make()
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_watch(0, (0, 7), 5.0)
+    scheduler.on_watch(0, (0, 7), 5.0 + waited_s)
+    assert scheduler.next_call(5.0 + waited_s).delay_s == pytest.approx(delay_s)
+
+
 def test_a_revision_never_decreases():
     scheduler = make()
     scheduler.on_list((0, 9), 0.0)
@@ -66,6 +78,14 @@
     assert scheduler.store_healthy_since == 0.0
 
 
+def test_a_store_that_expires_each_watch_at_once_was_listed_without_end():
+    scheduler = make()
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_failure(scheduler.next_call(0.01), Code.PLATFORM_WATCH_EXPIRED, 0.01)
+    call = scheduler.next_call(0.01)
+    assert (call.delay_s, call.position) == (pytest.approx(0.99), None)
+
+
 def test_the_recovery_time_covers_a_watch_lost_in_an_outage():
     """A watch sent just before the store recovers is followed by a timeout, a pause and a list."""
     time_out_s, list_s = 1.0, 0.1
--- a/tests/platform/test_packet_socket.py
+++ b/tests/platform/test_packet_socket.py
@@ -51,6 +51,28 @@
     assert received(host) == [0]
 
 
+def test_a_packet_that_fails_at_the_start_left_the_socket_unread(host, packets, monkeypatch):
+    """The instance was ready and forwarded nothing."""
+
+    def fail(data, now):
+        raise KeyError(data)
+
+    packets._reactor.remove_reader(packets._sock)
+    with monkeypatch.context() as context, pytest.raises(KeyError):
+        context.setattr(packets, "_handle", fail)
+        send(40_002, SYN, 0)
+        packets.start()
+    send(40_003, SYN, 0)
+
+    async def wait():
+        await packets._reactor.sleep(0.0)
+        packets._reactor.stop()
+
+    packets._reactor.spawn(wait())
+    packets._reactor.run()
+    assert received(host) == [0]
+
+
 def send(port, flags, ack):
     """Sends a client's packet to the instance; SYNs count their copies in `ack`."""
     local = flow_address(CLIENT_IP, port)
--- a/tests/platform/test_start_wait.py
+++ b/tests/platform/test_start_wait.py
@@ -55,6 +55,13 @@
     assert all(f"code={code}" in line for line, code in zip(lines, codes, strict=True))
 
 
+def test_a_start_without_a_path_ends():
+    """It can't succeed, however long it waits."""
+    with pytest.raises(SystemExit) as caught:
+        wait_for_start("", MISSING, EventLog(len, lambda: 0.0))
+    assert caught.value.code == 2
+
+
 def test_a_request_to_stop_ends_the_wait(monkeypatch):
     assert attempts(monkeypatch, [IN_USE], stops=True)[1] is None
 
--- a/tests/platform/test_target_probes.py
+++ b/tests/platform/test_target_probes.py
@@ -21,7 +21,7 @@
         pass
 
     def handle_failed_probe(self, probed, error):
-        self.results.append(error.errno)
+        self.results.append(getattr(error, "errno", None))
 
     def handle_probe_result(self, probed, answered, refused, now):
         self.results.append((answered, refused))
@@ -78,6 +78,18 @@
     assert probe(("127.0.0.1", 9)) == number
 
 
+def test_a_target_whose_probe_failed_was_never_probed_again(monkeypatch):
+    async def fail(*_):
+        raise KeyError("unforeseen")
+
+    monkeypatch.setattr("pearwell.platform.target_probes.connect", fail)
+    health = Health()
+    probing = TargetProbes(Reactor(time.monotonic, lambda error: None), health, Packets(), Hints())
+    with pytest.raises(KeyError):
+        probing.probe(target(1)).send(None)
+    assert len(health.results) == 1
+
+
 def test_an_unreachable_target_has_not_refused(monkeypatch):
     async def unreachable(*_):
         raise OSError(errno.EHOSTUNREACH, "no route to host")
