Soak starts and stops of the role under trouble from outside

It checks that no process ends unless it is asked to, that all are ready within 12 s of the last trouble, that an asked process ends within the grace time, and that planned stops reset no open flow.

The soak so far signalled a process at any time, but started none over a predecessor, with settings in pieces or with an output that nobody reads, and took a process that ended by itself between two faults for one that was asked to.

A client that fails with an exception now ends the soak instead of falling silent.

--- a/pearwell/cli/soak.py
+++ b/pearwell/cli/soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 
 from absl import app, flags
@@ -10,6 +11,8 @@
 from pearwell.soak.earlier_build import Rollout, extract_build
 from pearwell.soak.schedule import draw_faults
 from pearwell.soak.soak_harness import SoakOptions, run_soak
+from pearwell.soak.start_schedule import draw_starts, draw_store_faults, draw_troubles
+from pearwell.soak.start_soak import run_start_soak
 
 __all__ = ["main"]
 
@@ -29,6 +32,7 @@
 _ROLLOUT = flags.DEFINE_enum_class(
     "rollout", Rollout.FORWARD, Rollout, "Order of replacements with --beside."
 )
+_STARTS = flags.DEFINE_bool("starts", False, "Soak starts and stops of the role instead.")
 _SHOW_FAULTS = flags.DEFINE_bool("show", False, "Print the fault schedule of each seed.")
 
 
@@ -36,15 +40,17 @@
     directory = Path(_DIRECTORY.value or tempfile.mkdtemp(prefix="pearwell-soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     beside = extract_build(_BESIDE.value, directory) if _BESIDE.value else None
+    run = run_start_soak if _STARTS.value else run_soak
     failed_seeds = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
         seed_directory = directory / f"seed-{seed}"
         seed_directory.mkdir(parents=True, exist_ok=True)
         if _SHOW_FAULTS.value:
-            for fault in draw_faults(seed, _LENGTH_S.value):
-                print(f"seed={seed} {fault}", flush=True)
+            draw = _draw_starts if _STARTS.value else draw_faults
+            for item in draw(seed, _LENGTH_S.value):
+                print(f"seed={seed} {item}", flush=True)
         checker = asyncio.run(
-            run_soak(
+            run(
                 SoakOptions(
                     seed,
                     _LENGTH_S.value,
@@ -69,6 +75,13 @@
     sys.exit(bool(failed_seeds))
 
 
+def _draw_starts(seed: int, length_s: float) -> Iterator[object]:
+    yield from draw_store_faults(seed, length_s)
+    for index in range(_INSTANCES.value):
+        for item in [*draw_starts(seed, index, length_s), *draw_troubles(seed, index, length_s)]:
+            yield f"edge-{index} {item!r}"
+
+
 def main() -> None:
     """Entry point of pearwell-soak."""
     app.run(_main)
--- a/pearwell/soak/checks.py
+++ b/pearwell/soak/checks.py
@@ -27,6 +27,8 @@
     NO_UNEXPECTED_EXIT = "no_process_ends_by_itself"
     CONFIGURATION = "latest_configuration_in_force"
     RECOVERY = "all_clients_served_after_the_faults"
+    READINESS = "all_instances_ready_after_the_trouble"
+    STOP = "a_stopped_process_ends_within_the_grace_time"
 
 
 # Guarantees without a time limit, which hold on a machine under any load.
--- a/pearwell/soak/processes.py
+++ b/pearwell/soak/processes.py
@@ -6,10 +6,13 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
-__all__ = ["ROOT", "ManagedProcess"]
+__all__ = ["ROLE_ARGUMENTS", "ROOT", "ManagedProcess"]
 
 ROOT = Path(__file__).resolve().parents[2]
+# Arguments of the interpreter, as in deploy/system.toml.
+ROLE_ARGUMENTS = ["-S", "deploy/edge.py"]
 RESTART_DELAY_S = 0.4
 EXIT_TIMEOUT_S = 8.0
 
@@ -63,8 +66,7 @@
             *self._arguments,
             cwd=self.root,
             env={**os.environ, **self._environment},
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
+            **self._streams(),
         )
         self.starts += 1
         self._reader = asyncio.get_running_loop().create_task(self._read(self._process))
@@ -104,13 +106,17 @@
             await asyncio.sleep(RESTART_DELAY_S)
             await self.start()
 
+    def _streams(self) -> dict[str, Any]:
+        """Returns arguments for the streams of the process."""
+        return {"stdout": asyncio.subprocess.PIPE, "stderr": asyncio.subprocess.STDOUT}
+
     async def _read(self, process: asyncio.subprocess.Process) -> None:
-        assert process.stdout is not None
-        with self._log.open("a") as log:
-            while line := await process.stdout.readline():
-                text = line.decode(errors="replace")
-                log.write(text)
-                self._on_line(self.name, text.rstrip())
+        if process.stdout is not None:
+            with self._log.open("a") as log:
+                while line := await process.stdout.readline():
+                    text = line.decode(errors="replace")
+                    log.write(text)
+                    self._on_line(self.name, text.rstrip())
         await process.wait()
         if not self._exit_expected:
             self.unexpected_exits += 1
--- a/pearwell/soak/soak_harness.py
+++ b/pearwell/soak/soak_harness.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -12,10 +12,11 @@
 
 import msgspec
 
+from pearwell.platform.settings import PATH_VARIABLE
 from pearwell.soak.checks import Checker, Guarantee
 from pearwell.soak.earlier_build import Replacement, Rollout, draw_replacements
 from pearwell.soak.options import SoakOptions
-from pearwell.soak.processes import ROOT, ManagedProcess
+from pearwell.soak.processes import ROLE_ARGUMENTS, ROOT, ManagedProcess
 from pearwell.soak.proxy import Link, Proxy
 from pearwell.soak.schedule import Fault, FaultKind, draw_faults
 from pearwell.soak.store_faults import LEASE_S, restore_from_copy, switch_fault
@@ -60,7 +61,9 @@
 
 
 @dataclass(slots=True)
-class _Harness:
+class Harness:
+    """State of a run."""
+
     options: SoakOptions
     checker: Checker = field(default_factory=Checker)
     store: ObjectServer = field(default_factory=ObjectServer)
@@ -99,19 +102,19 @@
 
     def route(self, flow: bytes) -> tuple[str, int]:
         """Returns the instance of a flow, by rendezvous hashing over those in rotation."""
-        candidates = self.rotation or range(len(self.instances))
+        candidates = self.rotation or range(self.options.instances)
         chosen = max(candidates, key=lambda index: crc32(flow + bytes([index])))
         return self.ip(1, chosen + 1), PACKET_PORT
 
 
 async def run_soak(options: SoakOptions) -> Checker:
     """Runs one soak and returns its outcomes and violations."""
-    harness = _Harness(options)
+    harness = Harness(options)
     try:
         await _start(harness)
         await asyncio.sleep(STARTUP_S)
         clients = [
-            asyncio.ensure_future(_run_client(harness, index)) for index in range(options.clients)
+            asyncio.ensure_future(run_client(harness, index)) for index in range(options.clients)
         ]
         rollout = harness.spawn(_replace_builds(harness))
         await _inject_faults(harness, draw_faults(options.seed, options.length_s))
@@ -120,11 +123,9 @@
         await _check_configuration(harness)
         await _evacuate_zone(harness, 0, EVACUATE_MS / 1000 + EVACUATED_S)
         await _check_recovery(harness)
-        for client in clients:
-            client.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
+        await stop_clients(clients)
     finally:
-        await _stop(harness)
+        await stop_all(harness)
     for process in [*harness.instances, *[host.process for host in harness.hosts]]:
         harness.checker.require(
             not process.unexpected_exits, Guarantee.NO_UNEXPECTED_EXIT, process.name
@@ -132,7 +133,8 @@
     return harness.checker
 
 
-async def _start(harness: _Harness) -> None:
+async def start_platform(harness: Harness) -> None:
+    """Starts the store, the hosts, and for each instance a proxy to the store."""
     await harness.store.start(harness.ip(0, 1), STORE_PORT)
     await _write_config(harness)
     for service in SERVICES:
@@ -142,17 +144,23 @@
         proxy = Proxy()
         await proxy.start((harness.ip(4, index + 1), STORE_PORT), (harness.ip(0, 1), STORE_PORT))
         harness.proxies.append(proxy)
-        harness.instances.append(_instance_process(harness, index))
+
+
+async def _start(harness: Harness) -> None:
+    await start_platform(harness)
+    indices = range(harness.options.instances)
+    harness.instances = [_instance_process(harness, index) for index in indices]
     beside = harness.options.beside
     if beside is not None and harness.options.rollout is not Rollout.BACK:
         for process in harness.instances:
             process.root = beside
     await asyncio.gather(*[process.start() for process in harness.instances])
-    for index in range(harness.options.instances):
-        harness.spawn(_probe_readiness(harness, index))
+    for index in indices:
+        harness.spawn(probe_readiness(harness, index))
 
 
-def _instance_process(harness: _Harness, index: int) -> ManagedProcess:
+def write_settings(harness: Harness, index: int) -> Path:
+    """Writes the settings file of an instance and returns its path."""
     ip = harness.ip(1, index + 1)
     seeds = [
         f"{harness.ip(1, n + 1)}:{CONTROL_PORT}" for n in range(min(3, harness.options.instances))
@@ -177,16 +185,20 @@
     }
     path = harness.options.directory / f"edge-{index}.conf"
     path.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
+    return path
+
+
+def _instance_process(harness: Harness, index: int) -> ManagedProcess:
     return ManagedProcess(
         f"edge-{index}",
-        ["-S", "deploy/edge.py"],
-        {"PEARWELL_BOOT": str(path)},
+        ROLE_ARGUMENTS,
+        {PATH_VARIABLE: str(write_settings(harness, index))},
         harness.options.directory / f"edge-{index}.log",
         harness.checker.check_log_line,
     )
 
 
-async def _add_host(harness: _Harness, service: str, address: str = "") -> _Host:
+async def _add_host(harness: Harness, service: str, address: str = "") -> _Host:
     number, harness.next_host_number = harness.next_host_number, harness.next_host_number + 1
     if not address:
         address = harness.ip(2, harness.next_address)
@@ -217,7 +229,7 @@
     return host
 
 
-def _check_host_line(harness: _Harness, host: _Host, line: str) -> None:
+def _check_host_line(harness: Harness, host: _Host, line: str) -> None:
     if not line.startswith("{"):
         harness.checker.require("Traceback" not in line, Guarantee.NO_UNEXPECTED_EXIT, line)
         return
@@ -243,7 +255,7 @@
         harness.checker.require(few, Guarantee.WARMUP, f"host {host.number}")
 
 
-async def _write_config(harness: _Harness) -> None:
+async def _write_config(harness: Harness) -> None:
     routes = [
         {
             "Name": service,
@@ -260,7 +272,7 @@
     await harness.store.write("config", "main", spec)
 
 
-async def _write_again(harness: _Harness) -> None:
+async def _write_again(harness: Harness) -> None:
     """Writes what the operator has written since the copy that the store was restored from."""
     await _write_config(harness)
     for zone in ZONES:
@@ -270,7 +282,7 @@
             await harness.store.remove("evacuations", zone)
 
 
-async def _evacuate_zone(harness: _Harness, zone_index: int, for_s: float) -> None:
+async def _evacuate_zone(harness: Harness, zone_index: int, for_s: float) -> None:
     zone = ZONES[zone_index]
     if zone in harness.evacuated_at:
         return
@@ -281,16 +293,16 @@
     await harness.store.remove("evacuations", zone)
 
 
-async def _write_next_config(harness: _Harness, increment: int = 1) -> None:
+async def _write_next_config(harness: Harness, increment: int = 1) -> None:
     harness.config_version += increment
     await _write_config(harness)
 
 
-async def _probe_readiness(harness: _Harness, index: int) -> None:
+async def probe_readiness(harness: Harness, index: int) -> None:
     """Keeps an instance in rotation while its readiness endpoint answers 200."""
     failures = 0
     while True:
-        ready = await _is_ready(harness.ip(1, index + 1))
+        ready = await is_ready(harness.ip(1, index + 1))
         failures = 0 if ready else failures + 1
         if ready and index not in harness.rotation:
             harness.rotation.append(index)
@@ -299,7 +311,8 @@
         await asyncio.sleep(PROBE_INTERVAL_S)
 
 
-async def _is_ready(ip: str) -> bool:
+async def is_ready(ip: str) -> bool:
+    """Whether the readiness endpoint of an instance answers 200."""
     try:
         async with asyncio.timeout(PROBE_INTERVAL_S):
             reader, writer = await asyncio.open_connection(ip, READY_PORT)
@@ -311,7 +324,7 @@
         return False
 
 
-async def _run_client(harness: _Harness, index: int) -> None:
+async def run_client(harness: Harness, index: int) -> None:
     """Opens flows and sends requests on each until it ends."""
     rng = random.Random(harness.options.seed * 1000 + index)
     client = TokenClient(harness.ip(3, index + 1), harness.route, rng)
@@ -334,8 +347,17 @@
         transport.close()
 
 
+async def stop_clients(clients: Sequence["asyncio.Future[None]"]) -> None:
+    """Stops clients, and raises the exception of one that has failed."""
+    for client in clients:
+        client.cancel()
+    for result in await asyncio.gather(*clients, return_exceptions=True):
+        if isinstance(result, Exception):
+            raise result
+
+
 async def _open_flow(
-    harness: _Harness, client: TokenClient, service: str
+    harness: Harness, client: TokenClient, service: str
 ) -> tuple[ClientFlow, Outcome | None]:
     flow, failed = await client.open(flow_address(ROUTE_IP, ROUTE_PORTS[service]))
     if failed is not None:
@@ -344,7 +366,7 @@
 
 
 async def _send_request(
-    harness: _Harness, client: TokenClient, flow: ClientFlow, service: str, text: str
+    harness: Harness, client: TokenClient, flow: ClientFlow, service: str, text: str
 ) -> Outcome:
     flow_host = flow.host
     outcome = await client.request(flow, text)
@@ -354,7 +376,7 @@
     return outcome
 
 
-async def _check_configuration(harness: _Harness) -> None:
+async def _check_configuration(harness: Harness) -> None:
     """Checks that a change after a restore is in force at all instances within the bound."""
     restore = harness.spawn(
         restore_from_copy(harness.store, 1.0, 0.0, 0, lambda: _write_again(harness))
@@ -370,7 +392,7 @@
     harness.checker.require(not outdated, Guarantee.CONFIGURATION, ", ".join(outdated))
 
 
-async def _check_recovery(harness: _Harness) -> None:
+async def _check_recovery(harness: Harness) -> None:
     """Checks that a new client of each service gets a response after the last fault."""
     for number, service in enumerate(SERVICES):
         ip = harness.ip(5, number + 1)
@@ -389,7 +411,7 @@
         transport.close()
 
 
-async def _inject_faults(harness: _Harness, faults: list[Fault]) -> None:
+async def _inject_faults(harness: Harness, faults: list[Fault]) -> None:
     started_at = time.monotonic()
     running = []
     for fault in faults:
@@ -398,7 +420,7 @@
     await asyncio.gather(*running)
 
 
-async def _replace_builds(harness: _Harness) -> None:
+async def _replace_builds(harness: Harness) -> None:
     """Restarts instance after instance with the other build, overlapping as a rollout does."""
     options, started_at = harness.options, time.monotonic()
     if options.beside is None:
@@ -413,7 +435,7 @@
     await asyncio.gather(*running)
 
 
-async def _replace_build(harness: _Harness, replacement: Replacement, beside: Path) -> None:
+async def _replace_build(harness: Harness, replacement: Replacement, beside: Path) -> None:
     process = harness.instances[replacement.instance]
     process.root = ROOT if replacement.is_current else beside
     harness.record_fault(GRACE_S)
@@ -421,28 +443,28 @@
     harness.record_fault()
 
 
-async def _signal_instance(harness: _Harness, fault: Fault, signal_number: signal.Signals) -> None:
+async def _signal_instance(harness: Harness, fault: Fault, signal_number: signal.Signals) -> None:
     process = harness.instances[fault.subject % len(harness.instances)]
     harness.record_fault(GRACE_S if signal_number == signal.SIGTERM else 1.0)
     await process.restart(signal_number)
     harness.record_fault()
 
 
-async def _kill_instance(harness: _Harness, fault: Fault) -> None:
+async def _kill_instance(harness: Harness, fault: Fault) -> None:
     await _signal_instance(harness, fault, signal.SIGKILL)
 
 
-async def _stop_instance(harness: _Harness, fault: Fault) -> None:
+async def _stop_instance(harness: Harness, fault: Fault) -> None:
     await _signal_instance(harness, fault, signal.SIGTERM)
 
 
-async def _kill_all_instances(harness: _Harness, fault: Fault) -> None:
+async def _kill_all_instances(harness: Harness, fault: Fault) -> None:
     harness.record_fault(1.0)
     await asyncio.gather(*[process.restart(signal.SIGKILL) for process in harness.instances])
     harness.record_fault()
 
 
-async def _pause_instance(harness: _Harness, fault: Fault) -> None:
+async def _pause_instance(harness: Harness, fault: Fault) -> None:
     process = harness.instances[fault.subject % len(harness.instances)]
     harness.record_fault(fault.for_s)
     process.send(signal.SIGSTOP)
@@ -451,13 +473,13 @@
     harness.record_fault()
 
 
-async def _send_hangup(harness: _Harness, fault: Fault) -> None:
+async def _send_hangup(harness: Harness, fault: Fault) -> None:
     process = harness.instances[fault.subject % len(harness.instances)]
     if process.running and harness.rotation:
         process.send(signal.SIGHUP)
 
 
-def _select_host(harness: _Harness, fault: Fault) -> _Host | None:
+def _select_host(harness: Harness, fault: Fault) -> _Host | None:
     """Returns a host whose service has another live host, or None."""
     serving = [host for host in harness.hosts if host.draining_at == float("inf")]
     live = [host for host in serving if host.process.running]
@@ -465,7 +487,7 @@
     return spare[fault.subject % len(spare)] if spare else None
 
 
-async def _kill_host(harness: _Harness, fault: Fault) -> None:
+async def _kill_host(harness: Harness, fault: Fault) -> None:
     host = _select_host(harness, fault)
     if host is None:
         return
@@ -480,7 +502,7 @@
     await _add_host(harness, host.service)
 
 
-async def _drain_host(harness: _Harness, fault: Fault) -> None:
+async def _drain_host(harness: Harness, fault: Fault) -> None:
     host = _select_host(harness, fault)
     if host is None:
         return
@@ -490,7 +512,7 @@
     host.process.send(signal.SIGTERM)
 
 
-async def _pause_host(harness: _Harness, fault: Fault) -> None:
+async def _pause_host(harness: Harness, fault: Fault) -> None:
     host = _select_host(harness, fault)
     if host is None:
         return
@@ -501,7 +523,7 @@
     host.process.faulty_until = time.monotonic()
 
 
-async def _inject_store_fault(harness: _Harness, fault: Fault) -> None:
+async def _inject_store_fault(harness: Harness, fault: Fault) -> None:
     # Instances connect to the store from their proxy's address; it may refuse every second one.
     indices = range(fault.subject % 2, len(harness.proxies), 2)
     refused = frozenset(harness.ip(4, index + 1) for index in indices)
@@ -513,12 +535,12 @@
     harness.record_fault()
 
 
-async def _compact_store(harness: _Harness, fault: Fault) -> None:
+async def _compact_store(harness: Harness, fault: Fault) -> None:
     harness.record_fault(1.0)
     harness.store.compact()
 
 
-async def _restore_store(harness: _Harness, fault: Fault) -> None:
+async def _restore_store(harness: Harness, fault: Fault) -> None:
     away_s = fault.for_s / 2
     harness.record_fault(fault.for_s + away_s + LEASE_S)
     await restore_from_copy(
@@ -527,11 +549,11 @@
     harness.record_fault()
 
 
-async def _evacuate(harness: _Harness, fault: Fault) -> None:
+async def _evacuate(harness: Harness, fault: Fault) -> None:
     await _evacuate_zone(harness, fault.subject % len(ZONES), fault.for_s)
 
 
-async def _change_link(harness: _Harness, fault: Fault) -> None:
+async def _change_link(harness: Harness, fault: Fault) -> None:
     proxy = harness.proxies[fault.subject % len(harness.proxies)]
     harness.record_fault(fault.for_s)
     proxy.set_link(fault.link)
@@ -540,18 +562,18 @@
     harness.record_fault()
 
 
-async def _change_config(harness: _Harness, fault: Fault) -> None:
+async def _change_config(harness: Harness, fault: Fault) -> None:
     await _write_next_config(harness, 1 + fault.subject % 3)
 
 
-async def _change_config_repeatedly(harness: _Harness, fault: Fault) -> None:
+async def _change_config_repeatedly(harness: Harness, fault: Fault) -> None:
     end = time.monotonic() + fault.for_s
     while time.monotonic() < end:
         await _change_config(harness, fault)
         await asyncio.sleep(0.1)
 
 
-_FAULT_HANDLERS: dict[FaultKind, Callable[[_Harness, Fault], Awaitable[None]]] = {
+_FAULT_HANDLERS: dict[FaultKind, Callable[[Harness, Fault], Awaitable[None]]] = {
     FaultKind.INSTANCE_KILL: _kill_instance,
     FaultKind.INSTANCE_STOP: _stop_instance,
     FaultKind.INSTANCE_PAUSE: _pause_instance,
@@ -573,7 +595,8 @@
 }
 
 
-async def _stop(harness: _Harness) -> None:
+async def stop_all(harness: Harness) -> None:
+    """Ends all tasks and processes."""
     # Faults that are still running would restart processes.
     tasks = [*harness.tasks]
     for task in tasks:
