Hang up at processes that stop, and take the status of a process only once

What: while a planned stop goes on, the process gets SIGHUP every 5 ms until it is gone, as its settings may change then. A violation names the start and the trouble of its process. A task that fails for want of a descriptor, while the soak takes descriptors away, isn't counted, as the process goes on; any other failed task is.

--- a/pearwell/soak/processes.py
+++ b/pearwell/soak/processes.py
@@ -1,6 +1,7 @@
 """Starts, signals and ends the processes of a soak, each by its process id."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -46,6 +47,7 @@
         self._on_line = on_line
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
+        self._pidfd: int | None = None
         self._exit_expected = False
         self._restart_lock = asyncio.Lock()
         self.root = ROOT
@@ -68,17 +70,21 @@
             env={**os.environ, **self._environment},
             **self._streams(),
         )
+        with contextlib.suppress(ProcessLookupError):
+            self._pidfd = os.pidfd_open(self._process.pid)
         self.starts += 1
         self._reader = asyncio.get_running_loop().create_task(self._read(self._process))
 
     def send(self, signal_number: signal.Signals) -> None:
         """Sends a signal."""
-        if self._process is not None and self._process.returncode is None:
+        if self._pidfd is not None:
             self._exit_expected = self._exit_expected or signal_number in (
                 signal.SIGKILL,
                 signal.SIGTERM,
             )
-            self._process.send_signal(signal_number)
+            # Unlike Process.send_signal(), this doesn't take the status of an ended process.
+            with contextlib.suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self._pidfd, signal_number)
 
     async def end(self, signal_number: signal.Signals = signal.SIGKILL) -> None:
         """Sends a signal and waits for the exit; kills the process after a timeout."""
@@ -118,5 +124,8 @@
                     log.write(text)
                     self._on_line(self.name, text.rstrip())
         await process.wait()
+        if self._pidfd is not None:
+            os.close(self._pidfd)
+            self._pidfd = None
         if not self._exit_expected:
             self.unexpected_exits += 1
--- a/pearwell/soak/role_process.py
+++ b/pearwell/soak/role_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import resource
 import signal
 import subprocess
@@ -19,6 +20,8 @@
 __all__ = ["RoleProcess", "measure_interpreter_start"]
 
 POLL_INTERVAL_S = 0.001
+# A task may fail for want of a descriptor, as long as the process goes on.
+_STARVED = re.compile(r"event=task_failed .*OSError\(24,")
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Statuses of a process that gets a signal when it handles signals, and before its first line.
 _STATUSES = {
@@ -64,12 +67,16 @@
         self._script_cpu_s = interpreter_s * SCRIPT_STARTS
         self._statuses: set[int] = set()
         self._interrupted_early = False
+        self._starved = False
         self._descriptors = contextlib.ExitStack()
         log.unlink(missing_ok=True)
         self.circumstances: list[str] = []
         self.stopped_s = 0.0
         self.asked_at: float | None = None
 
+    def __str__(self) -> str:
+        return f"{self.name} ({'; '.join(self.circumstances)})"
+
     @property
     def handles_signals(self) -> bool:
         """Whether it blocks or handles SIGHUP."""
@@ -88,7 +95,7 @@
         if status is None or status in self._statuses:
             return ""
         asked = sorted(self._statuses)
-        return f"{self.name}: status {status}, not {asked}; {', '.join(self.circumstances)}"
+        return f"{self}: status {status}, not {asked}"
 
     @property
     def _pid(self) -> int:
@@ -137,6 +144,7 @@
 
     async def limit_descriptors(self, limit: int, for_s: float) -> None:
         """Lowers the limit of open file descriptors for a time."""
+        self._starved = True
         with contextlib.suppress(ProcessLookupError):
             before = resource.prlimit(self._pid, resource.RLIMIT_NOFILE)
             resource.prlimit(self._pid, resource.RLIMIT_NOFILE, (limit, before[1]))
@@ -180,7 +188,8 @@
 
     def _handle_line(self, name: str, line: str) -> None:
         # Until the first line of the role, SIGINT ends the interpreter with a traceback.
-        if not self._interrupted_early:
+        starved = self._starved and _STARVED.search(line)
+        if not (self._interrupted_early or starved):
             self._handle(name, line)
 
 
--- a/pearwell/soak/start_soak.py
+++ b/pearwell/soak/start_soak.py
@@ -67,8 +67,8 @@
 MIN_DESCRIPTORS, MAX_DESCRIPTORS = 8, 40
 MAX_IDLE_CONNECTIONS = 200
 SETTINGS_PIECES = 8
-# Time between planned stops of instance after instance.
-PLANNED_GAP_S = 0.5
+# Time between planned stops of instance after instance, and between signals to those that stop.
+PLANNED_GAP_S, STOP_HANGUP_GAP_S = 0.5, 0.005
 
 _ENDING_SIGNALS = {
     Ending.KILLED: signal.SIGKILL,
@@ -224,7 +224,7 @@
     elif not await process.wait(start.patience_s):
         asked_at = process.asked_at or time.monotonic()
         in_time = time.monotonic() - asked_at < _stop_bound_s(process)
-        soak.checker.require(in_time, Guarantee.STOP, process.name)
+        soak.checker.require(in_time, Guarantee.STOP, str(process))
     await process.end()
 
 
@@ -236,7 +236,7 @@
     if process.asked_at is None or not process.running:
         return
     left_s = process.asked_at + _stop_bound_s(process) - time.monotonic()
-    soak.checker.require(await process.wait(max(0.0, left_s)), Guarantee.STOP, process.name)
+    soak.checker.require(await process.wait(max(0.0, left_s)), Guarantee.STOP, str(process))
     await process.end()
 
 
@@ -427,8 +427,7 @@
     while not ready and time.monotonic() < deadline:
         ready = await is_ready(instance.ip)
         await asyncio.sleep(POLL_INTERVAL_S)
-    name = instance.process.name if instance.process is not None else str(instance.index)
-    soak.checker.require(ready, Guarantee.READINESS, name)
+    soak.checker.require(ready, Guarantee.READINESS, str(instance.process))
 
 
 async def _check_planned_stops(soak: _StartSoak) -> None:
@@ -437,8 +436,21 @@
     stopping = []
     for instance in soak.instances[:-1]:
         if instance.process is not None:
-            instance.process.send(signal.SIGTERM)
-            stopping.append(_wait_for_asked_end(soak, instance.process))
+            stopping.append(soak.harness.spawn(_stop_as_planned(soak, instance.process)))
             await asyncio.sleep(PLANNED_GAP_S)
     await asyncio.gather(*stopping)
     await _check_readiness(soak)
+
+
+async def _stop_as_planned(soak: _StartSoak, process: RoleProcess) -> None:
+    """Stops a process, whose settings go on changing until it is gone."""
+    process.send(signal.SIGTERM)
+    hangups = soak.harness.spawn(_hang_up_until_end(process))
+    await _wait_for_asked_end(soak, process)
+    await hangups
+
+
+async def _hang_up_until_end(process: RoleProcess) -> None:
+    while process.running:
+        process.send(signal.SIGHUP)
+        await asyncio.sleep(STOP_HANGUP_GAP_S)
