--- a/pearwell/soak/role_process.py
+++ b/pearwell/soak/role_process.py
@@ -23,7 +23,7 @@
 # A task may fail for want of a descriptor, as long as the process goes on.
 _STARVED = re.compile(r"event=task_failed .*OSError\(24,")
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-# Statuses of a process that gets a signal when it handles signals, and before its first line.
+# Statuses of a process that gets a signal when it handles signals, and before the script.
 _STATUSES = {
     signal.SIGTERM: ({0}, {0, -signal.SIGTERM}),
     signal.SIGINT: ({0}, {0, 1, -signal.SIGINT}),
@@ -78,15 +78,17 @@
         return f"{self.name} ({'; '.join(self.circumstances)})"
 
     @property
-    def handles_signals(self) -> bool:
-        """Whether it blocks or handles SIGHUP."""
+    def _is_before_script(self) -> bool:
+        """Whether it neither blocks nor handles SIGHUP, and may not have reached the script."""
         try:
+            used_ns = int(Path(f"/proc/{self._pid}/schedstat").read_text().split()[0])
             text = Path(f"/proc/{self._pid}/status").read_text()
         except OSError:
             return False
         fields = dict(line.split(":\t", 1) for line in text.splitlines() if ":\t" in line)
         masks = int(fields["SigBlk"], 16) | int(fields["SigCgt"], 16)
-        return bool(masks >> (signal.SIGHUP - 1) & 1)
+        handles_signals = masks >> (signal.SIGHUP - 1) & 1
+        return not handles_signals and used_ns < self._script_cpu_s * 1e9
 
     @property
     def exit_fault(self) -> str:
@@ -114,7 +116,7 @@
             return
         if signal_number in _STATUSES:
             handled, unhandled = _STATUSES[signal_number]
-            is_early = not self.handles_signals
+            is_early = self._is_before_script
             self._interrupted_early |= is_early and signal_number == signal.SIGINT
             self._statuses |= unhandled if is_early else handled
             self.asked_at = self.asked_at or time.monotonic()
@@ -125,7 +127,7 @@
 
         SIGHUP ends an interpreter that has not yet reached it, which the role can't prevent.
         """
-        while self.running and not self.handles_signals and self._cpu_s < self._script_cpu_s:
+        while self.running and self._is_before_script:
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def wait(self, timeout_s: float) -> bool:
@@ -145,20 +147,13 @@
     async def limit_descriptors(self, limit: int, for_s: float) -> None:
         """Lowers the limit of open file descriptors for a time."""
         self._starved = True
+        # The process has inherited the limits of this one.
+        inherited = resource.getrlimit(resource.RLIMIT_NOFILE)
         with contextlib.suppress(ProcessLookupError):
-            before = resource.prlimit(self._pid, resource.RLIMIT_NOFILE)
-            resource.prlimit(self._pid, resource.RLIMIT_NOFILE, (limit, before[1]))
+            resource.prlimit(self._pid, resource.RLIMIT_NOFILE, (limit, inherited[1]))
             await asyncio.sleep(for_s)
             if self.running:
-                resource.prlimit(self._pid, resource.RLIMIT_NOFILE, before)
-
-    @property
-    def _cpu_s(self) -> float:
-        try:
-            text = Path(f"/proc/{self._pid}/schedstat").read_text()
-        except OSError:
-            return 0.0
-        return int(text.split()[0]) / 1e9
+                resource.prlimit(self._pid, resource.RLIMIT_NOFILE, inherited)
 
     def _streams(self) -> dict[str, Any]:
         if self._output is Output.READ:
@@ -187,7 +182,7 @@
                 self._handle_line(self.name, line)
 
     def _handle_line(self, name: str, line: str) -> None:
-        # Until the first line of the role, SIGINT ends the interpreter with a traceback.
+        # Before the script, SIGINT ends the interpreter with a traceback.
         starved = self._starved and _STARVED.search(line)
         if not (self._interrupted_early or starved):
             self._handle(name, line)
