--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -3,7 +3,8 @@
 # The module signal takes 9 ms to import, in which a signal would end the process.
 import _signal
 
-_signal.pthread_sigmask(_signal.SIG_BLOCK, (_signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM))
+_SIGNALS = _signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM
+_signal.pthread_sigmask(_signal.SIG_BLOCK, _SIGNALS)
 
 import os  # noqa: E402
 import sys  # noqa: E402
@@ -12,4 +13,8 @@
 
 from pearwell.platform.edge import main  # noqa: E402
 
-main()
+try:
+    main()
+finally:
+    # The interpreter removes all handlers before it exits.
+    _signal.pthread_sigmask(_signal.SIG_BLOCK, _SIGNALS)
