List after a change that could not be applied, and keep the sockets of signals open

The handling of odd entries went on behind an event whose application had failed, and nothing listed afterwards: had an unforeseen error met the report of a draining target once, the instance would have sent it new flows until the entry was written again. A review showed it with an error raised once (draining=False 8 s later). A list follows now: it replaces all objects and leaves out one that can't be applied, so that nothing outdated stays in use. One list for each such event, at the usual interval.

test_an_object_that_the_handler_fails_at_does_not_stop_the_sync expected a single list, which was the fault; it now expects exactly one more, and the same objects. The test of the change that failed once failed before.

The sockets of the signals are open until the interpreter removes the handlers: a signal between printed a traceback.

--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -268,8 +268,11 @@
         self._scheduler.on_complete(called_at + complete_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
-        self._apply([self._decode_event(event) for event in response.items], now)
+        failed = self._apply([self._decode_event(event) for event in response.items], now)
         self._scheduler.on_watch(len(response.items), response.position, now, from_store)
+        if failed:
+            # The list leaves out what can't be applied, whose earlier state is outdated.
+            self._scheduler.require_list()
 
     def _replace(self, items: dict[str, object], now: float) -> None:
         """Replaces all objects; leaves out those that the handler fails at."""
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -130,15 +130,13 @@
             )
         # A process that is killed while it starts leaves at least this.
         self._log.flush()
-        signals = watch_signals(self._reactor, self._on_stop, self._reload)
+        watch_signals(self._reactor, self._on_stop, self._reload)
         self._start_sync()
         self._listen()
         self._reactor.keep_running(self._tick)
         self._reactor.keep_running(self._load_late_modules)
         director = self._instance.director
         self._reactor.run(lambda: director.next_retransmission_at, self._on_due)
-        for sock in signals:
-            sock.close()
         self._log.event("stop", **director.counts)
         self._log.flush()
 
--- a/pearwell/platform/signals.py
+++ b/pearwell/platform/signals.py
@@ -27,7 +27,7 @@
         on_hangup: Called when the settings file is to be reloaded.
 
     Returns:
-        The sockets that carry the signal numbers; the caller keeps them open.
+        The sockets that carry the signal numbers.
     """
     inner, outer = socket.socketpair()
     inner.setblocking(False)
@@ -43,7 +43,8 @@
 
     signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
     for number in SIGNALS:
-        signal.signal(number, lambda *_: None)
+        # The reference keeps the sockets open until the interpreter removes the handlers.
+        signal.signal(number, lambda *_: outer and inner)
     reactor.add_reader(inner, read)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     return inner, outer
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -338,17 +338,33 @@
 def test_an_object_that_the_handler_fails_at_does_not_stop_the_sync(from_relay):
     """The watch was made again from before it, and failed again, for as long as it was there."""
     listing, changes = objects(5, "a", "odd", "b"), object_events(6, "c", "odd", "d")
-    rest = [changes, object_events(7, "e")]
-    store = FakeStore(listing, *([] if from_relay else rest))
-    relays = [FakeStore(*rest)] if from_relay else []
+    later, rest = objects(6, "a", "odd", "b", "c", "d"), object_events(7, "e")
+    store = FakeStore(*([listing, later] if from_relay else [listing, changes, later, rest]))
+    relays = [FakeStore(changes, rest)] if from_relay else []
     harness = odd_harness(store, *relays)
-    harness.steps(3)
+    harness.steps(4, each_s=2.0)
     assert sorted(harness.sync._handler.known) == ["a", "b", "c", "d", "e"]
-    assert store.calls.count(("list", "")) == 1
-    assert harness.logged.count("entry_failed") == 2
+    assert store.calls.count(("list", "")) == 2
+    assert harness.logged.count("entry_failed") == 3
     assert not {"store_lost", "relay_lost"} & {*harness.logged}
 
 
+def test_a_change_that_failed_once_was_never_applied():
+    """A target that reported draining went on getting new flows."""
+    harness = odd_harness(FakeStore(objects(5, "a"), object_events(6, "b"), objects(6, "a", "b")))
+    handler, failures = harness.sync._handler, [MemoryError()]
+    apply = handler.apply
+
+    def fail_once(name, item, now):
+        if failures:
+            raise failures.pop()
+        apply(name, item, now)
+
+    handler.apply = fail_once
+    harness.steps(3, each_s=2.0)
+    assert sorted(handler.known) == ["a", "b"]
+
+
 def test_an_error_that_nobody_has_foreseen_is_a_failed_call():
     """With its reason in the log, a pause and a list; it ended the process."""
     harness = SyncHarness(FakeStore(listed(5, 1), ZeroDivisionError("x" * 1_000), listed(7, 2)))
