Choose a target in the random test of odd entries, and correct a comment

The comment said that each flow hashes names; it hashes tags. What the limit on texts bounds are log lines, metrics and hints.

--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -32,8 +32,7 @@
 MAX_ROUTE_MS = 3_600_000
 # Largest plausible number of slots or flows of a target, and of flow starts per second.
 MAX_TARGET_COUNT = 1_000_000
-# Longest name, service or zone of a target: each flow hashes and compares them, and log lines hold
-# them.
+# Longest name, service or zone of a target; log lines, metrics and hints hold them.
 MAX_TEXT_CHARS = 256
 MAX_PORT_DIGITS = 5
 # Longest part of an invalid value, and of an error, that is logged.
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 
 from pearwell.affinity.cache import MAX_EVENT_BYTES
+from pearwell.affinity.chooser import choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.instance import Bounds, Instance
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.target import NEVER
-from pearwell.affinity.token import rendezvous_score
 from pearwell.errors import Code, PlatformError
 from pearwell.event_log import EventLog
 from pearwell.platform.objects import (
@@ -424,8 +424,9 @@
         else:
             handler.apply(object_name(item), item, now)
         assert instance.directory.find_by_name("i-0000000a").listed
-        for target in instance.directory.find_by_service("huvo11a"):
-            assert rendezvous_score(b"flow", target.name.encode()) >= 0
+        targets = instance.directory.find_by_service("huvo11a")
+        for queueing in (False, True):
+            assert choose_target(targets, "pnw-a", (), b"f" * 12, now, queueing) is not None
         instance.tick(now)
         assert instance.samples(now)
         log.flush()
