--- a/tests/platform/role_process.py
+++ b/tests/platform/role_process.py
@@ -4,6 +4,8 @@
 import os
 import sys
 
+import aiohttp
+
 from pearwell.soak.processes import ROOT
 from tests.addresses import loopback_address
 from tests.platform.settings_text import settings_text
@@ -13,6 +15,7 @@
 EVENT_TIMEOUT_S = 60.0
 IP = loopback_address(1)
 STORE_IP = loopback_address(2)
+CLIENT_IP = loopback_address(3)
 
 
 def settings(**changes):
@@ -68,3 +71,11 @@
                 if f"event={event} " in line:
                     return line
         return ""
+
+
+async def get(port, path, ip=IP):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{ip}:{port}{path}") as response,
+    ):
+        return response.status, await response.text()
--- a/tests/platform/test_edge.py
+++ b/tests/platform/test_edge.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 
-import aiohttp
 import pytest
 
 from pearwell.affinity.token import token_of
@@ -11,8 +10,8 @@
 from pearwell.soak.processes import ROOT
 from pearwell.standins.object_server import ObjectServer
 from pearwell.standins.token_packet import ACK, SYN, TokenPacket, flow_address
-from tests.addresses import loopback_address
 from tests.platform.role_process import (
+    CLIENT_IP,
     CONTROL_PORT,
     EVENT_TIMEOUT_S,
     IP,
@@ -21,19 +20,11 @@
     STORE_IP,
     STORE_PORT,
     RoleProcess,
+    get,
     settings,
 )
 
 HOST_PORT = 20825
-CLIENT_IP = loopback_address(3)
-
-
-async def get(port, path, ip=IP):
-    async with (
-        aiohttp.ClientSession() as session,
-        session.get(f"http://{ip}:{port}{path}") as response,
-    ):
-        return response.status, await response.text()
 
 
 async def test_lifecycle_of_the_role(tmp_path):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pearwell.errors import Code
-from pearwell.platform.edge import METRICS_PORT
+from pearwell.platform.metrics_endpoint import METRICS_PORT
 from tests.platform.raw_store import RawStore
-from tests.platform.test_edge import (
+from tests.platform.role_process import (
     CLIENT_IP,
     CONTROL_PORT,
     EVENT_TIMEOUT_S,
