Let a soak of starts run as many instances as are bearable

What: with more than ten instances each one starts less often, so that all starts together take at most about one processor. The command shows up to 100 violations of a seed.

--- a/pearwell/cli/soak.py
+++ b/pearwell/cli/soak.py
@@ -16,6 +16,8 @@
 
 __all__ = ["main"]
 
+# Violations that are printed of a seed.
+MAX_SHOWN = 100
 _SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 _SEEDS = flags.DEFINE_integer(
     "seeds", 1, "Number of consecutive seeds, run one after another.", lower_bound=1
@@ -69,7 +71,7 @@
             f"{name.replace(' ', '_')}={count}" for name, count in sorted(checker.outcomes.items())
         )
         print(f"seed={seed} violations={len(checker.violations)} {outcomes}", flush=True)
-        for guarantee, violation in checker.violations[:20]:
+        for guarantee, violation in checker.violations[:MAX_SHOWN]:
             print(f"seed={seed} broken={guarantee} seen={violation!r}", flush=True)
     print(f"seeds={_SEEDS.value} broken={failed_seeds} logs={directory}")
     sys.exit(bool(failed_seeds))
@@ -78,7 +80,8 @@
 def _draw_starts(seed: int, length_s: float) -> Iterator[object]:
     yield from draw_store_faults(seed, length_s)
     for index in range(_INSTANCES.value):
-        for item in [*draw_starts(seed, index, length_s), *draw_troubles(seed, index, length_s)]:
+        starts = draw_starts(seed, index, length_s, _INSTANCES.value)
+        for item in [*starts, *draw_troubles(seed, index, length_s)]:
             yield f"edge-{index} {item!r}"
 
 
--- a/pearwell/soak/start_schedule.py
+++ b/pearwell/soak/start_schedule.py
@@ -163,17 +163,27 @@
 _SIGNAL_COUNTS = (0, 0, 1, 1, 2, 4, 12)
 MAX_SIGNAL_DELAY_S = 0.6
 MIN_DURATION_S, MAX_DURATION_S = 0.1, 2.5
-MIN_GAP_S, MAX_GAP_S = 0.0, 2.0
+# Time between two starts of an instance; with more instances than these it is longer, so that the
+# processor time of all starts stays bearable.
+MAX_GAP_S, FREQUENT_INSTANCES = 2.0, 10
 # Longer than the grace time in the settings, in which a process ends by itself; and how often.
 FULL_PATIENCE_S, FULL_PATIENCE_SHARE = 10.0, 0.1
 STORE_FAULT_GAP_S = 2.0
 
 
-def draw_starts(seed: int, instance: int, length_s: float) -> list[Start]:
-    """Returns the starts of an instance in order of time; the first one has no predecessor."""
+def draw_starts(seed: int, instance: int, length_s: float, instances: int = 1) -> list[Start]:
+    """Returns the starts of an instance in order of time; the first one has no predecessor.
+
+    Args:
+        seed: Seed of the run.
+        instance: Index of the instance.
+        length_s: Duration of the run in seconds.
+        instances: Number of instances of the run.
+    """
     rng = random.Random(f"starts of {seed} at {instance}")
     starts = []
-    for at_s in _draw_times(rng, length_s):
+    max_gap_s = MAX_GAP_S * max(1.0, instances / FREQUENT_INSTANCES)
+    for at_s in _draw_times(rng, length_s, max_gap_s):
         is_patient = rng.random() < FULL_PATIENCE_SHARE
         starts.append(
             Start(
@@ -201,7 +211,7 @@
             rng.uniform(MIN_DURATION_S, MAX_DURATION_S),
             rng.randrange(1 << 16),
         )
-        for at_s in _draw_times(rng, length_s)
+        for at_s in _draw_times(rng, length_s, MAX_GAP_S)
     ]
 
 
@@ -218,11 +228,11 @@
     return faults
 
 
-def _draw_times(rng: random.Random, length_s: float) -> Iterator[float]:
+def _draw_times(rng: random.Random, length_s: float, max_gap_s: float) -> Iterator[float]:
     at_s = rng.uniform(0.0, MIN_DURATION_S)
     while at_s < length_s:
         yield at_s
-        at_s += rng.uniform(MIN_GAP_S, MAX_GAP_S)
+        at_s += rng.uniform(0.0, max_gap_s)
 
 
 def _draw(rng: random.Random, kinds: type[_Kind], weights: dict[_Kind, int]) -> _Kind:
--- a/pearwell/soak/start_soak.py
+++ b/pearwell/soak/start_soak.py
@@ -186,7 +186,8 @@
 async def _run_starts(soak: _StartSoak, instance: _Instance, end: float) -> None:
     options, started_at = soak.harness.options, end - soak.harness.options.length_s
     after: list[asyncio.Future[None]] = []
-    for start in draw_starts(options.seed, instance.index, options.length_s):
+    starts = draw_starts(options.seed, instance.index, options.length_s, options.instances)
+    for start in starts:
         await asyncio.sleep(max(0.0, started_at + start.at_s - time.monotonic()))
         if time.monotonic() < end:
             async with instance.lock:
--- a/tests/soak/test_start_schedule.py
+++ b/tests/soak/test_start_schedule.py
@@ -77,3 +77,11 @@
     troubles = {item.kind for seed in SEEDS for item in draw_troubles(seed, 0, LENGTH_S)}
     assert troubles == set(TroubleKind)
     assert len({fault.kind for seed in SEEDS for fault in draw_store_faults(seed, LENGTH_S)}) == 4
+
+
+def test_each_of_many_instances_starts_less_often():
+    counts = [
+        sum(len(draw_starts(seed, 0, LENGTH_S, instances)) for seed in SEEDS)
+        for instances in (1, 10, 40)
+    ]
+    assert counts[0] == counts[1] > 2 * counts[2]
