--- a/pearwell/soak/role_process.py
+++ b/pearwell/soak/role_process.py
@@ -68,6 +68,7 @@
         self._statuses: set[int] = set()
         self._interrupted_early = False
         self._starved = False
+        self._waits: tuple[float, ...] = (0.0, 0.0)
         self._descriptors = contextlib.ExitStack()
         log.unlink(missing_ok=True)
         self.circumstances: list[str] = []
@@ -77,6 +78,14 @@
     def __str__(self) -> str:
         return f"{self.name} ({'; '.join(self.circumstances)})"
 
+    @property
+    def lateness(self) -> str:
+        """Describes for how long it and the soak have waited for a processor since it was asked."""
+        own_s, soak_s = (
+            _read_wait(pid) - before for pid, before in zip(self._pids, self._waits, strict=True)
+        )
+        return f"{self}: waited {own_s:.1f} s for a processor, the soak {soak_s:.1f} s"
+
     @property
     def _is_before_script(self) -> bool:
         """Whether it neither blocks nor handles SIGHUP, and may not have reached the script."""
@@ -104,6 +113,10 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def _pids(self) -> tuple[int, int]:
+        return self._pid, os.getpid()
+
     async def start(self) -> None:
         """Starts the process."""
         # After the start the process alone holds its end of a pipe.
@@ -119,7 +132,9 @@
             is_early = self._is_before_script
             self._interrupted_early |= is_early and signal_number == signal.SIGINT
             self._statuses |= unhandled if is_early else handled
-            self.asked_at = self.asked_at or time.monotonic()
+            if self.asked_at is None:
+                self.asked_at = time.monotonic()
+                self._waits = tuple(map(_read_wait, self._pids))
         super().send(signal_number)
 
     async def reach_script(self) -> None:
@@ -196,6 +211,14 @@
     return after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
 
 
+def _read_wait(pid: int) -> float:
+    """Returns the time for which a process was ready to run but had no processor, in seconds."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except OSError:
+        return 0.0
+
+
 def _fill(pipe: int) -> None:
     os.set_blocking(pipe, False)
     with contextlib.suppress(BlockingIOError):
--- a/pearwell/soak/start_soak.py
+++ b/pearwell/soak/start_soak.py
@@ -225,7 +225,7 @@
     elif not await process.wait(start.patience_s):
         asked_at = process.asked_at or time.monotonic()
         in_time = time.monotonic() - asked_at < _stop_bound_s(process)
-        soak.checker.require(in_time, Guarantee.STOP, str(process))
+        soak.checker.require(in_time, Guarantee.STOP, process.lateness)
     await process.end()
 
 
@@ -237,7 +237,8 @@
     if process.asked_at is None or not process.running:
         return
     left_s = process.asked_at + _stop_bound_s(process) - time.monotonic()
-    soak.checker.require(await process.wait(max(0.0, left_s)), Guarantee.STOP, str(process))
+    in_time = await process.wait(max(0.0, left_s))
+    soak.checker.require(in_time, Guarantee.STOP, process.lateness)
     await process.end()
 
 
