--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -18,6 +18,17 @@
         signal.signal(number, handler)
 
 
+def run(reactor):
+    """Runs a reactor until it stops, for a bounded number of rounds."""
+    rounds = iter(range(100))
+
+    def count(now):
+        if next(rounds, None) is None:
+            reactor.stop()
+
+    reactor.run(lambda: 0.0, count)
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_a_reload_that_fails_dropped_the_request_to_stop(number, restored_handlers):
     failures, stops = [], []
@@ -33,7 +44,7 @@
     sockets = watch_signals(reactor, stop, reload)
     signal.raise_signal(signal.SIGHUP)
     signal.raise_signal(number)
-    reactor.run()
+    run(reactor)
     assert stops == [number]
     assert len(failures) == 1
     signal.set_wakeup_fd(-1)
@@ -53,7 +64,7 @@
     try:
         signal.raise_signal(signal.SIGHUP)
         sockets = watch_signals(reactor, lambda number: None, reload)
-        reactor.run()
+        run(reactor)
     finally:
         signal.pthread_sigmask(signal.SIG_SETMASK, before)
     assert reloads == [True]
