--- a/pearwell/soak/start_soak.py
+++ b/pearwell/soak/start_soak.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from pearwell.platform.metrics_endpoint import METRICS_PORT
 from pearwell.soak import odd_input
 from pearwell.soak.checks import Checker, Guarantee
 from pearwell.soak.options import SoakOptions
@@ -58,8 +59,6 @@
 # Time beyond the grace time for a process to start and end on a busy machine.
 STOP_SLACK_S = 2.0
 POLL_INTERVAL_S = 0.05
-# Named in deploy/system.toml.
-METRICS_PORT = 9464
 # A share of 0.163 of a processor.
 _RUN_S, _STOP_S = 0.016, 0.082
 MAX_HANGUPS = 20
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 
 # From bottom to top; parts of one layer don't import one another.
 LAYERS = (
-    ("clock", "errors", "event_log", "histogram", "logs", "v1"),
+    ("clock", "errors", "event_log", "failure_log", "histogram", "logs", "v1"),
     (
         "explanation",
         "http_message",
