--- a/tests/platform/test_start_faults.py
+++ b/tests/platform/test_start_faults.py
@@ -148,12 +148,12 @@
     ids=["packets", "ready", "control"],
 )
 async def test_an_address_held_by_a_predecessor_ended_the_process(kind, port, path, store):
-    predecessor = held(kind, port)
-    async with RoleProcess(path) as role:
-        assert "code=106" in await role.logged("start_waiting")
-        predecessor.close()
-        assert await role.logged("ready")
-        await stop(role)
+    with held(kind, port) as predecessor:
+        async with RoleProcess(path) as role:
+            assert "code=106" in await role.logged("start_waiting")
+            predecessor.close()
+            assert await role.logged("ready")
+            await stop(role)
 
 
 async def test_a_closed_output_ended_the_process(path, store):
@@ -200,16 +200,19 @@
 
 async def test_metrics_and_hints_come_once_their_ports_are_free(path, store):
     path.write_text(settings(InternalPorts=f"{HINT_PORT},{HINT_PORT + 15}"))
-    metrics, hints = held(socket.SOCK_STREAM, METRICS_PORT), held(socket.SOCK_DGRAM, HINT_PORT)
-    async with RoleProcess(path) as role:
-        for line in await role.logged_all("hints_unavailable", "metrics_unavailable"):
-            assert "code=106" in line
-        metrics.close()
-        hints.close()
-        assert " 200 " in await served(METRICS_PORT, "GET /metrics HTTP/1.1")
-        with pytest.raises(OSError, match="in use"):
-            held(socket.SOCK_DGRAM, HINT_PORT)
-        await stop(role)
+    with (
+        held(socket.SOCK_STREAM, METRICS_PORT) as metrics,
+        held(socket.SOCK_DGRAM, HINT_PORT) as hints,
+    ):
+        async with RoleProcess(path) as role:
+            for line in await role.logged_all("hints_unavailable", "metrics_unavailable"):
+                assert "code=106" in line
+            metrics.close()
+            hints.close()
+            assert " 200 " in await served(METRICS_PORT, "GET /metrics HTTP/1.1")
+            with pytest.raises(OSError, match="in use"):
+                held(socket.SOCK_DGRAM, HINT_PORT)
+            await stop(role)
 
 
 async def test_an_instance_goes_on_without_free_descriptors(path, store):
