Wait for the hint socket in the test of ports that come free

Metrics and hints are tried each second, one after the other. It now sends hints until the role logs one, which also shows that the socket is read.

--- a/tests/platform/test_start_faults.py
+++ b/tests/platform/test_start_faults.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from pearwell.affinity.hints import encode_hint
 from pearwell.platform.metrics_endpoint import METRICS_PORT
 from pearwell.soak.processes import ROOT
 from pearwell.standins.object_server import ObjectServer
@@ -79,6 +80,14 @@
     return sock
 
 
+async def send_hints():
+    """Sends hints again and again, as the role opens its socket at a time of its own."""
+    with socket.socket(type=socket.SOCK_DGRAM) as sock:
+        while True:
+            sock.sendto(encode_hint("i-00000001", False), (IP, HINT_PORT))
+            await asyncio.sleep(0.1)
+
+
 async def stop(role):
     """Stops the role, which must end in order."""
     role.process.send_signal(signal.SIGTERM)
@@ -210,8 +219,9 @@
             metrics.close()
             hints.close()
             assert " 200 " in await served(METRICS_PORT, "GET /metrics HTTP/1.1")
-            with pytest.raises(OSError, match="in use"):
-                held(socket.SOCK_DGRAM, HINT_PORT)
+            sending = asyncio.create_task(send_hints())
+            assert await role.logged("target_hinted")
+            sending.cancel()
             await stop(role)
 
 
