--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -356,7 +356,7 @@
     apply = handler.apply
 
     def fail_once(name, item, now):
-        if failures:
+        if name == "b" and failures:
             raise failures.pop()
         apply(name, item, now)
 
--- a/tests/platform/test_start_wait.py
+++ b/tests/platform/test_start_wait.py
@@ -55,8 +55,9 @@
     assert all(f"code={code}" in line for line, code in zip(lines, codes, strict=True))
 
 
-def test_a_start_without_a_path_ends():
+def test_a_start_without_a_path_ends(monkeypatch):
     """It can't succeed, however long it waits."""
+    monkeypatch.setattr(start_wait, "wait_for_stop", lambda timeout_s: True)
     with pytest.raises(SystemExit) as caught:
         wait_for_start("", MISSING, EventLog(len, lambda: 0.0))
     assert caught.value.code == 2
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,8 @@
 import errno
 import socket
 
+import pytest
+
 from pearwell.http_server import ACCEPT_PAUSE_S, HttpServer
 from pearwell.reactor import Reactor, bind_socket
 
@@ -24,32 +26,43 @@
         return self._sock.accept()
 
 
-def test_a_server_without_free_descriptors_kept_the_processor_busy():
-    """A connection that can't be accepted is reported by each poll."""
+def serve(listener, polls):
+    """Serves connections to a listener for a number of polls, ten in a pause."""
     clock = [0.0]
     reactor = Reactor(lambda: clock[0], lambda error: None)
-    polls = 20
+    left = iter(range(polls))
 
     def advance(now):
-        nonlocal polls
         clock[0] += ACCEPT_PAUSE_S / 10
-        polls -= 1
-        if not polls:
+        if next(left, None) is None:
             reactor.stop()
 
     async def respond(path):
         return 200, b""
 
-    sock = bind_socket(socket.SOCK_STREAM, ("127.0.0.1", 0))
-    listener = Listener(sock, failures=1)
     HttpServer(reactor, listener, respond, {})
-    with socket.create_connection(sock.getsockname()) as client:
-        client.send(b"GET / HTTP/1.1\r\n\r\n")
-        reactor.run(lambda: clock[0], advance)
-        assert listener.attempts == 2
-        client.settimeout(1.0)
-        assert client.recv(100).startswith(b"HTTP/1.1 200")
-    sock.close()
+    reactor.run(lambda: clock[0], advance)
+
+
+@pytest.mark.parametrize(("polls", "attempts"), [(5, 1), (20, 2), (50, 5)])
+def test_a_server_without_free_descriptors_kept_the_processor_busy(polls, attempts):
+    """A connection that can't be accepted is reported by each poll."""
+    with bind_socket(socket.SOCK_STREAM, ("127.0.0.1", 0)) as sock:
+        listener = Listener(sock, failures=polls)
+        with socket.create_connection(sock.getsockname()):
+            serve(listener, polls)
+    assert abs(listener.attempts - attempts) <= 1
+
+
+def test_a_server_accepts_again_once_descriptors_are_free():
+    with bind_socket(socket.SOCK_STREAM, ("127.0.0.1", 0)) as sock:
+        listener = Listener(sock, failures=1)
+        with socket.create_connection(sock.getsockname()) as client:
+            client.send(b"GET / HTTP/1.1\r\n\r\n")
+            serve(listener, 20)
+            assert listener.attempts == 2
+            client.settimeout(1.0)
+            assert client.recv(100).startswith(b"HTTP/1.1 200")
 
 
 def test_a_handler_that_fails_closes_its_connection_only():
