--- a/review/9/run.py
+++ b/review/9/run.py
@@ -16,7 +16,7 @@
 # The bounds in the settings: ConfigApplyMs and ContactMs.
 APPLY_S, CONTACT_S = 3.0, 4.0
 # Times after a first change, of a time-out.
-CUT_AT_S, DROP_AT_S, FREEZE_AT_S, WAKE_AT_S = 3.4, 3.45, 5.2, 8.5
+CUT_AT_S, DROP_AT_S, FREEZE_AT_S, WAKE_AT_S = 3.5, 3.55, 5.2, 8.5
 PROBE_INTERVAL_S = 0.05
 
 
