--- a/review/loopback.py
+++ b/review/loopback.py
@@ -26,6 +26,14 @@
 MASK = (1 << 32) - 1
 ROOT = Path(__file__).resolve().parent.parent
 ROUTE_IP = "127.0.9.1"
+# Addresses of instances, hosts, clients, the store and paths to it.
+ADDRESSES = (
+    *(f"127.0.1.{number}" for number in range(1, 8)),
+    *(f"127.0.2.{number}" for number in range(1, 9)),
+    *("127.0.3.1", "127.0.4.1", "127.0.5.1"),
+)
+# Ports that were chosen.
+_taken: set[int] = set()
 
 # The pages of the users: PROTOCOL.md, "Flows" and "Hosts"; DEPLOY.md, "Settings of a process".
 SYN_COPIES_S = (0.0, 0.2, 0.6)
@@ -766,13 +774,17 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free for UDP and TCP on all loopback addresses."""
+    """Returns a port that is free for UDP and TCP on the loopback addresses that the cases use."""
     while True:
         port = random.randrange(20_000, 32_000)
+        if port in _taken:
+            continue
         with contextlib.suppress(OSError):
-            for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
-                with socket.socket(socket.AF_INET, kind) as sock:
-                    sock.bind(("", port))
+            for ip in ADDRESSES:
+                for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+                    with socket.socket(socket.AF_INET, kind) as sock:
+                        sock.bind((ip, port))
+            _taken.add(port)
             return port
 
 
@@ -811,4 +823,9 @@
         fleet.record("the rule was broken" if broken else "the rule held")
         return 1 if broken else 0
 
-    sys.exit(asyncio.run(main()))
+    try:
+        status = asyncio.run(main())
+    except Exception as error:
+        print(f"could not run: {error!r}")
+        status = 2
+    sys.exit(status)
