Load what only odd entries, relays and evacuations need after the start

Large events, entries without usable slots, the choice of another service of a split, resets of flows with an unknown token and the set-up of evacuations move into modules that are loaded with their first use, or once the instance is ready.

tests/affinity, tests/platform and tests/test_layers.py pass.

--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -5,20 +5,14 @@
 other instances call them.
 """
 
-import json
 from collections import deque
 from collections.abc import Callable
 
-__all__ = ["MAX_AGE_S", "MAX_EVENT_BYTES", "ObjectCache", "Position"]
+__all__ = ["MAX_AGE_S", "ObjectCache", "Position"]
 
 # Maximum age of the store's latest response for a relay to serve its cache. Relays call the store
 # at least every 1.5 s; a slow response (0.35 s) and a pause stay within this limit.
 MAX_AGE_S = 2.2
-# Largest event that a relay forwards. A relay serves a third of the fleet, about forty instances,
-# and the slowest links carry 5 Mbit/s: sending 16 kB to each instance takes a second.
-MAX_EVENT_BYTES = 16_000
-# Most opening brackets in an event that a relay forwards; far deeper nesting can't be encoded.
-MAX_EVENT_BRACKETS = 400
 # Event batches kept for clients that lag behind; about one batch arrives every half second.
 MAX_BATCHES = 64
 
@@ -97,7 +91,10 @@
         if revision <= self._revision:
             return False
         if events:
-            kept = [event if _is_small(event) else shorten(event) for event in events]
+            # Imported with the first events, to keep the start fast.
+            from pearwell.affinity.large_events import shorten_large
+
+            kept = shorten_large(events, shorten)
             self._batches.append((self._revision, revision, kept))
         elif self._batches and not self._batches[-1][2]:
             first, _, _ = self._batches.pop()
@@ -122,24 +119,3 @@
         if not self._batches or revision < self._batches[0][0]:
             return None
         return [event for _, last, batch in self._batches if last > revision for event in batch]
-
-
-def _is_small(event: object) -> bool:
-    """Whether a relay forwards an event; encoding one of 1 MB to see its size takes long."""
-    left, brackets = MAX_EVENT_BYTES, MAX_EVENT_BRACKETS
-    values = [event]
-    while values and left >= 0 and brackets >= 0:
-        value = values.pop()
-        left -= 1
-        if isinstance(value, dict | list):
-            brackets -= 1
-            left -= len(value)
-            if left >= 0:
-                values += value
-                values += value.values() if isinstance(value, dict) else ()
-        elif isinstance(value, str):
-            left -= len(value)
-        elif isinstance(value, int):
-            left -= value.bit_length() // 4
-    # Brackets bound the nesting, which the encoding of a whole response may not exceed.
-    return left >= 0 and brackets >= 0 and len(json.dumps(event)) <= MAX_EVENT_BYTES
--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -200,13 +200,7 @@
         """Returns the flows to reset whose targets turned out to be gone: key and latest ack."""
         if self._unknown is None or not self._trusts_listing(now):
             return []
-        refuted = self._unknown.take_refuted(
-            lambda token: self._directory.find_by_token(token) is not None, now
-        )
-        for flow, _, token in refuted:
-            self._count(Code.FLOW_UNKNOWN_TOKEN.name)
-            self._log("flow_reset", flow=flow, token=token, code=int(Code.FLOW_UNKNOWN_TOKEN))
-        return [(flow, ack) for flow, ack, _ in refuted]
+        return self._unknown.take_resets(self._directory, now, self._log, self._count)
 
     def take_resets(self) -> list[Flow]:
         """Returns the flows to reset because their targets are gone.
--- a/pearwell/affinity/evacuations.py
+++ b/pearwell/affinity/evacuations.py
@@ -26,7 +26,13 @@
 from pearwell.affinity.target import Target
 from pearwell.text_metrics import Sample
 
-__all__ = ["EvacuationFeed", "Evacuations"]
+# True for type checkers only, as in pearwell.affinity.sync.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from pearwell.affinity.directory import Directory
+    from pearwell.affinity.flow_placement import FlowPlacement
+
+__all__ = ["EvacuationFeed", "Evacuations", "create_feed"]
 
 # Share of the bound that an instance that calls the store may wait between two watches; the rest is
 # reserved for a failed call and its retry.
@@ -308,3 +314,36 @@
             for zone, count in flows.items()
         ]
         return found
+
+
+def create_feed(
+    bound_s: float,
+    contact_s: float,
+    zone: str,
+    relays: int,
+    is_relay: bool,
+    jitter: Callable[[], float],
+    leader: FetchScheduler,
+    placement: "FlowPlacement",
+    directory: "Directory",
+    log: Callable[..., None],
+) -> EvacuationFeed:
+    """Returns the evacuations of an instance, which its placement of flows then observes.
+
+    Args:
+        bound_s: Time in seconds until targets of an evacuated zone must get no new flows.
+        contact_s: Time in seconds after an outage of the store until the bound applies again.
+        zone: Availability zone of the instance.
+        relays: Number of relays that the instance can call.
+        is_relay: Whether other instances call it.
+        jitter: Returns random numbers between 0 and 1.
+        leader: Scheduler of the targets, which finds out when an outage of the store ends.
+        placement: Selection of the targets of new flows.
+        directory: Targets.
+        log: Logs an event's name and its fields.
+    """
+    evacuations = Evacuations(
+        zone, directory, lambda: leader.store_failing, jitter, placement.forget_zone, log
+    )
+    placement.set_evacuations(evacuations)
+    return EvacuationFeed(evacuations, bound_s, contact_s, zone, relays, is_relay, jitter, leader)
--- a/pearwell/affinity/flow_placement.py
+++ b/pearwell/affinity/flow_placement.py
@@ -170,7 +170,7 @@
         if self.flow_limit is not None:
             self.flow_limit.record_choice()
         for service in flow.preferred_services():
-            target = self._choose(flow, service, now)
+            target = self.choose(flow, service, now)
             if flow.is_answered_by(target, now):
                 break
         if len(flow.route.services) > 1:
@@ -225,7 +225,7 @@
         if self._overflow is not None:
             self._overflow.tick(now)
 
-    def _choose(self, flow: NewFlow, service: str, now: float) -> Target | None:
+    def choose(self, flow: NewFlow, service: str, now: float) -> Target | None:
         """Returns the target of a service that a flow would get, or None if there is none."""
         targets = self._directory.find_by_service(service)
         listed = len(targets)
@@ -247,39 +247,14 @@
     def _overflow_target(
         self, flow: NewFlow, service: str, target: Target | None, now: float
     ) -> Target | None:
-        """Returns a target of another service of the split if the flow's own one can't take it.
-
-        Args:
-            flow: The flow.
-            service: Its own service.
-            target: The target that it would get there.
-            now: Current time in seconds of the clock.
-        """
         if self._overflow is None:
             from pearwell.affinity.split_overflow import SplitOverflow
 
             self._overflow = SplitOverflow(self._random, self._log)
-        if not flow.is_answered_by(target, now):
-            cause = "unavailable"
-        elif flow.is_first and self._is_full(flow, target, now):
-            cause = "late"
-        else:
-            return None
-        for other, weight in flow.route.services:
-            if weight <= 0 or other == service:
-                continue
-            found = self._choose(flow, other, now)
-            if not flow.is_answered_by(found, now) or self._is_full(flow, found, now):
-                continue
-            service_s = self.admission.service_time(flow.address)
-            tolerable_s = self.admission.tolerable_wait(other, except_for=flow.address)
-            is_lower = self.admission.serves_higher_priority(other, flow.route.priority)
-            if self._overflow.take(other, service_s, tolerable_s, is_lower, now):
-                self._overflow.record_start(flow.route, other, cause, now)
-                return found
-        return None
-
-    def _is_full(self, flow: NewFlow, target: Target, now: float) -> bool:
+        return self._overflow.select(self, flow, service, target, now)
+
+    def is_full(self, flow: NewFlow, target: Target, now: float) -> bool:
+        """Whether a target would serve a flow too late."""
         if self._admission is None:
             return False
         return self._admission.is_full(flow.route, flow.address, target.service, target.zone, now)
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -132,8 +132,19 @@
         # None if zones are never evacuated.
         self.evacuation_feed: EvacuationFeed | None = None
         if bounds.evacuate_s is not None:
-            self.evacuation_feed = self._create_evacuation_feed(
-                zone, bounds.evacuate_s, bounds.contact_s, relays, is_relay, jitter
+            from pearwell.affinity.evacuations import create_feed
+
+            self.evacuation_feed = create_feed(
+                bounds.evacuate_s,
+                bounds.contact_s,
+                zone,
+                relays,
+                is_relay,
+                jitter,
+                self.target_scheduler,
+                self.director.placement,
+                self.directory,
+                log_event,
             )
 
     @property
@@ -206,32 +217,6 @@
         """Whether the store has been available long enough for lapsed entries to reappear."""
         return now - self.target_scheduler.store_healthy_since >= RELISTING_S
 
-    def _create_evacuation_feed(
-        self,
-        zone: str,
-        bound_s: float,
-        contact_s: float,
-        relays: int,
-        is_relay: bool,
-        jitter: Callable[[], float],
-    ) -> "EvacuationFeed":
-        from pearwell.affinity.evacuations import EvacuationFeed, Evacuations
-
-        placement = self.director.placement
-        leader = self.target_scheduler
-        evacuations = Evacuations(
-            zone,
-            self.directory,
-            lambda: leader.store_failing,
-            jitter,
-            placement.forget_zone,
-            self._log_event,
-        )
-        placement.set_evacuations(evacuations)
-        return EvacuationFeed(
-            evacuations, bound_s, contact_s, zone, relays, is_relay, jitter, leader
-        )
-
 
 def order_relays(
     instance: str, own: Address | None, seeds: tuple[Address, ...]
--- a/pearwell/affinity/split_overflow.py
+++ b/pearwell/affinity/split_overflow.py
@@ -16,6 +16,12 @@
 from math import exp
 
 from pearwell.affinity.routes import Route
+from pearwell.affinity.target import Target
+
+# True for type checkers only, as in pearwell.affinity.sync.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from pearwell.affinity.flow_placement import FlowPlacement, NewFlow
 
 __all__ = ["SplitOverflow"]
 
@@ -118,6 +124,44 @@
         """Number of overflowed flows so far, by route and service."""
         return self._counts
 
+    def select(
+        self,
+        placement: "FlowPlacement",
+        flow: "NewFlow",
+        service: str,
+        target: Target | None,
+        now: float,
+    ) -> Target | None:
+        """Returns a target of another service of the split if the flow's own one can't take it.
+
+        Args:
+            placement: Selection of the targets within a service.
+            flow: The flow.
+            service: Its own service.
+            target: The target that it would get there.
+            now: Current time in seconds of the clock.
+        """
+        if not flow.is_answered_by(target, now):
+            cause = "unavailable"
+        elif flow.is_first and placement.is_full(flow, target, now):
+            cause = "late"
+        else:
+            return None
+        for other, weight in flow.route.services:
+            if weight <= 0 or other == service:
+                continue
+            found = placement.choose(flow, other, now)
+            if not flow.is_answered_by(found, now) or placement.is_full(flow, found, now):
+                continue
+            admission = placement.admission
+            service_s = admission.service_time(flow.address)
+            tolerable_s = admission.tolerable_wait(other, except_for=flow.address)
+            is_lower = admission.serves_higher_priority(other, flow.route.priority)
+            if self.take(other, service_s, tolerable_s, is_lower, now):
+                self.record_start(flow.route, other, cause, now)
+                return found
+        return None
+
     def record_response(
         self,
         service: str,
--- a/pearwell/affinity/unknown_flows.py
+++ b/pearwell/affinity/unknown_flows.py
@@ -8,6 +8,9 @@
 
 from collections.abc import Callable
 
+from pearwell.affinity.directory import Directory
+from pearwell.errors import Code
+
 __all__ = ["ASK_INTERVAL_S", "MAX_FLOWS", "UnknownFlows"]
 
 # Flows that are recorded at a time; packets of others are dropped without a trace.
@@ -56,6 +59,31 @@
         """Forgets a flow, whose target is known now or which has ended."""
         self._flows.pop(flow, None)
 
+    def take_resets(
+        self,
+        directory: Directory,
+        now: float,
+        log: Callable[..., None],
+        count: Callable[[str], None],
+    ) -> list[tuple[bytes, int]]:
+        """Returns the flows to reset whose targets turned out to be gone: key and latest ack.
+
+        Args:
+            directory: Targets, of a listing that can be trusted.
+            now: Current time in seconds of the clock.
+            log: Logs an event's name and its fields.
+            count: Counts an event by name.
+        """
+        code = Code.FLOW_UNKNOWN_TOKEN
+        resets = []
+        for flow, ack, token in self.take_refuted(
+            lambda token: directory.find_by_token(token) is not None, now
+        ):
+            count(code.name)
+            log("flow_reset", flow=flow, token=token, code=int(code))
+            resets.append((flow, ack))
+        return resets
+
     def take_refuted(
         self, is_known: Callable[[int], bool], now: float
     ) -> list[tuple[bytes, int, int]]:
--- a/pearwell/platform/late_modules.py
+++ b/pearwell/platform/late_modules.py
@@ -15,6 +15,9 @@
 LATE_MODULES = (
     "pearwell.platform.target_probes",
     "pearwell.affinity.unknown_flows",
+    "pearwell.affinity.large_events",
+    "pearwell.platform.short_entry",
+    "pearwell.platform.ignored_slots",
     "pearwell.affinity.admission",
     "pearwell.affinity.split_overflow",
     "pearwell.affinity.slot_ratios",
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -14,12 +14,16 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from pearwell.platform.ignored_slots import IgnoredSlots
+
 __all__ = [
     "ConfigHandler",
     "TargetHandler",
     "decode_routes",
     "decode_target",
     "describe",
+    "is_number",
+    "is_text",
     "object_name",
 ]
 
@@ -44,10 +48,6 @@
 # Largest magnitude of a number: JSON texts can hold some that floats can't.
 MAX_NUMBER = 1 << 53
 
-
-# Fields of a target's entry that are read.
-_TARGET_KEYS = ("Service", "Address", "Zone", "State", "WarmupLeftMs", "Concurrency", "born")
-
 # Raised where a field of a configuration is missing, of another type or out of range.
 _INVALID_CONFIGURATION = (
     AttributeError,
@@ -81,8 +81,7 @@
         self._directory = directory
         self._trusts_listing = trusts_listing
         self._log = log
-        # Starts of the incarnations whose slots were ignored, by name.
-        self._slots_ignored: dict[str, float] = {}
+        self._ignored_slots: IgnoredSlots | None = None
         # Unusable entries of the latest list or event.
         self._unusable = 0
 
@@ -110,13 +109,10 @@
 
     def shorten(self, item: object) -> object | None:
         """Returns what matters of a large entry; None if it may all matter."""
-        name = object_name(item)
-        spec = item.get("spec") if isinstance(item, Mapping) else None
-        if not _is_text(name) or not isinstance(spec, Mapping):
-            # Names no target, whatever else it holds.
-            return {"meta": {"Name": name if _is_text(name) else ""}}
-        kept = {key: _shorten_value(spec[key]) for key in _TARGET_KEYS if key in spec}
-        return {"meta": {"Name": name}, "spec": kept}
+        # Imported only where an entry is large, to keep the start fast.
+        from pearwell.platform.short_entry import shorten_entry
+
+        return shorten_entry(item)
 
     def _decode(self, item: object, now: float) -> Target | None:
         try:
@@ -126,22 +122,14 @@
             if self._unusable <= MAX_LOGGED_ENTRIES:
                 self._log("entry_unusable", code=int(error.code), detail=error.detail)
             return None
-        invalid = invalid_slots(item)
-        if invalid and self._slots_ignored.get(target.name) != target.started_ms:
-            self._log_slots_ignored(target, invalid)
-        return target
+        if target.slots is None:
+            if self._ignored_slots is None:
+                # Imported with the first one, to keep the start fast.
+                from pearwell.platform.ignored_slots import IgnoredSlots
 
-    def _log_slots_ignored(self, target: Target, invalid: str) -> None:
-        for name in [*self._slots_ignored]:
-            if self._directory.find_by_name(name) is None:
-                del self._slots_ignored[name]
-        self._slots_ignored[target.name] = target.started_ms
-        self._log(
-            "target_slots_ignored",
-            target=target.name,
-            code=int(Code.PLATFORM_BAD_ANSWER),
-            detail=invalid,
-        )
+                self._ignored_slots = IgnoredSlots(self._directory, self._log)
+            self._ignored_slots.record(target, item)
+        return target
 
     def _log_changes(self, changes: list[Change]) -> None:
         for event, target in changes:
@@ -230,7 +218,7 @@
         PlatformError: PLATFORM_BAD_ANSWER if the entry is invalid.
     """
     name = object_name(item)
-    if not _is_text(name):
+    if not is_text(name):
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"invalid name {describe(name)}")
     spec = item.get("spec") if isinstance(item, Mapping) else None
     if not isinstance(spec, Mapping):
@@ -240,7 +228,7 @@
         raise _invalid(name, "State", state)
     # Remaining warm-up time as reported.
     warmup_left_ms = spec.get("WarmupLeftMs", 0)
-    if not _is_number(warmup_left_ms):
+    if not is_number(warmup_left_ms):
         raise _invalid(name, "WarmupLeftMs", warmup_left_ms)
     started_ms = spec.get("born", 0)
     return Target(
@@ -249,24 +237,13 @@
         service=_text(spec, "Service", name),
         address=_address(spec, name),
         zone=_text(spec, "Zone", name),
-        started_ms=started_ms if _is_number(started_ms) else 0,
+        started_ms=started_ms if is_number(started_ms) else 0,
         draining=_DRAINING_BY_STATE[state],
         warmup_ends_at=now + warmup_left_ms / 1000 if warmup_left_ms > 0 else NEVER,
         slots=_optional(spec, "Concurrency", _is_count),
     )
 
 
-def invalid_slots(item: object) -> str:
-    """Returns the slots of a valid entry if they are implausible, else "".
-
-    The target then counts as one that doesn't tell its slots.
-    """
-    spec = item["spec"]  # type: ignore[index]
-    if "Concurrency" not in spec or _is_count(spec["Concurrency"]):
-        return ""
-    return f"Concurrency={describe(spec['Concurrency'])}"
-
-
 def decode_routes(item: object) -> Routes:
     """Returns the routes of a configuration object.
 
@@ -299,11 +276,11 @@
     except _INVALID_CONFIGURATION as error:
         detail = f"invalid configuration: {error!r}"[:MAX_ERROR_CHARS]
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, detail) from error
-    if not isinstance(version, int) or not _is_number(version):
+    if not isinstance(version, int) or not is_number(version):
         raise PlatformError(
             Code.PLATFORM_BAD_ANSWER, f"invalid configuration version {describe(version)}"
         )
-    idle_s = idle_ms / 1000 if _is_number(idle_ms) and idle_ms > 0 else DEFAULT_IDLE_S
+    idle_s = idle_ms / 1000 if is_number(idle_ms) and idle_ms > 0 else DEFAULT_IDLE_S
     return Routes(version, routes, idle_s, _decode_services(spec))
 
 
@@ -343,7 +320,7 @@
 
 def _weight(part: Mapping[str, object]) -> "Any":
     weight = part["Weight"]
-    if not _is_number(weight) or weight < 0:  # type: ignore[operator]
+    if not is_number(weight) or weight < 0:  # type: ignore[operator]
         raise ValueError(f"weight {describe(weight)}")
     return weight
 
@@ -387,7 +364,7 @@
 
 
 def _is_route_ms(value: object) -> bool:
-    return _is_number(value) and 0 < value <= MAX_ROUTE_MS  # type: ignore[operator]
+    return is_number(value) and 0 < value <= MAX_ROUTE_MS  # type: ignore[operator]
 
 
 def _is_path(value: object) -> bool:
@@ -397,7 +374,7 @@
 
 
 def _is_priority(value: object) -> bool:
-    return isinstance(value, int) and _is_number(value) and value >= 0
+    return isinstance(value, int) and is_number(value) and value >= 0
 
 
 def _is_count(value: object) -> bool:
@@ -406,7 +383,7 @@
 
 
 def _is_rate(value: object) -> bool:
-    return _is_number(value) and 0 <= value <= MAX_TARGET_COUNT  # type: ignore[operator]
+    return is_number(value) and 0 <= value <= MAX_TARGET_COUNT  # type: ignore[operator]
 
 
 _SERVICE_LIMITS = (
@@ -433,7 +410,7 @@
 
 def _text(spec: Mapping[str, object], key: str, name: str) -> str:
     value = spec.get(key)
-    if not _is_text(value):
+    if not is_text(value):
         raise _invalid(name, key, value)
     return value  # type: ignore[return-value]
 
@@ -454,22 +431,18 @@
     return ip, number
 
 
-def _is_number(value: object) -> bool:
+def is_number(value: object) -> bool:
+    """Whether a value is a number that a float can hold exactly if it is an integer."""
     if not isinstance(value, int | float) or isinstance(value, bool):
         return False
     return -MAX_NUMBER <= value <= MAX_NUMBER
 
 
-def _is_text(value: object) -> bool:
+def is_text(value: object) -> bool:
     """Whether a value is short text that can be encoded, logged and sent in a header."""
     return isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARS and value.isprintable()
 
 
-def _shorten_value(value: object) -> object:
-    """Returns a value of a target's entry, or None if it is invalid whatever its key."""
-    return value if _is_text(value) or _is_number(value) else None
-
-
 def _invalid(name: str, key: str, value: object) -> PlatformError:
     return PlatformError(
         Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid {key} {describe(value)}"
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pearwell.affinity.cache import MAX_EVENT_BYTES
 from pearwell.affinity.chooser import choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.instance import Bounds, Instance
+from pearwell.affinity.large_events import MAX_EVENT_BYTES
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.target import NEVER
 from pearwell.errors import Code, PlatformError
