Hold entries of an earlier incarnation until they have outlived a heartbeat

Callers saw all flows on a target reset while it lived and nothing was disturbed: it had crashed and come back under its name, and the store executed a heartbeat of before the crash seconds later. At the next heartbeat the flows that had been opened since were reset again.

Cause: an entry whose born differs counted as a restart, whichever was the later one, unless the store had been out of reach. An instance that starts while such an entry stands has nothing to compare it with: it takes the next heartbeat for the restart.

An entry that starts earlier than what is known is held. It is applied once it has stood for four heartbeats, as a target whose clock was set back keeps it up; those of dead incarnations are removed or replaced before. The flows of an incarnation that turns out to have been replaced are kept if they opened or responded since the later one has been up, which the number of its heartbeats tells.

Directory.put() takes the time.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -156,7 +156,7 @@
                 self._unknown.discard(key)
             flow = self._flows.add(key, target)
             if flow is not None:
-                flow.record_opened()
+                flow.record_opened(now)
                 flow.requests = 1
                 flow.last_ack = ack
         if flow is not None:
@@ -212,6 +212,11 @@
         if not newly_gone:
             return []
         flows = [flow for flow in self._flows.on_targets(newly_gone) if not flow.ended]
+        if any(target.successor is not None for target in newly_gone):
+            # Imported with the first restart of a target, to keep the start fast.
+            from pearwell.affinity.successors import follow_successors
+
+            flows = follow_successors(flows)
         for flow in flows:
             if not flow.opened and flow.syn:
                 self._retransmission.redirect_at_once(flow)
@@ -371,7 +376,7 @@
         """Updates the load and the health of the flow's target from a client's packet."""
         target = flow.target
         if not flow.opened:
-            flow.record_opened()
+            flow.record_opened(now)
             flow.syn = b""
             flow.last_ack = ack
             target.record_response(now)
@@ -381,6 +386,7 @@
             if flow.awaiting_response:
                 self._record_response(flow, (ack - flow.last_ack) & SEQ_MASK, now)
             flow.last_ack = ack
+            flow.responded_at = now
             flow.clear_request()
             self._health.record_response(target, now)
         if length:
--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -10,11 +10,18 @@
 
 from pearwell.affinity.target import Target
 
-__all__ = ["RELISTING_S", "Change", "Directory"]
+# True for type checkers only: the module is imported with the first outdated entry.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from pearwell.affinity.outdated_entries import OutdatedEntries
+
+__all__ = ["DEFAULT_HEARTBEAT_S", "RELISTING_S", "Change", "Directory"]
 
 # Time after a store outage in which lapsed entries reappear: about 2 s according to the platform's
 # service discovery documentation, plus half a second for the delay of the watch.
 RELISTING_S = 2.5
+# Interval of the heartbeats of targets if the platform doesn't tell it.
+DEFAULT_HEARTBEAT_S = 1.2
 # Maximum lifetime of a flow on the platform (MaxFlowS); an unlisted target has no flows after it.
 MAX_FLOW_LIFETIME_S = 60.0
 
@@ -23,9 +30,15 @@
 
 
 class Directory:
-    """All targets known to an instance, by name, token and service."""
+    """All targets known to an instance, by name, token and service.
+
+    Args:
+        heartbeat_s: Interval in seconds of the heartbeats of targets.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
+        self._heartbeat_s = heartbeat_s
+        self._outdated: OutdatedEntries | None = None
         self._newly_gone: list[Target] = []
         self._by_name: dict[str, Target] = {}
         self._by_token: dict[int, Target] = {}
@@ -91,28 +104,70 @@
             for change in self.remove(name, now, trusted)
         ]
         for target in listed_targets.values():
-            changes.extend(self.put(target, trusted))
+            changes.extend(self.put(target, now, trusted))
         self._known = True
         return changes
 
-    def put(self, target: Target, trusted: bool = True) -> list[Change]:
+    def put(self, target: Target, now: float, trusted: bool = True) -> list[Change]:
         """Adds or updates one listed target and returns the changes.
 
+        An entry that is older than what is known of its target waits for confirm_outdated().
+
         Args:
             target: The listed target.
+            now: Current time in seconds of the clock.
             trusted: Whether the store has been available long enough for entries to be written
                 again; until then an entry may be older than what is known.
         """
-        current = self._by_name.get(target.name) or self._unlisted.get(target.name)
+        target.running_since = now - target.sequence * self._heartbeat_s
+        current = self.find_by_name(target.name)
+        if current is not None and self._is_outdated(target, current, trusted):
+            if self._outdated is None:
+                from pearwell.affinity.outdated_entries import OutdatedEntries
+
+                self._outdated = OutdatedEntries(self._heartbeat_s)
+            is_new = self._outdated.add(target, now)
+            return [("target_outdated", target)] if is_new else []
+        self._discard_outdated(target.name)
+        return self._apply(target, trusted)
+
+    def confirm_outdated(self, complete_at: float, store_healthy_since: float) -> list[Change]:
+        """Applies the older entries that are kept up by their targets and returns the changes.
+
+        Args:
+            complete_at: Clock time in seconds until which all entries are known.
+            store_healthy_since: Clock time in seconds since which no call to the store has failed.
+        """
+        if self._outdated is None:
+            return []
+        return [
+            change
+            for target in self._outdated.take_confirmed(complete_at, store_healthy_since)
+            for change in self._apply(target, trusted=True)
+        ]
+
+    def _is_outdated(self, target: Target, current: Target, trusted: bool) -> bool:
+        if not target.was_written_before(current):
+            return False
+        # A store that is restored lists the latest entry that it has of a target that lives.
+        reappears = not trusted and not current.listed
+        return not (reappears and current.same_incarnation(target))
+
+    def _discard_outdated(self, name: str) -> None:
+        if self._outdated is not None:
+            self._outdated.discard(name)
+
+    def _apply(self, target: Target, trusted: bool) -> list[Change]:
+        current = self.find_by_name(target.name)
         if current is not None and current.same_incarnation(target):
             return self._update(current, target, trusted)
-        if current is not None and not trusted and current.started_after(target):
-            return []
         changes: list[Change] = []
         if current is not None:
             self._by_name.pop(current.name, None)
             self._unlisted.pop(current.name, None)
             current.listed = False
+            if current.address == target.address and current.service == target.service:
+                current.successor = target
             self.mark_gone(current)
             changes.append(("target_restarted", target))
         else:
@@ -133,6 +188,7 @@
         After a store outage the entry may have lapsed although the target keeps serving. The
         target then accepts new flows until expire() finds the entry still missing.
         """
+        self._discard_outdated(name)
         target = self._by_name.pop(name, None)
         if target is None:
             return []
@@ -195,6 +251,7 @@
         current.warmup_ends_at = update.warmup_ends_at
         current.slots = update.slots
         current.zone = update.zone
+        current.sequence = update.sequence
         return changes
 
     def _remove_from_service(self, target: Target) -> None:
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -35,6 +35,8 @@
         syn: The SYN until the flow opens.
         syn_seq: Sequence number of the SYN.
         syn_sent_at: When the SYN was last forwarded, in seconds of the clock.
+        responded_at: When a response of its target was last acknowledged, the opening included, in
+            seconds of the clock.
         opened: Whether the client has acknowledged a target's SYN+ACK.
         next_seq: Sequence number after the client's latest data.
         sent_at: When that data was first seen, in seconds of the clock.
@@ -59,6 +61,7 @@
         "tried",
         "awaiting_response",
         "requests",
+        "responded_at",
     )
 
     def __init__(self, key: bytes, target: Target) -> None:
@@ -68,6 +71,7 @@
         self.syn = b""
         self.syn_seq = -1
         self.syn_sent_at = 0.0
+        self.responded_at = 0.0
         self.opened = False
         self.next_seq = -1
         self.sent_at = 0.0
@@ -92,10 +96,11 @@
             target.held_flows += 1
         self.target = target
 
-    def record_opened(self) -> None:
+    def record_opened(self, now: float) -> None:
         """Records that the flow is open."""
         if not self.opened:
             self.opened = True
+            self.responded_at = now
             self.target.held_flows += not self.ended
 
     def record_ended(self) -> None:
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -4,7 +4,7 @@
 
 from pearwell.affinity.cache import ObjectCache
 from pearwell.affinity.director import Director
-from pearwell.affinity.directory import RELISTING_S, Directory
+from pearwell.affinity.directory import DEFAULT_HEARTBEAT_S, RELISTING_S, Directory
 from pearwell.affinity.fetch_scheduler import FetchScheduler, WatchLimits
 from pearwell.affinity.lifecycle import Lifecycle
 from pearwell.affinity.routes import RouteTable
@@ -43,6 +43,7 @@
         warmup_overage: Factor by which the starts of flows on a cold target may exceed its rate in
             any one second.
         warmup_slack: Number of starts by which they may exceed it besides.
+        heartbeat_s: Between two heartbeats of a target; None if it isn't told.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "drain_s",
         "evacuate_s",
         "grace_s",
+        "heartbeat_s",
         "warmup_overage",
         "warmup_slack",
     )
@@ -64,6 +66,7 @@
         evacuate_s: float | None = None,
         warmup_overage: float = 1.0,
         warmup_slack: float = 0.0,
+        heartbeat_s: float | None = None,
     ) -> None:
         self.drain_s = drain_s
         self.config_s = config_s
@@ -72,6 +75,7 @@
         self.evacuate_s = evacuate_s
         self.warmup_overage = warmup_overage
         self.warmup_slack = warmup_slack
+        self.heartbeat_s = heartbeat_s
 
 
 class Instance:
@@ -105,7 +109,7 @@
         self._random = jitter
         self._log_event = log_event
         self.routes = RouteTable()
-        self.directory = Directory()
+        self.directory = Directory(bounds.heartbeat_s or DEFAULT_HEARTBEAT_S)
         self.lifecycle = Lifecycle(bounds.grace_s)
         self.target_scheduler = FetchScheduler(
             _watch_limits(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, zone, jitter
@@ -183,7 +187,10 @@
         if now - scheduler.synced_at > OVERDUE_S:
             # An entry that was written again may not have arrived yet.
             return
-        for event, target in self.directory.expire(now, scheduler.store_healthy_since):
+        healthy_since = scheduler.store_healthy_since
+        changes = self.directory.expire(now, healthy_since)
+        changes += self.directory.confirm_outdated(scheduler.complete_at, healthy_since)
+        for event, target in changes:
             self._log_event(event, target=target.name, service=target.service)
 
     def forward_if_synced(self) -> bool:
--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -21,6 +21,10 @@
         address: IP address and UDP port.
         zone: Availability zone.
         started_ms: Start of the incarnation in Unix milliseconds; 0 if unknown.
+        sequence: Number of the entry among those that the incarnation has written; 0 if unknown.
+        running_since: Clock time in seconds at which it started by the number of its heartbeats, at
+            most one of them too early.
+        successor: Later incarnation under its name and address; None if there is none.
         draining: Whether it accepts no new flows.
         warmup_ends_at: Clock time in seconds at which its warm-up ends.
         slots: Number of requests that it runs at once; None if it doesn't tell.
@@ -68,8 +72,11 @@
         "probed_at",
         "probing",
         "removed_at",
+        "running_since",
+        "sequence",
         "service",
         "slots",
+        "successor",
         "token_conflict",
         "unanswered_syns",
         "suspect_until",
@@ -90,6 +97,7 @@
         draining: bool = False,
         warmup_ends_at: float = NEVER,
         slots: int | None = None,
+        sequence: int = 0,
     ) -> None:
         self.name = name
         self.tag = tag
@@ -100,6 +108,9 @@
         self.draining = draining
         self.warmup_ends_at = warmup_ends_at
         self.slots = slots
+        self.sequence = sequence
+        self.running_since = NEVER
+        self.successor: Target | None = None
         self.counted_slots: float | None = slots
         self.token = token_of(name)
         self.listed = True
@@ -133,6 +144,10 @@
         """Whether it started after another target, or after another incarnation of its own."""
         return self.started_ms > other.started_ms
 
+    def was_written_before(self, other: "Target") -> bool:
+        """Whether it describes an earlier state than another description under its name."""
+        return other.started_after(self)
+
     def adopt_slots(self) -> None:
         """Moves the slots that count toward those told; called every second."""
         if self.slots is None or self.counted_slots is None:
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -67,6 +67,7 @@
             settings.evacuate_s,
             settings.warmup_overage,
             settings.warmup_slack,
+            settings.heartbeat_s,
         )
         self._instance = Instance(
             settings.zone,
--- a/pearwell/platform/late_modules.py
+++ b/pearwell/platform/late_modules.py
@@ -15,6 +15,8 @@
 LATE_MODULES = (
     "pearwell.platform.target_probes",
     "pearwell.affinity.unknown_flows",
+    "pearwell.affinity.outdated_entries",
+    "pearwell.affinity.successors",
     "pearwell.affinity.large_events",
     "pearwell.platform.short_entry",
     "pearwell.platform.ignored_slots",
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -105,7 +105,7 @@
         if target is None:
             self._log_changes(self._directory.remove(name, now, self._trusts_listing(now)))
         else:
-            self._log_changes(self._directory.put(target, self._trusts_listing(now)))
+            self._log_changes(self._directory.put(target, now, self._trusts_listing(now)))
 
     def shorten(self, item: object) -> object | None:
         """Returns what matters of a large entry; None if it may all matter."""
@@ -140,6 +140,8 @@
                 zone=target.zone,
                 address=f"{target.address[0]}:{target.address[1]}",
                 slots=target.slots or "-",
+                born=target.started_ms,
+                sequence=target.sequence,
             )
 
 
@@ -241,6 +243,7 @@
         draining=_DRAINING_BY_STATE[state],
         warmup_ends_at=now + warmup_left_ms / 1000 if warmup_left_ms > 0 else NEVER,
         slots=_optional(spec, "Concurrency", _is_count),
+        sequence=_optional(spec, "Sequence", _is_sequence) or 0,
     )
 
 
@@ -382,6 +385,10 @@
     return is_integer and 0 < value <= MAX_TARGET_COUNT  # type: ignore[operator]
 
 
+def _is_sequence(value: object) -> bool:
+    return isinstance(value, int) and is_number(value) and value >= 0
+
+
 def _is_rate(value: object) -> bool:
     return is_number(value) and 0 <= value <= MAX_TARGET_COUNT  # type: ignore[operator]
 
--- a/pearwell/platform/settings.py
+++ b/pearwell/platform/settings.py
@@ -33,6 +33,7 @@
         config_s: Time limit in seconds until a configuration must be in force.
         contact_s: Time in seconds after an outage of the store until these limits apply again.
         grace_s: Time in seconds between the request to stop and the forced termination.
+        heartbeat_s: Time in seconds between two heartbeats of a target; None if it isn't told.
         evacuate_s: Time limit in seconds until targets of an evacuated zone must get no new flows;
             None if zones are never evacuated.
         warmup_overage: Factor by which the starts of flows on a cold target may exceed its rate.
@@ -47,6 +48,7 @@
         "drain_s",
         "evacuate_s",
         "grace_s",
+        "heartbeat_s",
         "ignored",
         "instance",
         "ip",
@@ -86,6 +88,8 @@
         self.config_s = _number(fields, "Bounds.ConfigApplyMs") / 1000
         self.contact_s = _number(fields, "Bounds.ContactMs") / 1000
         self.grace_s = _number(fields, "Bounds.GraceS")
+        heartbeat_ms = _optional_number(fields, "HeartbeatMs")
+        self.heartbeat_s = heartbeat_ms / 1000 if heartbeat_ms else None
         evacuate_ms = _optional_number(fields, "Bounds.EvacuateMs")
         self.evacuate_s = None if evacuate_ms is None else evacuate_ms / 1000
         self.warmup_overage = _optional_number(fields, "Bounds.WarmupOverage") or 1.0
--- a/pearwell/platform/short_entry.py
+++ b/pearwell/platform/short_entry.py
@@ -15,6 +15,7 @@
     "WarmupLeftMs",
     "Concurrency",
     "born",
+    "Sequence",
 )
 
 
--- a/pearwell/standins/object_history.py
+++ b/pearwell/standins/object_history.py
@@ -79,7 +79,7 @@
         if expected not in (None, revision):
             raise RevisionConflictError(current)
         self._unconfirmed.discard((kind, name))
-        if current is not None and current["spec"] == spec:
+        if current is not None and _without_sequence(current["spec"]) == _without_sequence(spec):
             return False
         self._record_event(kind, name, spec, deleted=False)
         return True
@@ -141,3 +141,10 @@
         else:
             objects[name] = item
         self._events += (_Event(self.revision, kind, item, deleted),)
+
+
+def _without_sequence(spec: Any) -> Any:
+    """Returns what counts as a change: an entry changes when more than its Sequence changes."""
+    if not isinstance(spec, dict):
+        return spec
+    return {key: value for key, value in spec.items() if key != "Sequence"}
--- a/pearwell/standins/token_host.py
+++ b/pearwell/standins/token_host.py
@@ -26,6 +26,8 @@
 _WARMUP_S = flags.DEFINE_float("warmup_s", 0.0, "Time in seconds for which the host is cold.")
 
 HEARTBEAT_INTERVAL_S = 0.5
+# Requests that it tells to run at once; it runs any number.
+CONCURRENCY = 2
 REQUEST_DURATION_S = 0.02
 MIN_DRAIN_S = 3.0
 RETRANSMIT_INTERVAL_S = 0.2
@@ -157,6 +159,9 @@
                 "Service": _SERVICE.value,
                 "Address": f"{_IP.value}:{_PORT.value}",
                 "Zone": _ZONE.value,
+                "Version": "v1",
+                "Concurrency": CONCURRENCY,
+                "Sequence": sequence,
                 "State": "draining" if host.draining else "ready",
                 "WarmupLeftMs": max(0, round(1000 * (warm_at - loop.time()))),
                 "born": _BORN.value,
--- a/tests/affinity/builders.py
+++ b/tests/affinity/builders.py
@@ -24,6 +24,7 @@
     warmup_ends_at=NEVER,
     ip=None,
     slots=None,
+    sequence=0,
 ):
     """Builds a target; its address follows from its number."""
     return Target(
@@ -36,6 +37,7 @@
         draining=draining,
         warmup_ends_at=warmup_ends_at,
         slots=slots,
+        sequence=sequence,
     )
 
 
--- a/tests/affinity/test_chooser.py
+++ b/tests/affinity/test_chooser.py
@@ -193,7 +193,7 @@
     harness = DirectorHarness(*[target(number, slots=2) for number in range(1, 9)])
     for number in range(64):
         harness.open(number)
-    harness.directory.put(target(1, slots=told))
+    harness.directory.put(target(1, slots=told), harness.now)
     shares = []
     # Each second a quarter of the flows ends and as many start.
     for second in range(1, 31):
--- a/tests/affinity/test_director.py
+++ b/tests/affinity/test_director.py
@@ -30,12 +30,12 @@
 FAULTS = {
     "none": lambda harness, affected: None,
     "draining": lambda harness, affected: harness.directory.put(
-        target(int(affected.name[2:], 16), draining=True)
+        target(int(affected.name[2:], 16), draining=True), harness.now
     ),
     "unlisted": lambda harness, affected: unlist(harness, affected, gone=False),
     "gone": lambda harness, affected: unlist(harness, affected, gone=True),
     "restarted": lambda harness, affected: harness.directory.put(
-        target(int(affected.name[2:], 16), started_ms=2)
+        target(int(affected.name[2:], 16), started_ms=2), harness.now
     ),
     "suspect": lambda harness, affected: setattr(affected, "suspect_until", harness.now + 1),
     "unreachable": lambda harness, affected: harness.redirect(),
@@ -79,7 +79,7 @@
 def test_faults_at_each_step_of_a_flow(step, fault, expected):
     harness = DirectorHarness(target(1))
     chosen = harness.send(syn(1)) if step == "copy" else harness.open(1)
-    harness.directory.put(target(2))
+    harness.directory.put(target(2), harness.now)
     FAULTS[fault](harness, chosen)
     if step == "copy":
         harness.now += 0.2
@@ -138,7 +138,7 @@
     harness.now += 0.2
     assert harness.director.take_unknown_resets(harness.now) == []
     assert harness.send(data(1, new.token, route=route)) is Code.FLOW_UNSETTLED
-    harness.directory.put(new)
+    harness.directory.put(new, harness.now)
     harness.complete_at = harness.now
     assert harness.director.take_unknown_resets(harness.now) == []
     assert harness.send(data(1, new.token, route=route)) is new
@@ -179,7 +179,7 @@
     """An immediate reset would use up the client's attempts within milliseconds."""
     harness = DirectorHarness(trusted=False)
     assert harness.send(syn(1)) is Code.FLOW_UNSETTLED
-    harness.directory.put(target(1))
+    harness.directory.put(target(1), harness.now)
     assert harness.send(syn(1, earlier_syns=1)).name == "i-00000001"
 
 
@@ -229,7 +229,7 @@
 def test_a_syn_is_redirected_once_its_target_cannot_have_it(answered, refused, expected):
     """None stands for a connection attempt that is still unanswered."""
     harness = DirectorHarness(target(1), target(2), target(3))
-    harness.directory.put(target(4, service="x"))
+    harness.directory.put(target(4, service="x"), harness.now)
     first = harness.send(syn(1))
     assert harness.advance(SYN_TIMEOUT_S) == [(b"bytes of the packet", first)]
     if answered is not None:
@@ -249,7 +249,7 @@
     """Another target that got the address of one that is gone accepts connections, but no SYN."""
     harness = DirectorHarness(target(1), target(2))
     back = harness.open(1)
-    harness.directory.put(target(3 - int(back.name[2:], 16), draining=True))
+    harness.directory.put(target(3 - int(back.name[2:], 16), draining=True), harness.now)
     harness.now += 1.0
     if reported_by == "hint":
         harness.director.health.handle_hint(back.name, harness.now)
@@ -261,7 +261,7 @@
     if responds:
         harness.send(data(1, back.token, ack=700))
     assert harness.send(syn(2)) is back
-    harness.directory.put(target(3 - int(back.name[2:], 16)))
+    harness.directory.put(target(3 - int(back.name[2:], 16)), harness.now)
     [(_, second)] = harness.advance(SYN_TIMEOUT_S)
     assert (second is back) == responds
 
@@ -585,10 +585,10 @@
     ("fault", "resets"),
     [
         (lambda harness, affected: harness.directory.remove(affected.name, harness.now), 0),
-        (lambda harness, affected: harness.directory.put(target(1, started_ms=9)), 2),
+        (lambda harness, affected: harness.directory.put(target(1, started_ms=9), harness.now), 2),
         (
             lambda harness, affected: (
-                harness.directory.put(target(1, draining=True)),
+                harness.directory.put(target(1, draining=True), harness.now),
                 harness.directory.remove(affected.name, harness.now),
             ),
             2,
@@ -596,7 +596,7 @@
         (
             lambda harness, affected: (
                 harness.directory.remove(affected.name, harness.now),
-                harness.directory.put(target(7, ip="10.0.0.1")),
+                harness.directory.put(target(7, ip="10.0.0.1"), harness.now),
             ),
             2,
         ),
@@ -621,6 +621,59 @@
     assert len(harness.director.take_resets()) == resets
 
 
+@pytest.mark.parametrize(
+    ("sequence", "idle_s", "again", "kept"),
+    [
+        (9, 2.0, {}, True),
+        (9, 12.0, {}, False),
+        (1, 0.5, {}, True),
+        (1, 2.0, {}, False),
+        (0, 0.0, {}, False),
+        (9, 2.0, {"ip": "10.9.9.9"}, False),
+        (9, 2.0, {"service": "tables"}, False),
+    ],
+    ids=[
+        "opened on it",
+        "opened before it",
+        "just started",
+        "opened before its start",
+        "unknown age",
+        "elsewhere",
+        "of another service",
+    ],
+)
+def test_flows_opened_on_a_later_incarnation_are_kept_once_that_is_heard_of(
+    sequence, idle_s, again, kept
+):
+    """An instance that starts while a late write stands lists the earlier incarnation.
+
+    The number of heartbeats, 1.2 s apart, tells how long the later one has been up.
+    """
+    harness = DirectorHarness(target(1))
+    earlier = harness.open(1)
+    harness.send(data(1, earlier.token, ack=600))
+    harness.now += idle_s
+    later = target(1, started_ms=2, sequence=sequence, **again)
+    harness.directory.put(later, harness.now)
+    resets = harness.director.take_resets()
+    assert [flow.key for flow in resets] == ([] if kept else [flow_key(1)])
+    assert (later.open_flows, later.held_flows, later.in_flight) == (kept, kept, kept)
+    assert (earlier.open_flows, earlier.held_flows, earlier.in_flight) == (0, 0, 0)
+    if kept:
+        assert harness.send(data(1, earlier.token, seq=1101, ack=700)) is later
+
+
+def test_a_syn_that_a_later_incarnation_got_is_not_sent_to_another_target():
+    harness = DirectorHarness(target(1), target(2, draining=True))
+    harness.send(syn(1))
+    harness.directory.put(target(2), harness.now)
+    harness.now += 0.01
+    later = target(1, started_ms=2, sequence=4)
+    harness.directory.put(later, harness.now)
+    assert harness.director.take_resets() == []
+    assert harness.advance(SYN_TIMEOUT_S) == [(b"bytes of the packet", later)]
+
+
 def test_a_listed_target_found_gone_is_probed_until_it_accepts():
     """After a partition of their zone ends, targets accept new flows again."""
     harness = DirectorHarness(target(1))
--- a/tests/affinity/test_failing_targets.py
+++ b/tests/affinity/test_failing_targets.py
@@ -107,7 +107,11 @@
         (OBJECTIVE_S / 2, lambda harness: harness.respond(1, 1), 0),
         (OBJECTIVE_S / 2, lambda harness: harness.open(2), 0),
         (OBJECTIVE_S / 2, lambda harness: harness.send(data(1, 0, flags=FIN)), 0),
-        (OBJECTIVE_S / 2, lambda harness: harness.directory.put(target(1, draining=True)), 0),
+        (
+            OBJECTIVE_S / 2,
+            lambda harness: harness.directory.put(target(1, draining=True), harness.now),
+            0,
+        ),
         (OBJECTIVE_S / 2, lambda harness: harness.directory.remove(NAME, harness.now), 0),
     ],
     ids=["unanswered", "early", "answered", "answered others", "ended", "draining", "unlisted"],
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -19,10 +19,10 @@
 from pearwell.platform.store import StoreClient
 from pearwell.standins.object_server import ObjectServer
 
-BOUNDS = Bounds(drain_s=3.0, config_s=3.0, contact_s=4.0, grace_s=6.0)
-EVACUATION_BOUNDS = Bounds(drain_s=5.0, config_s=5.0, contact_s=5.0, grace_s=6.0, evacuate_s=5.0)
 LATENCY_S = 0.004
 HEARTBEAT_S = 0.77
+BOUNDS = Bounds(drain_s=3.0, config_s=3.0, contact_s=4.0, grace_s=6.0, heartbeat_s=HEARTBEAT_S)
+EVACUATION_BOUNDS = Bounds(drain_s=5.0, config_s=5.0, contact_s=5.0, grace_s=6.0, evacuate_s=5.0)
 ROUTE = {"Name": "r", "Host": "198.18.0.1", "PathPrefix": "/8443/", "Service": "intake"}
 
 
@@ -30,11 +30,13 @@
     return {"Version": version, "Routes": [ROUTE], "Limits": {}}
 
 
-def entry(number, state="ready", born=1, zone="a"):
+def entry(number, state="ready", born=1, zone="a", host=None):
     return {
         "Service": "intake",
-        "Address": f"10.0.0.{number}:8000",
+        "Address": f"10.0.0.{host or number}:8000",
         "Zone": zone,
+        "Version": "v1",
+        "Concurrency": 3,
         "State": state,
         "WarmupLeftMs": 0,
         "born": born,
@@ -327,6 +329,8 @@
         for _ in range(clients):
             self.add_client()
         self.entries = {}
+        # Writes of each target's incarnation so far.
+        self._sequences = {}
         self.evacuated = set()
         self.version = 0
         self._copy = self.store.server.history.copy()
@@ -358,9 +362,18 @@
         await self.store.server.remove("evacuations", zone)
 
     async def put_target(self, number, **fields):
-        """Adds or changes a target."""
-        self.entries[f"i-{number:08x}"] = entry(number, **fields)
-        await self._write_entry(f"i-{number:08x}")
+        """Adds or changes a target; another start begins its sequence anew."""
+        name, spec = f"i-{number:08x}", entry(number, **fields)
+        if self.entries.get(name, spec)["born"] != spec["born"]:
+            self._sequences[name] = 0
+        self.entries[name] = spec
+        await self._write_entry(name)
+
+    def lose_write(self, number, late_s):
+        """Lets a target's next write go unanswered; it is executed after a time."""
+        name = f"i-{number:08x}"
+        task = self._write_late(self._next_spec(name), name, late_s)
+        self._tasks.append(asyncio.ensure_future(task))
 
     async def remove_target(self, number):
         """Ends a target, which removes its entry."""
@@ -403,9 +416,17 @@
             if kind == "servers" and name not in self.entries:
                 await self.store.server.remove(kind, name)
 
+    def _next_spec(self, name):
+        self._sequences[name] = self._sequences.get(name, 0) + 1
+        return {**self.entries[name], "Sequence": self._sequences[name]}
+
+    async def _write_late(self, spec, name, late_s):
+        await asyncio.sleep(late_s)
+        await self.store.server.write("servers", name, spec)
+
     async def _write_entry(self, name):
         if not self.store.away:
-            await self.store.server.write("servers", name, self.entries[name])
+            await self.store.server.write("servers", name, self._next_spec(name))
 
     async def _write_entries(self):
         while True:
