Let the earlier user of an address reset no flows of the present one

What callers would see: flows on a target are reset though it lives, when its own entry has lapsed for a moment and a write of the target that had its address before is executed late.

A new entry at the address of an unlisted target proved that this one is gone, unless the store had been out of reach. It does so only if it starts later. A target whose clock was set back, at a used address, leaves the earlier one to its own proof: the entry is missing and it doesn't respond.

The row of the test that expected the reset in a stable store asserted the fault, and failed before with the new expectation (1 of 4 rows); a restart at the address in a stable store has a row of its own.

--- a/pearwell/affinity/directory.py
+++ b/pearwell/affinity/directory.py
@@ -176,7 +176,7 @@
         self._by_service.setdefault(target.service, []).append(target)
         self._claim_token(target)
         for other in self._unlisted.values():
-            is_earlier = trusted or not other.started_after(target)
+            is_earlier = not other.started_after(target)
             if other.address == target.address and not other.gone and is_earlier:
                 self.mark_gone(other)
                 changes.append(("target_address_reused", other))
