Apply only the latest state of each object in a response

What callers would see: flows on a target that drains are reset while it lives. A list of several pages and a batch of a relay are followed by events that they contain. Had the target left its entry, restarted and begun to drain within one of them, the removal of its earlier entry was applied again, and a draining target whose entry is removed has left.

The states that an object had in between are history by the time the response arrives, so only the latest one of each name is applied. Deletions can't be told from their revision: some stores give them that of the state before.

The new test, for watches of the store and of a relay, failed before in both cases.

--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -268,7 +268,9 @@
         self._scheduler.on_complete(called_at + complete_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
-        failed = self._apply([self._decode_event(event) for event in response.items], now)
+        # Events before the position may be among them, so that only the latest states hold.
+        latest = dict(self._decode_event(event) for event in response.items)
+        failed = self._apply([*latest.items()], now)
         self._scheduler.on_watch(len(response.items), response.position, now, from_store)
         if failed:
             # The list leaves out what can't be applied, whose earlier state is outdated.
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -3,11 +3,12 @@
 import pytest
 
 from pearwell.affinity.cache import ObjectCache
+from pearwell.affinity.directory import Directory
 from pearwell.affinity.fetch_scheduler import FetchScheduler, WatchLimits
 from pearwell.affinity.routes import RouteTable
 from pearwell.affinity.sync import ObjectSync, StoreResponse
 from pearwell.errors import Code, PlatformError
-from pearwell.platform.objects import ConfigHandler
+from pearwell.platform.objects import ConfigHandler, TargetHandler
 from tests.affinity.fakes import FakeStore, FakeWait, run
 
 EXPIRED = PlatformError(Code.PLATFORM_WATCH_EXPIRED)
@@ -403,3 +404,45 @@
     harness = SyncHarness(FakeStore(listed(5, 1), StoreResponse([{"Object": large}], 6)))
     assert harness.steps(2) == [1, 2]
     assert harness.cache.events_after((0, 5)) == [None]
+
+
+@pytest.mark.parametrize("from_relay", [False, True])
+def test_events_from_before_a_position_reset_no_flow(from_relay):
+    """A list of several pages, or a batch of a relay, is followed by events that it contains.
+
+    Here the target had left its entry, restarted and begun to drain, all of which the list tells.
+    """
+
+    def described(revision, **changes):
+        spec = {
+            "Service": "intake",
+            "Address": "10.0.0.1:80",
+            "Zone": "a",
+            "Version": "v1",
+            "Concurrency": 2,
+            "State": "ready",
+            "WarmupLeftMs": 0,
+            "Sequence": 1,
+            "born": 7,
+        }
+        return {"meta": {"Name": "i-00000001", "Revision": revision}, "spec": spec | changes}
+
+    now = described(9, State="draining", Sequence=2)
+    events = [
+        {"Object": described(5, born=3), "Deleted": False},
+        {"Object": described(7, born=3), "Deleted": True},
+        {"Object": described(8), "Deleted": False},
+        {"Object": now, "Deleted": False},
+    ]
+    replayed = StoreResponse(events, 9)
+    relays = [FakeStore(replayed)] if from_relay else []
+    store = FakeStore(StoreResponse([now], 4), *([] if from_relay else [replayed]))
+    harness = SyncHarness(store, *relays)
+    directory = Directory()
+    harness.sync._handler = TargetHandler(directory, lambda now: True, harness._log)
+    harness.steps(1)
+    known = directory.find_by_name("i-00000001")
+    harness.steps(1, each_s=2.0)
+    assert harness.sync._scheduler.position == (0, 9)
+    assert (known.gone, known.listed, known.draining) == (False, True, True)
+    assert directory.take_newly_gone() == []
