Send a SYN to another target only after two unanswered ones near the limit

Callers saw a flow reset, and its request lost, by a target that wasn't theirs: seven seconds before a planned restart one datagram had been lost, while targets held 12 of the 20 flows that they may.

Cause: near the limit on flows, one unanswered SYN counted as proof that the target is full and can't have the flow, so that another target got the SYN as well. A lost answer looks the same.

One unanswered SYN still keeps new flows away for a while. For the flow itself the SYN goes to the same target a second time, and to another one only once that is unanswered too, with the target closed by its own unanswered SYNs rather than by its zone's.

test_idle_flows_fill_all_targets kept idle flows for 60 s, though a comment said for the length of the test. It takes longer now, as its clock runs while each flow waits, so that swept records made room.

--- a/pearwell/affinity/director.py
+++ b/pearwell/affinity/director.py
@@ -176,6 +176,7 @@
         """Returns unanswered SYNs to retransmit, each with its target."""
         retransmissions: list[Retransmission] = []
         for flow, step in self._retransmission.take_due(now):
+            flow.unanswered_syns += 1
             self._record_unanswered_syn(flow, step, now)
             target = self._retransmission_target(flow, step, now)
             if step == Step.REPEAT and target in (None, flow.target):
@@ -317,7 +318,8 @@
 
     def _record_unanswered_syn(self, flow: Flow, step: str, now: float) -> None:
         limit = self._placement.flow_limit
-        if limit is not None and limit.record_unanswered_syn(flow.target, now):
+        sent_again = flow.unanswered_syns > 1
+        if limit is not None and limit.record_unanswered_syn(flow.target, now, sent_again):
             self._count("syn_to_full_target")
         elif step == Step.REPEAT:
             self._health.record_unanswered_syn(flow, now)
@@ -333,7 +335,7 @@
             and not (target.gone or target.doubted or target.draining or target.token_conflict)
             and route.allows(target.service)
             and not self._health.is_unreachable(target, now)
-            and self._placement.allows_repeat(target, now)
+            and self._placement.allows_repeat(flow, now)
         )
 
     def _retransmission_target(self, flow: Flow, step: str, now: float) -> Target | None:
--- a/pearwell/affinity/flow_limit.py
+++ b/pearwell/affinity/flow_limit.py
@@ -21,6 +21,7 @@
 from math import sqrt
 
 from pearwell.affinity.directory import Directory
+from pearwell.affinity.flow_table import Flow
 from pearwell.affinity.service import Service
 from pearwell.affinity.syn_retransmission import SYN_TIMEOUT_S
 from pearwell.affinity.target import NEVER, Target
@@ -34,6 +35,9 @@
 # it may be lost, and number of unanswered SYNs in a row that do.
 OPENED_RECENTLY_S = 1.0
 UNANSWERED_SYNS = 2
+# Transmissions of a flow's SYN that a closed target leaves unanswered until another target gets it.
+# One may be lost; a target that has the flow answers the second one too.
+IGNORED_SYNS = 2
 # Number of a service's targets in a zone that leave SYNs unanswered in a row until all are closed.
 UNANSWERED_BY_ZONE = 3
 # Time in seconds since its last sign of life for which a target isn't suspected to be down.
@@ -188,10 +192,14 @@
         watch = self._watches.get(target)
         return watch is not None and (watch.crowded or self._is_closed(target, watch))
 
-    def is_closed(self, target: Target) -> bool:
-        """Whether a target has left SYNs unanswered because it holds its most flows."""
-        watch = self._watches.get(target)
-        return watch is not None and self._is_closed(target, watch)
+    def has_ignored(self, flow: Flow) -> bool:
+        """Whether the target of a flow has ignored its SYN because it holds its most flows.
+
+        A single answer may be lost or late. What other SYNs show of the target or its zone says
+        nothing of this one: a place may have become free for it.
+        """
+        watch = self._watches.get(flow.target)
+        return watch is not None and watch.closed and flow.unanswered_syns >= IGNORED_SYNS
 
     def record_choice(self) -> None:
         """Records that the target of a flow is chosen, which may then try a closed target."""
@@ -226,16 +234,21 @@
             watch.open(now)
             self._update_room(now)
 
-    def record_unanswered_syn(self, target: Target, now: float) -> bool:
-        """Records an unanswered SYN; returns whether that is because the target is full.
+    def record_unanswered_syn(self, target: Target, now: float, sent_again: bool = False) -> bool:
+        """Records an unanswered SYN; returns whether the target may be full.
 
         A target without a sign of life may be down as well, which its health has to tell.
+
+        Args:
+            target: The target.
+            now: Current time in seconds of the clock.
+            sent_again: Whether the target has left the same SYN unanswered before.
         """
         watch = self._watches.get(target)
         if watch is None:
             return False
         watch.unanswered += 1
-        if watch.accepts_no_flows(now):
+        if watch.accepts_no_flows(now) and not (watch.closed and sent_again):
             self._add_unanswered(target)
             watch.close(target.held_flows, now)
             self._log_if_changed(target, watch, now)
--- a/pearwell/affinity/flow_placement.py
+++ b/pearwell/affinity/flow_placement.py
@@ -4,6 +4,7 @@
 
 from pearwell.affinity.chooser import ZoneQueues, choose_target
 from pearwell.affinity.directory import Directory
+from pearwell.affinity.flow_table import Flow
 from pearwell.affinity.routes import Route
 from pearwell.affinity.target import Target
 
@@ -146,14 +147,14 @@
         """Whether a target may get a new flow."""
         return all(limit.allows(target, now) for limit in self._limits if limit.active)
 
-    def allows_repeat(self, target: Target, now: float) -> bool:
-        """Whether a target may get the SYN of a flow again, which adds no flow there.
+    def allows_repeat(self, flow: Flow, now: float) -> bool:
+        """Whether the target of a flow may get its SYN again, which adds no flow there.
 
         A target that is full has ignored the SYN, and one in an evacuated zone must not get it.
         """
-        if self.flow_limit is not None and self.flow_limit.is_closed(target):
+        if self.flow_limit is not None and self.flow_limit.has_ignored(flow):
             return False
-        return self._evacuations is None or self._evacuations.allows(target, now)
+        return self._evacuations is None or self._evacuations.allows(flow.target, now)
 
     def record_start(self, target: Target, now: float) -> None:
         """Records that the SYN of a flow is sent to a target."""
--- a/pearwell/affinity/flow_table.py
+++ b/pearwell/affinity/flow_table.py
@@ -34,6 +34,7 @@
         tried: Targets that the SYN was sent to, in order.
         syn: The SYN until the flow opens.
         syn_seq: Sequence number of the SYN.
+        unanswered_syns: Transmissions of the SYN that its target has left unanswered.
         syn_sent_at: When the SYN was last forwarded, in seconds of the clock.
         responded_at: When a response of its target was last acknowledged, the opening included, in
             seconds of the clock.
@@ -62,6 +63,7 @@
         "awaiting_response",
         "requests",
         "responded_at",
+        "unanswered_syns",
     )
 
     def __init__(self, key: bytes, target: Target) -> None:
@@ -72,6 +74,7 @@
         self.syn_seq = -1
         self.syn_sent_at = 0.0
         self.responded_at = 0.0
+        self.unanswered_syns = 0
         self.opened = False
         self.next_seq = -1
         self.sent_at = 0.0
@@ -89,6 +92,7 @@
     def reassign(self, target: Target) -> None:
         """Assigns the flow to another target."""
         self.clear_request()
+        self.unanswered_syns = 0
         self.target.open_flows -= 1
         target.open_flows += 1
         if self.opened and not self.ended:
--- a/tests/affinity/test_flow_limit.py
+++ b/tests/affinity/test_flow_limit.py
@@ -17,7 +17,7 @@
 )
 from pearwell.affinity.routes import Route, Routes
 from pearwell.affinity.service import Service
-from pearwell.affinity.syn_retransmission import SYN_TIMEOUT_S
+from pearwell.affinity.syn_retransmission import CLIENT_TIMEOUT_S, SYN_TIMEOUT_S
 from pearwell.errors import Code
 from tests.affinity.builders import ROUTE, DirectorHarness, data, syn, target
 
@@ -25,12 +25,13 @@
 # Time in seconds between two new flows of a fleet, and requests for each new flow.
 FLOW_INTERVAL_S = 0.005
 REQUESTS_PER_FLOW = 0.2
+# Time in seconds after which idle flows leave the records: longer than a test.
+IDLE_S = 600.0
 
 
 def routes(version, max_flows):
     services = {"intake": Service("intake", max_flows)}
-    # Idle flows stay in the records for the length of a test.
-    return Routes(version, {ROUTE: Route("r", (("intake", 1),))}, 60.0, services)
+    return Routes(version, {ROUTE: Route("r", (("intake", 1),))}, IDLE_S, services)
 
 
 def set_limit(harness, limit):
@@ -46,9 +47,11 @@
         targets: Number of targets.
         max_flows: Limit of the configuration, and of the targets.
         limited: Whether the instances know the limit.
+        loss: Share of the targets' answers that are lost.
     """
 
-    def __init__(self, instances, targets, max_flows, limited=True):
+    def __init__(self, instances, targets, max_flows, limited=True, loss=0.0):
+        self.loss = loss
         self.now, self.max_flows, self.limited = 100.0, max_flows, limited
         self.numbers = [(number, ZONES[number % 3]) for number in range(1, targets + 1)]
         self.held = {f"i-{number:08x}": set() for number, _ in self.numbers}
@@ -56,6 +59,8 @@
         # Results of the flows asked for: how many opened, were refused at once, while a target had
         # room, and were ignored by the first target, and by all.
         self.opened = self.refused = self.refused_with_room = self.ignored = self.unserved = 0
+        # Flows that two targets hold; times in seconds until flows opened that the first ignored.
+        self.doubled, self.delays = 0, []
         self.harnesses, self.limits = [], []
         for number in range(instances):
             self.add_instance(ZONES[number % 3])
@@ -104,22 +109,27 @@
         elif not self._reach(harness, number, decision):
             self.ignored += 1
             # The SYN is sent again to the same target, and then to another if that one is full.
-            for _ in range(2):
+            for step in (1, 2):
                 self.advance(SYN_TIMEOUT_S)
                 again = harness.director.due_retransmissions(self.now)
                 self._answer_probes(harness)
                 others = [other for sent, other in again if sent == b"%d" % number]
-                if any(other is not decision for other in others):
+                if any(self._reach(harness, number, other) for other in others):
+                    self.delays.append(step * SYN_TIMEOUT_S)
                     break
-            if not any(self._reach(harness, number, other) for other in others):
+            else:
                 self.unserved += 1
+            self.doubled += sum(number in held for held in self.held.values()) > 1
         self._answer_probes(harness)
 
     def _reach(self, harness, number, chosen):
         held = self.held[chosen.name]
-        if len(held) >= self.max_flows or chosen.name in self.dark:
+        is_full = len(held) >= self.max_flows and number not in held
+        if is_full or chosen.name in self.dark:
             return False
         held.add(number)
+        if self.loss and self.rng.random() < self.loss:
+            return False
         self.flows[number] = harness, chosen.token, chosen.name, [1001, 500]
         self.opened += 1
         return harness.send(data(number, chosen.token, length=0)) is not None
@@ -187,6 +197,27 @@
     assert fleet.ignored <= instances * len(full) + targets * max_flows / 4 / FLOWS_PER_TRIAL
 
 
+@pytest.mark.parametrize("share", [0.55, 0.9])
+def test_a_lost_answer_near_the_limit_brings_no_flow_to_a_second_target(share):
+    """The instance that takes such a flow over follows the target that answered last."""
+    fleet = Fleet(24, 9, 120, loss=0.01)
+    fleet.start(round(9 * 120 * share))
+    assert fleet.ignored > 3
+    assert (fleet.doubled, fleet.unserved, fleet.refused) == (0, 0, 0)
+
+
+def test_a_flow_whose_target_is_full_opens_before_its_client_sends_the_syn_again():
+    fleet = Fleet(24, 9, 120)
+    fleet.start(9 * 120 // 2)
+    for number, zone in fleet.numbers:
+        held = fleet.held[f"i-{number:08x}"]
+        if zone == "a":
+            held |= {-place - 1 for place in range(120 - len(held))}
+    fleet.start(9 * 120 // 4)
+    assert fleet.delays
+    assert max(fleet.delays) < CLIENT_TIMEOUT_S
+
+
 def test_flows_that_end_make_room():
     fleet = Fleet(24, 9, 120)
     fleet.start(9 * 120 * 11 // 10)
@@ -353,6 +384,13 @@
     }
 
 
+def test_a_syn_that_is_sent_again_closes_a_target_for_no_longer():
+    limited = Limited(50)
+    limited.leave_unanswered(100.1)
+    assert limited.limit.record_unanswered_syn(limited.target, 100.2, sent_again=True)
+    assert limited.limit.allows(limited.target, 100.1 + CLOSED_S)
+
+
 def test_a_flow_that_ends_lets_another_try_a_closed_target():
     limited = Limited(50)
     limit, full = limited.limit, limited.target
