--- a/pearwell/affinity/flow_placement.py
+++ b/pearwell/affinity/flow_placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from pearwell.affinity.chooser import ZoneQueues, choose_target
+from pearwell.affinity.chooser import choose_target
 from pearwell.affinity.directory import Directory
 from pearwell.affinity.flow_table import Flow
 from pearwell.affinity.routes import Route
@@ -17,6 +17,7 @@
     from pearwell.affinity.evacuations import Evacuations
     from pearwell.affinity.flow_limit import FlowLimit
     from pearwell.affinity.split_overflow import SplitOverflow
+    from pearwell.affinity.zone_queues import ZoneQueues
 
     class StartLimit(Protocol):
         """Restricts which targets get new flows."""
@@ -99,7 +100,7 @@
         self._zone = zone
         self._directory = directory
         self._admission: FlowAdmission | None = None
-        self._zone_queues = ZoneQueues(zone, log)
+        self._zone_queues: ZoneQueues | None = None
         self._random = random
         self._log = log
         self._limits: list[StartLimit] = []
@@ -214,6 +215,11 @@
                 tolerable_s = self.admission.tolerable_wait(service)
                 service_s = self.admission.service_time(address, service)
                 self._overflow.record_response(service, wait_s, tolerable_s, service_s, now)
+        if self._zone_queues is None:
+            # Imported with the first response, to keep the start fast.
+            from pearwell.affinity.zone_queues import ZoneQueues
+
+            self._zone_queues = ZoneQueues(self._zone, self._log)
         self._zone_queues.add(target, seconds, now, is_shed=wait_s is None)
 
     def tick(self, now: float) -> None:
@@ -234,7 +240,7 @@
             if limit.active:
                 targets = [target for target in targets if limit.allows(target, now)]
         self._limited_choices += len(targets) < listed
-        queueing = self._zone_queues.is_queueing(service, now)
+        queueing = self._zone_queues is not None and self._zone_queues.is_queueing(service, now)
         if not queueing and self._admission is not None:
             queueing = self._admission.is_full(flow.route, flow.address, service, self._zone, now)
         target = None
--- a/pearwell/platform/late_modules.py
+++ b/pearwell/platform/late_modules.py
@@ -21,6 +21,7 @@
     "pearwell.platform.short_entry",
     "pearwell.platform.ignored_slots",
     "pearwell.affinity.admission",
+    "pearwell.affinity.zone_queues",
     "pearwell.affinity.split_overflow",
     "pearwell.affinity.slot_ratios",
     "pearwell.affinity.list_cursor",
--- a/tests/platform/test_light_imports.py
+++ b/tests/platform/test_light_imports.py
@@ -32,6 +32,7 @@
     "pearwell.affinity.successors",
     "pearwell.affinity.unknown_flows",
     "pearwell.affinity.warmup",
+    "pearwell.affinity.zone_queues",
     "pearwell.platform.arguments",
     "pearwell.platform.evacuation_handler",
     "pearwell.platform.extreme_values",
