Bound what a caller of a relay knows by its age at the store

Callers saw a dropped route serve for 3.45 s after the acknowledgement, 3 s being allowed, through instances that nothing disturbed: their seed had lost the store and stood still 1.7 s later.

Cause: each hop bounded its own delay. A relay serves a cache of up to 2.2 s, and a call to it lasts for up to 2 s; nothing bounded the sum.

Relays tell when they were level with the store, in the header field Level-S of each response. A caller's watch ends 0.6 s before what it knows reaches the bound, and the store is asked. A relay looks at the store again soon after events that came late in a watch. Drains, removals and evacuations take the same path.

No caller asks the store while its relay responds, whether changes come each 0.1 s or not at all.

The time-out of a watch's response is an argument now, so that test_store.py passes its long one instead of patching the constant. Handlers of HttpServer return header fields.

--- a/pearwell/affinity/cache.py
+++ b/pearwell/affinity/cache.py
@@ -32,6 +32,8 @@
 
     Attributes:
         complete_at: Clock time in seconds until which it has all changes that the store made.
+        level_at: Clock time in seconds at which it was last level with a store that doesn't forget
+            its watches.
     """
 
     def __init__(self, max_age_s: float = MAX_AGE_S) -> None:
@@ -40,7 +42,7 @@
         self._era = -1
         self._revision = -1
         self._verified_at = float("-inf")
-        self.complete_at = float("-inf")
+        self.complete_at = self.level_at = float("-inf")
 
     @property
     def position(self) -> Position:
--- a/pearwell/affinity/evacuations.py
+++ b/pearwell/affinity/evacuations.py
@@ -17,7 +17,6 @@
 from pearwell.affinity.cache import MAX_AGE_S, ObjectCache
 from pearwell.affinity.directory import RELISTING_S
 from pearwell.affinity.fetch_scheduler import (
-    RELAY_EVENT_INTERVAL_S,
     RELAY_MAX_WATCH_S,
     WATCH_AT_RELAY_S,
     FetchScheduler,
@@ -283,9 +282,9 @@
         self.evacuations = evacuations
         watch_s = min(MAX_WATCH_S, bound_s - WATCH_MARGIN_S)
         if is_relay:
-            limits = WatchLimits(RELAY_EVENT_INTERVAL_S, max(RELAY_MAX_WATCH_S, watch_s))
+            limits = WatchLimits.for_relay(max(RELAY_MAX_WATCH_S, watch_s))
         else:
-            limits = WatchLimits.for_bounds(bound_s * EVACUATE_SHARE, contact_s)
+            limits = WatchLimits.for_bounds(bound_s * EVACUATE_SHARE, contact_s, bound_s)
             limits.relay_wait_s = max(WATCH_AT_RELAY_S, watch_s)
         self.scheduler = FetchScheduler(limits, relays, zone, jitter, leader)
         self.cache = ObjectCache(MAX_AGE_S + max(0.0, watch_s - RELAY_MAX_WATCH_S))
--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -34,6 +34,14 @@
 # Maximum wait of a watch at a relay: a relay that hangs or is unreachable is detected after this
 # wait plus a timeout.
 WATCH_AT_RELAY_S = 1.0
+# Time in seconds after the wait of a watch in which its response has to come; the latter for relays
+# while little time is left until the store has to be asked.
+RESPONSE_S = 1.0
+SHORT_RESPONSE_S = 0.4
+# Shortest wait of a watch at a relay in seconds; one that is behind would be called without end.
+MIN_WATCH_AT_RELAY_S = 0.1
+# Part of the bound on changes reserved for a call to the store, in seconds.
+CATCH_UP_S = 0.6
 # Times for which a failed relay is not called: one that refuses connections or has lost the store
 # may recover soon, while each call to one that does not respond costs a timeout.
 RELAY_DOWN_RETRY_S = 1.5
@@ -51,31 +59,48 @@
         min_interval_s: Minimum time in seconds between two watches while there are events.
         max_wait_s: Maximum wait of a watch in seconds.
         relay_wait_s: Maximum wait of a watch at a relay in seconds.
+        max_age_s: Age in seconds of what relays have told after which the store is asked; None for
+            any.
+        max_lag_s: Time in seconds since the instance was level with the store at which a watch at
+            the store ends; None for any.
     """
 
-    __slots__ = ("min_interval_s", "max_wait_s", "relay_wait_s")
+    __slots__ = ("max_age_s", "max_lag_s", "max_wait_s", "min_interval_s", "relay_wait_s")
 
     def __init__(
-        self, min_interval_s: float, max_wait_s: float, relay_wait_s: float = WATCH_AT_RELAY_S
+        self,
+        min_interval_s: float,
+        max_wait_s: float,
+        relay_wait_s: float = WATCH_AT_RELAY_S,
+        max_age_s: float | None = None,
     ) -> None:
         self.min_interval_s = min_interval_s
         self.max_wait_s = max_wait_s
         self.relay_wait_s = relay_wait_s
+        self.max_age_s = max_age_s
+        self.max_lag_s: float | None = None
 
     @classmethod
-    def for_relay(cls) -> "WatchLimits":
-        """Returns the limits of a relay."""
-        return cls(RELAY_EVENT_INTERVAL_S, RELAY_MAX_WATCH_S)
+    def for_relay(cls, max_wait_s: float = RELAY_MAX_WATCH_S) -> "WatchLimits":
+        """Returns the limits of a relay, whose callers rely on what it knows."""
+        limits = cls(RELAY_EVENT_INTERVAL_S, max_wait_s)
+        limits.max_lag_s = max_wait_s + RELAY_EVENT_INTERVAL_S
+        return limits
 
     @classmethod
-    def for_bounds(cls, apply_s: float, recovery_s: float) -> "WatchLimits":
+    def for_bounds(
+        cls, apply_s: float, recovery_s: float, bound_s: float | None = None
+    ) -> "WatchLimits":
         """Returns the limits of an instance that is no relay.
 
         Args:
             apply_s: Maximum time in seconds until a change is received.
             recovery_s: Maximum time in seconds after an outage until changes are received.
+            bound_s: Time in seconds until a change has to be known everywhere; None for any.
         """
-        return cls(apply_s, max(MIN_WATCH_S, recovery_s - RECOVERY_MARGIN_S))
+        max_wait_s = max(MIN_WATCH_S, recovery_s - RECOVERY_MARGIN_S)
+        max_age_s = None if bound_s is None else bound_s - CATCH_UP_S
+        return cls(apply_s, max_wait_s, max_age_s=max_age_s)
 
 
 class _CatchUp:
@@ -94,17 +119,24 @@
         relay: Index of the relay to call; None for the store.
         position: Position to watch from; None for a list.
         wait_s: Maximum time in seconds that a watch waits for events.
+        response_s: Time in seconds after the wait in which the response has to come.
     """
 
-    __slots__ = ("delay_s", "position", "relay", "wait_s")
+    __slots__ = ("delay_s", "position", "relay", "response_s", "wait_s")
 
     def __init__(
-        self, delay_s: float, relay: int | None, position: Position | None, wait_s: float
+        self,
+        delay_s: float,
+        relay: int | None,
+        position: Position | None,
+        wait_s: float,
+        response_s: float = RESPONSE_S,
     ) -> None:
         self.delay_s = delay_s
         self.relay = relay
         self.position = position
         self.wait_s = wait_s
+        self.response_s = response_s
 
 
 class FetchScheduler:
@@ -142,6 +174,7 @@
         self._era: int | None = None
         self._synced_at = float("-inf")
         self._complete_at = float("-inf")
+        self._level_at: float | None = None
         # Latest response of the store itself; a relay's may be as old as its cache allows.
         self._store_read_at = float("-inf")
         self._failures = 0
@@ -198,9 +231,12 @@
             return Call(0.0, None, self._position, 0.0)
         relay = self._select_relay(now)
         if relay is not None:
-            return Call(0.0, relay, self._position, self._limits.relay_wait_s)
+            return self._call_relay(relay, now)
         delay = max(0.0, self._events_at + self._limits.min_interval_s - now)
-        return Call(delay, None, self._position, self._limits.max_wait_s)
+        wait_s, max_lag_s = self._limits.max_wait_s, self._limits.max_lag_s
+        if max_lag_s is not None and self._level_at is not None:
+            wait_s = max(0.0, min(wait_s, self._level_at + max_lag_s - now - delay))
+        return Call(delay, None, self._position, wait_s)
 
     def on_list(self, position: Position, now: float) -> None:
         """Records a complete list of the store."""
@@ -234,6 +270,13 @@
         """Records that all changes are known that the store made until a time in seconds."""
         self._complete_at = max(self._complete_at, at)
 
+    def on_level(self, at: float) -> None:
+        """Records that this instance was level with the store at a time in seconds.
+
+        Unlike on_complete(), this relies on a store that doesn't forget its watches.
+        """
+        self._level_at = at if self._level_at is None else max(self._level_at, at)
+
     def require_catch_up(self) -> None:
         """Schedules a call to the store for the changes until now."""
         if self._catch_up == _CatchUp.NONE:
@@ -263,6 +306,7 @@
             self._position = None
             self._store_healthy_since = float("inf")
             self._complete_at = float("-inf")
+            self._level_at = None
         return restored
 
     def require_list(self) -> None:
@@ -305,6 +349,25 @@
             self._failures += 1
             self._store_healthy_since = float("inf")
 
+    def _call_relay(self, relay: int, now: float) -> Call:
+        """Returns the call to a relay, or to the store if what is known would become too old.
+
+        A relay tells how old its own knowledge is. A call to it must fail early enough to ask the
+        store in time, however old that was.
+        """
+        wait_s, max_age_s = self._limits.relay_wait_s, self._limits.max_age_s
+        store_is_away = self._catch_up == _CatchUp.FAILED or (
+            self._leader is not None and self._leader.store_failing
+        )
+        if max_age_s is None or self._level_at is None or store_is_away:
+            return Call(0.0, relay, self._position, wait_s)
+        left_s = self._level_at + max_age_s - now
+        if left_s < MIN_WATCH_AT_RELAY_S + SHORT_RESPONSE_S:
+            self._catch_up = _CatchUp.DUE
+            return Call(0.0, None, self._position, 0.0)
+        wait_s = min(wait_s, left_s - SHORT_RESPONSE_S)
+        return Call(0.0, relay, self._position, wait_s, min(RESPONSE_S, left_s - wait_s))
+
     def _select_relay(self, now: float) -> int | None:
         """Returns the relay to call: one in the local zone, else of unknown zone, else any."""
         available = [index for index, until in enumerate(self._unavailable_until) if now >= until]
--- a/pearwell/affinity/instance.py
+++ b/pearwell/affinity/instance.py
@@ -112,10 +112,13 @@
         self.directory = Directory(bounds.heartbeat_s or DEFAULT_HEARTBEAT_S)
         self.lifecycle = Lifecycle(bounds.grace_s)
         self.target_scheduler = FetchScheduler(
-            _watch_limits(is_relay, bounds.drain_s * DRAIN_SHARE, bounds), relays, zone, jitter
+            _watch_limits(is_relay, bounds.drain_s, DRAIN_SHARE, bounds.contact_s),
+            relays,
+            zone,
+            jitter,
         )
         self.config_scheduler = FetchScheduler(
-            _watch_limits(is_relay, bounds.config_s * CONFIG_SHARE, bounds),
+            _watch_limits(is_relay, bounds.config_s, CONFIG_SHARE, bounds.contact_s),
             relays,
             zone,
             jitter,
@@ -245,7 +248,7 @@
     )
 
 
-def _watch_limits(is_relay: bool, apply_s: float, bounds: Bounds) -> WatchLimits:
-    return (
-        WatchLimits.for_relay() if is_relay else WatchLimits.for_bounds(apply_s, bounds.contact_s)
-    )
+def _watch_limits(is_relay: bool, bound_s: float, share: float, contact_s: float) -> WatchLimits:
+    if is_relay:
+        return WatchLimits.for_relay()
+    return WatchLimits.for_bounds(bound_s * share, contact_s, bound_s)
--- a/pearwell/affinity/relay.py
+++ b/pearwell/affinity/relay.py
@@ -8,12 +8,15 @@
 from pearwell.http_message import Response
 from pearwell.reactor import Trigger
 
-__all__ = ["PATH", "Relay"]
+__all__ = ["LEVEL_HEADER", "PATH", "Relay"]
 
 # zlib level. Events of one kind repeat their keys, so the fastest level saves most of the size.
 COMPRESSION = 1
 
 PATH = "/objects/"
+# Time in seconds, since the call was received, at which the relay was level with the store. A field
+# of the header, as clients that called at other times share a body.
+LEVEL_HEADER = "Level-S"
 # Maximum time that a watch waits for events.
 MAX_WAIT_S = 5.0
 # Most digits of a number in a path.
@@ -53,7 +56,7 @@
         self._count_callers = count_callers
 
     async def respond(self, path: str) -> Response:
-        """Returns status and compressed body for a path with its query.
+        """Returns status, compressed body and further header fields for a path with its query.
 
         The status is 503 if the cache is stale or of an earlier era than the client, 410 if the
         events are no longer cached.
@@ -61,24 +64,25 @@
         kind, position, wait_s = _parse(path)
         cache = self._caches.get(kind)
         if cache is None or position is None:
-            return 404, b""
+            return 404, b"", {}
         if position[0] < 0:
             # An instance of an earlier release, which can't tell a later era from a large event.
             if cache.position[0] > 0:
-                return 410, b""
+                return 410, b"", {}
             position = (0, position[1])
         called_at = self._now()
         end = called_at + min(wait_s, MAX_WAIT_S)
         while cache.is_fresh(self._now()) and not cache.is_behind(position):
             events = cache.events_after(position)
             if events is None:
-                return 410, b""
+                return 410, b"", {}
             left = min(end, cache.stale_at()) - self._now()
             if events or left <= 0:
                 complete_s = cache.complete_at - called_at
-                return 200, self._encode(kind, position, cache.position, events, complete_s)
+                body = self._encode(kind, position, cache.position, events, complete_s)
+                return 200, body, {LEVEL_HEADER: f"{cache.level_at - called_at:.3f}"}
             await self._changed.wait(left)
-        return 503, b""
+        return 503, b"", {}
 
     def _encode(
         self,
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -17,8 +17,13 @@
         async def list(self, kind: str, after: str) -> "StoreResponse":
             """Returns one page of the objects of a kind after a name."""
 
-        async def watch(self, kind: str, position: Position, wait_s: float) -> "StoreResponse":
-            """Returns the events after a position once there is one, or none after the wait."""
+        async def watch(
+            self, kind: str, position: Position, wait_s: float, response_s: float
+        ) -> "StoreResponse":
+            """Returns the events after a position once there is one, or none after the wait.
+
+            The response has to come within a further time, in seconds.
+            """
 
         def interrupt(self) -> None:
             """Ends the call that is waiting for its response, with PLATFORM_INTERRUPTED."""
@@ -64,6 +69,7 @@
         callers: Number of instances that call the relay; None if it does not tell.
         complete_s: Time in seconds after which the relay received the call, up to which the
             response is complete; negative before it, None if the relay does not tell.
+        level_s: The same for the time at which the relay was level with the store.
     """
 
     __slots__ = (
@@ -72,6 +78,7 @@
         "era",
         "healthy_s",
         "items",
+        "level_s",
         "more",
         "revision",
         "zone",
@@ -87,11 +94,13 @@
         era: int = 0,
         callers: int | None = None,
         complete_s: float | None = None,
+        level_s: float | None = None,
     ) -> None:
         self.callers = callers
         self.complete_s = complete_s
         self.era = era
         self.items = items
+        self.level_s = level_s
         self.revision = revision
         self.more = more
         self.healthy_s = healthy_s
@@ -175,9 +184,9 @@
             if call.position is None:
                 await self._list()
             elif call.relay is None:
-                await self._watch_store(call.position, call.wait_s)
+                await self._watch_store(call.position, call)
             else:
-                await self._watch_relay(call.relay, call.position, call.wait_s)
+                await self._watch_relay(call.relay, call.position, call)
         except PlatformError as error:
             if error.code is Code.PLATFORM_INTERRUPTED:
                 return
@@ -214,7 +223,7 @@
         self._replace(by_name, now)
         self._cache.reset(position, now)
         self._scheduler.on_list(position, now)
-        self._record_complete(started)
+        self._record_complete(started, started)
         self._log(
             "listed",
             kind=self._handler.kind,
@@ -223,35 +232,40 @@
             era=position[0],
         )
 
-    async def _watch_store(self, position: Position, wait_s: float) -> None:
+    async def _watch_store(self, position: Position, call: Call) -> None:
         started = self._now()
-        response = await self._watch(self._store, position, wait_s)
+        response = await self._watch(self._store, position, call)
         if self._observe_era(response):
             # The events follow the same revision of another history.
             return
         now = self._now()
         self._apply_events(response, now, from_store=True)
         self._cache.append_events(response.items, response.position, now, self._shorten)
-        self._record_complete(started)
+        # Without events, the store has made the response at the end of the wait.
+        waited = not response.items and now - started >= call.wait_s
+        self._record_complete(started, started + call.wait_s if waited else started)
 
-    async def _watch(self, called: "Store", position: Position, wait_s: float) -> StoreResponse:
+    async def _watch(self, called: "Store", position: Position, call: Call) -> StoreResponse:
         self._called = called
         try:
-            return await called.watch(self._handler.kind, position, wait_s)
+            return await called.watch(self._handler.kind, position, call.wait_s, call.response_s)
         finally:
             self._called = None
 
-    def _record_complete(self, at: float) -> None:
+    def _record_complete(self, at: float, level_at: float) -> None:
         """Records that all changes are known that the store made until a clock time in seconds.
 
-        This is the start of a call to the store: how long its response was on its way is unknown.
+        Args:
+            at: The start of a call to the store: how long its response was on its way is unknown.
+            level_at: The same for a store that doesn't forget its watches.
         """
         self._scheduler.on_complete(at)
-        self._cache.complete_at = at
+        self._scheduler.on_level(level_at)
+        self._cache.complete_at, self._cache.level_at = at, level_at
 
-    async def _watch_relay(self, relay: int, position: Position, wait_s: float) -> None:
+    async def _watch_relay(self, relay: int, position: Position, call: Call) -> None:
         called_at = self._now()
-        response = await self._watch(self._relays[relay], position, wait_s)
+        response = await self._watch(self._relays[relay], position, call)
         if response.callers is not None:
             self._on_callers(response.callers, called_at)
         if None in response.items:
@@ -266,6 +280,8 @@
         self._apply_events(response, now)
         complete_s = -MAX_AGE_S if response.complete_s is None else response.complete_s
         self._scheduler.on_complete(called_at + complete_s)
+        if response.level_s is not None:
+            self._scheduler.on_level(called_at + response.level_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
         # Events before the position may be among them, so that only the latest states hold.
--- a/pearwell/http_message.py
+++ b/pearwell/http_message.py
@@ -17,8 +17,8 @@
 MAX_LENGTH_DIGITS = 16
 _HEADER_END = b"\r\n\r\n"
 
-# Status and body.
-Response = tuple[int, bytes]
+# Status, body, and header fields besides those of all responses.
+Response = tuple[int, bytes, dict[str, str]]
 
 
 class Message:
--- a/pearwell/http_server.py
+++ b/pearwell/http_server.py
@@ -85,9 +85,9 @@
             sock.close()
 
     async def _respond(self, sock: socket.socket, request: Message) -> bool:
-        status, body = await self._handle(request.start_line[1])
+        status, body, headers = await self._handle(request.start_line[1])
         start_line = f"HTTP/1.1 {status} {_REASONS.get(status, '')}"
-        unsent = memoryview(encode_message(start_line, self._headers, body))
+        unsent = memoryview(encode_message(start_line, self._headers | headers, body))
         while unsent:
             try:
                 unsent = unsent[sock.send(unsent) :]
--- a/pearwell/platform/edge.py
+++ b/pearwell/platform/edge.py
@@ -229,7 +229,7 @@
         HttpServer(self._reactor, sock, relay.respond, RELAY_HEADERS, self._record_call)
 
     async def _respond_readiness(self, path: str) -> Response:
-        return (200 if self._instance.lifecycle.ready else 503), b""
+        return (200 if self._instance.lifecycle.ready else 503), b"", {}
 
     def _render_metrics(self) -> bytes:
         # Imported only once metrics are fetched, to keep the start fast.
--- a/pearwell/platform/metrics_endpoint.py
+++ b/pearwell/platform/metrics_endpoint.py
@@ -52,4 +52,4 @@
         self._server = HttpServer(self._reactor, sock, self._respond, METRICS_HEADERS)
 
     async def _respond(self, path: str) -> Response:
-        return (200, self._render()) if path == METRICS_PATH else (404, b"")
+        return (200, self._render(), {}) if path == METRICS_PATH else (404, b"", {})
--- a/pearwell/platform/store.py
+++ b/pearwell/platform/store.py
@@ -21,7 +21,6 @@
 # Timeouts. A connection is established within a few milliseconds; responses of a slow store take up
 # to 350 ms. A list of 1 MB takes 1.6 s at 5 Mbit/s.
 CONNECT_TIMEOUT_S = 0.6
-RESPONSE_TIMEOUT_S = 1.0
 LIST_TIMEOUT_S = 1.8
 # While a response is coming in, the longest pause between two parts of it, and the time by which
 # its end may be later: one entry of 1 MB makes a page larger than 1 MB.
@@ -38,6 +37,8 @@
 RECEIVE_BYTES = 262_144
 # Counts how often the store was restored from a copy; in all its responses.
 ERA_HEADER = "store-era"
+# When a relay was level with the store, in its responses.
+LEVEL_HEADER = "level-s"
 # Longest time in seconds that a response may claim to be complete after its call was received.
 MAX_WATCH_S = 30.0
 # Largest plausible time in seconds that a relay tells.
@@ -109,13 +110,18 @@
             self._list_times.observe(self._reactor.now() - started)
         return _decode(response, "items")
 
-    async def watch(self, kind: str, position: Position, wait_s: float) -> StoreResponse:
-        """Returns the events after a position once there is one, or none after the wait."""
+    async def watch(
+        self, kind: str, position: Position, wait_s: float, response_s: float
+    ) -> StoreResponse:
+        """Returns the events after a position once there is one, or none after the wait.
+
+        The response has to come within a further time, in seconds.
+        """
         era, revision = position
         query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
         if self._is_relay:
             query += f"&Era={era}"
-        response = await self._call(f"/objects/{kind}{query}", wait_s + RESPONSE_TIMEOUT_S)
+        response = await self._call(f"/objects/{kind}{query}", wait_s + response_s)
         return _decode(response, "events")
 
     def set_address(self, address: tuple[str, int]) -> None:
@@ -235,6 +241,7 @@
         _era(response, payload),
         _callers(payload),
         _seconds(payload, "CompleteS", MAX_WATCH_S),
+        _level_s(response),
     )
 
 
@@ -279,6 +286,15 @@
     return value if -MAX_TOLD_S <= value <= min(longest, MAX_TOLD_S) else None
 
 
+def _level_s(response: Message) -> float | None:
+    """Returns when a relay was level with the store; None if that is missing or invalid."""
+    try:
+        level_s = float(response.headers.get(LEVEL_HEADER, ""))
+    except ValueError:
+        return None
+    return _seconds({"": level_s}, "", MAX_WATCH_S)
+
+
 def _callers(payload: dict[str, object]) -> int | None:
     """Returns the number of callers that a relay tells; None if it is missing or invalid."""
     callers = payload.get("Callers")
--- a/tests/affinity/fakes.py
+++ b/tests/affinity/fakes.py
@@ -24,7 +24,7 @@
     async def list(self, kind, after):
         return self._next(("list", after))
 
-    async def watch(self, kind, revision, wait_s):
+    async def watch(self, kind, revision, wait_s, response_s):
         return self._next(("watch", revision))
 
     def _next(self, call):
--- a/tests/affinity/test_fetch_scheduler.py
+++ b/tests/affinity/test_fetch_scheduler.py
@@ -242,3 +242,65 @@
     follower.on_list((0, 7), 0.0)
     leader.on_failure(leader.next_call(1.0), Code.PLATFORM_TIMEOUT, 1.0)
     assert leader.store_failing and not follower.awaits_leader(1.0)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "relay", "wait_s", "response_s"),
+    [
+        (0.0, 0, 1.0, 1.0),
+        (0.5, 0, 1.0, 0.9),
+        (1.0, 0, 1.0, 0.4),
+        (1.5, 0, 0.5, 0.4),
+        (1.85, 0, 0.15, 0.4),
+        (1.95, None, 0.0, 1.0),
+        (9.0, None, 0.0, 1.0),
+    ],
+)
+def test_a_relay_is_called_for_as_long_as_what_is_known_is_young_enough(
+    age_s, relay, wait_s, response_s
+):
+    """The ages that a relay and its caller allowed for added up to more than the bound of 3 s."""
+    scheduler = make(relays=1, limits=WatchLimits.for_bounds(1.0, 4.0, 3.0))
+    scheduler.on_list((0, 7), 10.0)
+    scheduler.on_level(10.0 - age_s)
+    scheduler.on_level(5.0 - age_s)
+    call = scheduler.next_call(10.0)
+    assert (call.relay, call.position, call.delay_s) == (relay, (0, 7), 0.0)
+    assert (call.wait_s, call.response_s) == pytest.approx((wait_s, response_s))
+
+
+def test_a_store_that_does_not_answer_is_asked_once_for_what_relays_withhold():
+    """While it is away, the relays that still respond are all that there is."""
+    scheduler = make(relays=1, limits=WatchLimits.for_bounds(1.0, 4.0, 3.0))
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_level(0.0)
+    asked = scheduler.next_call(3.0)
+    scheduler.on_failure(asked, Code.PLATFORM_TIMEOUT, 4.0)
+    call = scheduler.next_call(4.0)
+    assert (asked.relay, call.relay, call.wait_s) == (None, 0, 1.0)
+    assert not scheduler.store_failing
+
+
+def test_a_follower_calls_a_relay_with_old_news_while_the_store_fails_its_leader():
+    leader = make(relays=1)
+    follower = FetchScheduler(WatchLimits.for_bounds(1.0, 4.0, 3.0), 1, "a", lambda: 1.0, leader)
+    follower.on_list((0, 7), 0.0)
+    follower.on_level(0.0)
+    leader.on_failure(leader.next_call(0.0), Code.PLATFORM_UNAVAILABLE, 0.0)
+    assert leader.store_failing and not follower.awaits_leader(9.0)
+    assert follower.next_call(9.0).relay == 0
+
+
+@pytest.mark.parametrize(
+    ("events", "level_at", "delay_s", "wait_s"),
+    [(0, 10.0, 0.0, 1.5), (1, 10.0, 0.3, 1.5), (1, 9.0, 0.3, 0.5), (1, 8.5, 0.3, 0.0)],
+    ids=["no events", "at once", "late in a watch", "at its end"],
+)
+def test_a_relay_is_level_with_the_store_before_it_waits_long(events, level_at, delay_s, wait_s):
+    """When the store made a response with events is only known to lie within the watch."""
+    scheduler = make(limits=WatchLimits.for_relay())
+    scheduler.on_list((0, 7), 0.0)
+    scheduler.on_watch(events, (0, 8), 10.0)
+    scheduler.on_level(level_at)
+    call = scheduler.next_call(10.0)
+    assert (call.delay_s, call.wait_s) == pytest.approx((delay_s, wait_s))
--- a/tests/affinity/test_relay.py
+++ b/tests/affinity/test_relay.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pearwell.affinity.cache import MAX_AGE_S, ObjectCache
-from pearwell.affinity.relay import Relay
+from pearwell.affinity.relay import LEVEL_HEADER, Relay
 from tests.affinity.fakes import FakeWait, run
 
 
@@ -42,7 +42,7 @@
         self.cache.append_events([{"Object": {"meta": {"Name": "b"}}}], (0, 6), self.now)
 
     def request(self, path):
-        status, body = run(self.relay.respond(path))
+        status, body, self.headers = run(self.relay.respond(path))
         return status, json.loads(decompress(body)) if body else None
 
 
@@ -70,6 +70,17 @@
     assert body["CompleteS"] == pytest.approx(told)
 
 
+@pytest.mark.parametrize("change", [False, True])
+def test_a_relay_tells_when_it_was_level_with_the_store(change):
+    """Also with events, or its callers would ask the store while there are changes all the time."""
+    harness = RelayHarness()
+    if change:
+        harness.change()
+    harness.cache.level_at = harness.now - 2.75
+    harness.request("/objects/servers?Watch=5&WaitMs=300")
+    assert harness.headers == {LEVEL_HEADER: "-2.750"}
+
+
 def test_a_relay_with_a_stale_cache_refuses_watches():
     harness = RelayHarness()
     harness.now += MAX_AGE_S + 0.1
@@ -110,8 +121,8 @@
 def test_clients_of_one_revision_share_a_response():
     harness = RelayHarness()
     harness.change()
-    _, one = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
-    _, two = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
+    _, one, _ = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
+    _, two, _ = run(harness.relay.respond("/objects/servers?Watch=5&WaitMs=1000"))
     assert one is two
     harness.cache.append_events([{"Object": {"meta": {"Name": "c"}}}], (0, 7), harness.now)
     _, three = harness.request("/objects/servers?Watch=5&WaitMs=1000")
--- a/tests/affinity/test_sync.py
+++ b/tests/affinity/test_sync.py
@@ -296,6 +296,47 @@
     assert harness.sync._scheduler.complete_at == pytest.approx(complete_at)
 
 
+@pytest.mark.parametrize(
+    ("response", "seconds", "level_after_s"),
+    [
+        (StoreResponse([], 5), 2.4, 2.4),
+        (StoreResponse([], 5), 2.6, 2.4),
+        (StoreResponse([], 5), 0.1, 0.0),
+        (events(6, 2), 2.6, 0.0),
+    ],
+    ids=["whole wait", "slow response", "no wait", "events"],
+)
+def test_an_instance_is_level_with_the_store_as_of_what_the_response_shows(
+    response, seconds, level_after_s
+):
+    """The store makes a response without events at the end of the wait, 2.4 s here."""
+    harness = SyncHarness(FakeStore(listed(5, 1), response))
+    harness.steps(1)
+    watch, started = harness.store.watch, []
+
+    async def slow_watch(*arguments):
+        started.append(harness.now)
+        harness.now += seconds
+        return await watch(*arguments)
+
+    harness.store.watch = slow_watch
+    harness.steps(1)
+    scheduler = harness.sync._scheduler
+    assert scheduler._level_at - started[0] == pytest.approx(level_after_s)
+    assert harness.cache.level_at == scheduler._level_at
+    assert harness.cache.complete_at == scheduler.complete_at == started[0]
+
+
+@pytest.mark.parametrize("response", [StoreResponse([], 5, level_s=0.4), events(6, 2)])
+def test_a_caller_is_level_with_the_store_as_far_as_its_relay_tells(response):
+    harness = SyncHarness(FakeStore(listed(5, 1)), FakeStore(response))
+    harness.steps(1)
+    harness.now = 1.0
+    harness.steps(1)
+    told = response.level_s is not None
+    assert harness.sync._scheduler._level_at == pytest.approx(1.4 if told else 0.0)
+
+
 class OddHandler:
     """Fails at one object, as no handler should."""
 
--- a/tests/platform/store_fleet.py
+++ b/tests/platform/store_fleet.py
@@ -213,12 +213,15 @@
             pairs.append((handler, feed.scheduler))
         self._tasks = [asyncio.ensure_future(self._tick())]
         self._syncs = {}
+        self._stores = []
         for handler, scheduler in pairs:
+            store = LocalClient(self, self._store.respond, self.store_linked)
+            self._stores.append(store)
             sync = ObjectSync(
                 handler,
                 scheduler,
                 caches[handler.kind],
-                LocalClient(self, self._store.respond, self.store_linked),
+                store,
                 [relay.client_for(self) for relay in self._relays],
                 self.now,
                 asyncio.sleep,
@@ -228,6 +231,11 @@
             self._syncs[handler.kind] = sync
             self._tasks.append(asyncio.ensure_future(sync.run()))
 
+    @property
+    def store_calls(self):
+        """Calls to the store so far."""
+        return sum(store.calls for store in self._stores)
+
     def send(self, packet):
         """Passes a packet to the director, as the packet socket does; returns its decision."""
         director = self.instance.director
@@ -276,10 +284,10 @@
         await self.linked.wait()
         if self.ended:
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "connection refused")
-        status, body = await self._relay.respond(path)
+        status, body, headers = await self._relay.respond(path)
         await self.running.wait()
         await self.linked.wait()
-        return status, RELAY_HEADERS, body
+        return status, RELAY_HEADERS | headers, body
 
     async def _tick(self):
         while True:
--- a/tests/platform/test_recorded_messages.py
+++ b/tests/platform/test_recorded_messages.py
@@ -113,7 +113,7 @@
     cache.reset((2, 5), 0.0)
     cache.append_events(EVENTS, (2, 7), 0.0)
     relay = Relay("pnw-a", {"config": cache}, lambda: -3.0, NoWait(), lambda: 0.5, lambda: None)
-    answered, body = run(relay.respond(path))
+    answered, body, _ = run(relay.respond(path))
     assert answered == status
     if count:
         assert json.loads(decompress(body)) == json.loads(decompress(RELAY_BODY))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,7 +25,7 @@
 
 @pytest.fixture(autouse=True)
 def long_timeouts(monkeypatch):
-    for name in ("CONNECT_TIMEOUT_S", "LIST_TIMEOUT_S", "RESPONSE_TIMEOUT_S"):
+    for name in ("CONNECT_TIMEOUT_S", "LIST_TIMEOUT_S"):
         monkeypatch.setattr(module, name, LONG_S)
 
 
@@ -212,7 +212,7 @@
     async def query(client):
         first = await client.list("servers", "")
         rest = await client.list("servers", first.items[-1]["meta"]["Name"])
-        watched = await client.watch("servers", (0, first.revision - 1), 0.0)
+        watched = await client.watch("servers", (0, first.revision - 1), 0.0, LONG_S)
         return len(first.items), first.more, len(rest.items), rest.more, len(watched.items)
 
     with StoreThread() as store_thread:
@@ -264,7 +264,7 @@
         store_thread.call(store_thread.server.write("servers", "i-1", {}))
         store_thread.server.compact()
         assert (
-            run_query(lambda client: client.watch("servers", (0, 1), 0.1))
+            run_query(lambda client: client.watch("servers", (0, 1), 0.1, LONG_S))
             == Code.PLATFORM_WATCH_EXPIRED
         )
 
@@ -273,7 +273,7 @@
     async def query(client):
         listed = await client.list("servers", "")
         try:
-            await client.watch("servers", (1, 2), 0.1)
+            await client.watch("servers", (1, 2), 0.1, LONG_S)
         except PlatformError as error:
             return listed.revision, listed.era, error.code
         return None
@@ -320,6 +320,19 @@
     assert decode(f'{{"items":[],"AsOf":3{told}}}'.encode()).complete_s == complete_s
 
 
+@pytest.mark.parametrize(
+    ("told", "level_s"),
+    [
+        ({}, None),
+        ({"Level-S": "-0.250"}, -0.25),
+        ({"level-s": "1.5"}, 1.5),
+        *(({"Level-S": odd}, None) for odd in ("", "x", "nan", "inf", "-inf", "1e9", "9" * 5_000)),
+    ],
+)
+def test_when_a_relay_was_level_with_the_store_is_read(told, level_s):
+    assert decode(b'{"items":[],"AsOf":3}', **told).level_s == level_s
+
+
 @pytest.mark.parametrize(("max_idle_s", "connections"), [(LONG_S, 1), (-1.0, 2)])
 def test_an_idle_connection_is_not_used_again(max_idle_s, connections, monkeypatch):
     """The other side may have closed it, or it may have gone silent, which costs a timeout."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -38,7 +38,7 @@
             reactor.stop()
 
     async def respond(path):
-        return 200, b""
+        return 200, b"", {}
 
     HttpServer(reactor, listener, respond, {})
     reactor.run(lambda: clock[0], advance)
@@ -74,7 +74,7 @@
         served.append(path)
         if path == "/2":
             reactor.stop()
-            return 200, b""
+            return 200, b"", {}
         raise KeyError(path)
 
     sock = bind_socket(socket.SOCK_STREAM, ("127.0.0.1", 0))
