Hold entries with a lower Sequence than the known one of their target

Callers' flows opened on a target that had been draining for six seconds: the store had executed a heartbeat of before the drain, which had got no answer, and the target was ready until its next one.

Cause: as with an earlier incarnation, the order in which the store executes writes was taken for the order of the target's states. Sequence tells that within one incarnation.

Such an entry is held until it has outlived four heartbeats. After an outage or a restore an older entry lists a target again that was not listed, as before.

--- a/pearwell/affinity/target.py
+++ b/pearwell/affinity/target.py
@@ -146,7 +146,9 @@
 
     def was_written_before(self, other: "Target") -> bool:
         """Whether it describes an earlier state than another description under its name."""
-        return other.started_after(self)
+        if self.started_ms != other.started_ms:
+            return other.started_after(self)
+        return 0 < self.sequence < other.sequence
 
     def adopt_slots(self) -> None:
         """Moves the slots that count toward those told; called every second."""
--- a/tests/affinity/test_directory.py
+++ b/tests/affinity/test_directory.py
@@ -153,6 +153,56 @@
     assert earlier.gone
 
 
+@pytest.mark.parametrize("listed_again", [False, True], ids=["event", "list"])
+@pytest.mark.parametrize(
+    ("known", "written", "draining"), [(8, 7, True), (8, 8, False), (8, 9, False), (0, 7, False)]
+)
+def test_a_late_write_of_before_a_drain_brings_no_new_flows(known, written, draining, listed_again):
+    """The target's heartbeat of before the drain got no answer, and was executed 6 s later."""
+    directory = Directory()
+    directory.put(target(1, draining=True, sequence=known), 0.0)
+    late = target(1, sequence=written)
+    changes = directory.replace([late], 6.0) if listed_again else directory.put(late, 6.0)
+    event = "target_outdated" if draining else "target_ready"
+    assert names(changes) == [(event, "i-00000001")]
+    assert directory.find_by_name("i-00000001").draining == draining
+    directory.put(target(1, draining=True, sequence=10), 6.7)
+    assert directory.confirm_outdated(1_000.0, 0.0) == []
+    assert directory.find_by_name("i-00000001").draining
+
+
+def test_a_target_that_counts_its_entries_anew_is_known_after_some_heartbeats():
+    directory = Directory(heartbeat_s=1.0)
+    directory.put(target(1, draining=True, sequence=8), 0.0)
+    directory.put(target(1, sequence=1), 1.0)
+    assert names(directory.confirm_outdated(5.0, 0.0)) == [("target_ready", "i-00000001")]
+    assert names(directory.put(target(1, draining=True, sequence=2), 6.0)) == [
+        ("target_draining", "i-00000001")
+    ]
+
+
+def test_a_late_write_of_a_target_that_has_left_brings_no_new_flows():
+    directory = Directory()
+    directory.put(target(1, draining=True, sequence=8), 0.0)
+    directory.remove("i-00000001", 5.0)
+    assert names(directory.put(target(1, sequence=7), 6.0)) == [("target_outdated", "i-00000001")]
+    assert directory.find_by_name("i-00000001").gone
+    assert directory.find_by_service("intake") == []
+
+
+def test_an_older_entry_of_a_restored_store_names_a_target_that_lives():
+    """Its latest entries are lost, and the one that the store has is right until the next."""
+    directory = Directory()
+    directory.put(target(1, sequence=8), 0.0)
+    directory.remove("i-00000001", 5.0, trusted=False)
+    assert names(directory.put(target(1, sequence=5), 5.5, trusted=False)) == [
+        ("target_listed", "i-00000001")
+    ]
+    assert names(directory.put(target(1, sequence=9, draining=True), 6.0, trusted=False)) == [
+        ("target_draining", "i-00000001")
+    ]
+
+
 @pytest.mark.parametrize(
     ("trusted", "draining"), [(True, False), (False, True)], ids=["stable", "restored"]
 )
--- a/tests/platform/test_late_writes.py
+++ b/tests/platform/test_late_writes.py
@@ -103,3 +103,29 @@
         await fleet.stop()
 
     run(scenario())
+
+
+@pytest.mark.parametrize("late_s", [0.9, 3.3, 5.9])
+def test_a_late_write_of_before_a_drain_brings_no_new_flows(late_s):
+    """Flows opened on the target until its next heartbeat, 6 s after the drain was told."""
+
+    async def scenario():
+        fleet = Fleet(2, 3, BOUNDS)
+        await fleet.configure()
+        await fleet.put_target(1)
+        await fleet.put_target(2)
+        await asyncio.sleep(10.0)
+        fleet.lose_write(1, late_s)
+        await asyncio.sleep(0.1)
+        await fleet.put_target(1, state="draining")
+        await asyncio.sleep(BOUNDS.drain_s)
+        loop, number = asyncio.get_running_loop(), 0
+        end = loop.time() + 6.0
+        while loop.time() < end:
+            number += 1
+            for node in fleet.nodes:
+                assert node.send(syn(number, route=ROUTE)).name == "i-00000002"
+            await asyncio.sleep(0.03)
+        await fleet.stop()
+
+    run(scenario())
