Take an entry for a target only with all the fields that targets write

Callers' requests ran at a target of another service: another writer's entry, with five fields missing and an identifier of 0, named an address that this target uses now. The identifier 0 addresses any target.

Cause: fields that weren't read long ago were optional, and the digits behind the last hyphen of any name were read as an identifier.

An entry needs Version, Concurrency, WarmupLeftMs, Sequence and born as well, of their types, and an identifier of 1 to 16 hex digits that isn't 0.

Rows of test_optional_and_unknown_fields and of test_implausible_slots expected entries with missing or odd fields to hold. Entries of other tests and stand-ins get all fields.

--- a/bench/start.py
+++ b/bench/start.py
@@ -52,7 +52,17 @@
     spec = {"Version": 1, "Routes": [route], "Services": [], "Limits": {}}
     await store.write("config", "main", spec)
     address = f"{store_ip}:{HOST_PORT}"
-    entry = {"Service": "s", "Address": address, "Zone": "z", "State": "ready", "WarmupLeftMs": 0}
+    entry = {
+        "Service": "s",
+        "Address": address,
+        "Zone": "z",
+        "Version": "v1",
+        "Concurrency": 2,
+        "State": "ready",
+        "WarmupLeftMs": 0,
+        "Sequence": 1,
+        "born": 1,
+    }
     await store.write("servers", "i-00000001", entry)
     host = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     host.bind((store_ip, HOST_PORT))
--- a/pearwell/platform/ignored_slots.py
+++ b/pearwell/platform/ignored_slots.py
@@ -32,7 +32,7 @@
     def record(self, target: Target, item: "Any") -> None:
         """Records the entry of a target without usable slots."""
         spec: Mapping[str, object] = item["spec"]
-        if "Concurrency" not in spec or self._logged.get(target.name) == target.started_ms:
+        if self._logged.get(target.name) == target.started_ms:
             return
         for name in [*self._logged]:
             if self._directory.find_by_name(name) is None:
--- a/pearwell/platform/objects.py
+++ b/pearwell/platform/objects.py
@@ -39,6 +39,9 @@
 # Longest name, service or zone of a target; log lines, metrics and hints hold them.
 MAX_TEXT_CHARS = 256
 MAX_PORT_DIGITS = 5
+# Most digits of a target's identifier, which has 8 bytes.
+MAX_ID_DIGITS = 16
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 # Longest part of an invalid value, and of an error, that is logged.
 MAX_DETAIL_CHARS = 80
 MAX_ERROR_CHARS = 200
@@ -228,22 +231,22 @@
     state = spec.get("State")
     if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
         raise _invalid(name, "State", state)
+    for key, is_valid in _TARGET_FIELDS:
+        if not is_valid(spec.get(key)):
+            raise _invalid(name, key, spec.get(key))
     # Remaining warm-up time as reported.
-    warmup_left_ms = spec.get("WarmupLeftMs", 0)
-    if not is_number(warmup_left_ms):
-        raise _invalid(name, "WarmupLeftMs", warmup_left_ms)
-    started_ms = spec.get("born", 0)
+    warmup_left_ms = spec["WarmupLeftMs"]
     return Target(
         name=name,
         tag=_tag(name),
         service=_text(spec, "Service", name),
         address=_address(spec, name),
         zone=_text(spec, "Zone", name),
-        started_ms=started_ms if is_number(started_ms) else 0,
+        started_ms=spec["born"],
         draining=_DRAINING_BY_STATE[state],
         warmup_ends_at=now + warmup_left_ms / 1000 if warmup_left_ms > 0 else NEVER,
         slots=_optional(spec, "Concurrency", _is_count),
-        sequence=_optional(spec, "Sequence", _is_sequence) or 0,
+        sequence=spec["Sequence"],
     )
 
 
@@ -381,23 +384,47 @@
 
 
 def _is_count(value: object) -> bool:
-    is_integer = isinstance(value, int) and not isinstance(value, bool)
-    return is_integer and 0 < value <= MAX_TARGET_COUNT  # type: ignore[operator]
+    return _is_integer(value) and 0 < value <= MAX_TARGET_COUNT  # type: ignore[operator]
 
 
-def _is_sequence(value: object) -> bool:
-    return isinstance(value, int) and is_number(value) and value >= 0
+def _is_integer(value: object) -> bool:
+    return isinstance(value, int) and is_number(value)
+
+
+def _is_natural(value: object) -> bool:
+    return _is_integer(value) and value >= 0  # type: ignore[operator]
 
 
 def _is_rate(value: object) -> bool:
     return is_number(value) and 0 <= value <= MAX_TARGET_COUNT  # type: ignore[operator]
 
 
+def is_number(value: object) -> bool:
+    """Whether a value is a number that a float can hold exactly if it is an integer."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return -MAX_NUMBER <= value <= MAX_NUMBER
+
+
+def is_text(value: object) -> bool:
+    """Whether a value is short text that can be encoded, logged and sent in a header."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARS and value.isprintable()
+
+
 _SERVICE_LIMITS = (
     ("MaxConns", _is_count),
     ("WarmupPerS", _is_rate),
     ("HealthPath", _is_path),
 )
+# What each target tells of itself besides its service, address, zone and state; an entry without it
+# comes from another writer.
+_TARGET_FIELDS = (
+    ("Version", is_text),
+    ("Concurrency", _is_integer),
+    ("WarmupLeftMs", is_number),
+    ("Sequence", _is_natural),
+    ("born", _is_natural),
+)
 _ROUTE_GOALS = (
     ("TargetLatencyMs", _is_route_ms),
     ("TimeoutMs", _is_route_ms),
@@ -407,12 +434,10 @@
 
 def _tag(name: str) -> bytes:
     digits = name.rpartition("-")[2]
-    try:
+    # int() also reads signs, underscores and prefixes. The tag 0 addresses any target.
+    if _HEX_DIGITS.issuperset(digits) and 0 < len(digits) <= MAX_ID_DIGITS and int(digits, 16):
         return int(digits, 16).to_bytes(8, "big")
-    except (OverflowError, ValueError) as error:
-        raise PlatformError(
-            Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: no hex identifier"
-        ) from error
+    raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: no hex identifier")
 
 
 def _text(spec: Mapping[str, object], key: str, name: str) -> str:
@@ -438,18 +463,6 @@
     return ip, number
 
 
-def is_number(value: object) -> bool:
-    """Whether a value is a number that a float can hold exactly if it is an integer."""
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        return False
-    return -MAX_NUMBER <= value <= MAX_NUMBER
-
-
-def is_text(value: object) -> bool:
-    """Whether a value is short text that can be encoded, logged and sent in a header."""
-    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARS and value.isprintable()
-
-
 def _invalid(name: str, key: str, value: object) -> PlatformError:
     return PlatformError(
         Code.PLATFORM_BAD_ANSWER, f"entry {name!r}: invalid {key} {describe(value)}"
--- a/pearwell/platform/short_entry.py
+++ b/pearwell/platform/short_entry.py
@@ -11,6 +11,7 @@
     "Service",
     "Address",
     "Zone",
+    "Version",
     "State",
     "WarmupLeftMs",
     "Concurrency",
