Keep the end of the log of a process of the soak that ends by itself

The report of an end that nobody asked for now holds the status and the end of the log, and the interpreter says where it was when it aborts. The cause of that abort is still unknown.

--- a/pearwell/soak/processes.py
+++ b/pearwell/soak/processes.py
@@ -16,6 +16,8 @@
 ROLE_ARGUMENTS = ["-S", "deploy/edge.py"]
 RESTART_DELAY_S = 0.4
 EXIT_TIMEOUT_S = 8.0
+# Part of a log that a report of an unexpected end holds.
+TAIL_LINES, TAIL_CHARS = 30, 4_000
 
 
 class ManagedProcess:
@@ -30,6 +32,8 @@
 
     Attributes:
         root: Directory of the build that its next start runs.
+        unexpected_exits: Number of ends that it wasn't asked for.
+        exit_report: Status and end of the log of the latest of these.
     """
 
     def __init__(
@@ -54,12 +58,22 @@
         self.faulty_until = float("-inf")
         self.starts = 0
         self.unexpected_exits = 0
+        self.exit_report = ""
 
     @property
     def running(self) -> bool:
         """Whether the process is running."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def log_tail(self) -> str:
+        """Last lines of its log, for the report of an end that wasn't asked for."""
+        try:
+            lines = self._log.read_text(errors="replace").splitlines()
+        except OSError as error:
+            return f"no log: {error}"
+        return "\n".join(lines[-TAIL_LINES:])[-TAIL_CHARS:]
+
     async def start(self) -> None:
         """Starts the process."""
         self._exit_expected = False
@@ -67,7 +81,8 @@
             sys.executable,
             *self._arguments,
             cwd=self.root,
-            env={**os.environ, **self._environment},
+            # Shows where a process was that aborts.
+            env={**os.environ, "PYTHONFAULTHANDLER": "1", **self._environment},
             **self._streams(),
         )
         with contextlib.suppress(ProcessLookupError):
@@ -129,3 +144,4 @@
             self._pidfd = None
         if not self._exit_expected:
             self.unexpected_exits += 1
+            self.exit_report = f"status {process.returncode}; end of its log:\n{self.log_tail}"
--- a/pearwell/soak/role_process.py
+++ b/pearwell/soak/role_process.py
@@ -106,7 +106,7 @@
         if status is None or status in self._statuses:
             return ""
         asked = sorted(self._statuses)
-        return f"{self}: status {status}, not {asked}"
+        return f"{self}: status {status}, not {asked}; end of its log:\n{self.log_tail}"
 
     @property
     def _pid(self) -> int:
--- a/pearwell/soak/soak_harness.py
+++ b/pearwell/soak/soak_harness.py
@@ -128,7 +128,9 @@
         await stop_all(harness)
     for process in [*harness.instances, *[host.process for host in harness.hosts]]:
         harness.checker.require(
-            not process.unexpected_exits, Guarantee.NO_UNEXPECTED_EXIT, process.name
+            not process.unexpected_exits,
+            Guarantee.NO_UNEXPECTED_EXIT,
+            f"{process.name}: {process.exit_report}",
         )
     return harness.checker
 
