Hold an older entry for six heartbeats rather than four

How long the platform takes to remove an entry after three heartbeats of silence isn't told. If a removal took longer than one more, the entry of a dead incarnation would be taken for that of a target whose clock was set back, and the flows of one that lives, but can't reach the store, would be reset. Twice the time that the platform waits leaves as much again. Not seen; found on reading the change.

--- a/pearwell/affinity/outdated_entries.py
+++ b/pearwell/affinity/outdated_entries.py
@@ -10,8 +10,8 @@
 __all__ = ["OutdatedEntries"]
 
 # Number of heartbeats that an older entry has to outlive. The platform removes an entry after three
-# of silence; the fourth leaves time for the removal to arrive.
-HEARTBEATS = 4
+# of silence; as many again leave time for the removal to be made and to arrive.
+HEARTBEATS = 6
 
 
 class OutdatedEntries:
