--- a/tests/platform/test_target_checks.py
+++ b/tests/platform/test_target_checks.py
@@ -94,7 +94,7 @@
 
     async def respond(path):
         paths.append(path)
-        return status, b""
+        return status, b"", {}
 
     sock = bind_socket(socket.SOCK_STREAM, ("127.0.0.1", port))
     HttpServer(setup.reactor, sock, respond, {})
