Leave callers of relays of earlier releases as they were

Found on reading the change. While the relays are replaced by a build that tells Level-S, each caller behind one that doesn't would ask the store once in each span of the bound: some hundred calls a second at 195 instances. What such a caller knows is now bounded as it was before, by the relay's cache and the call.

--- a/pearwell/affinity/fetch_scheduler.py
+++ b/pearwell/affinity/fetch_scheduler.py
@@ -270,12 +270,15 @@
         """Records that all changes are known that the store made until a time in seconds."""
         self._complete_at = max(self._complete_at, at)
 
-    def on_level(self, at: float) -> None:
+    def on_level(self, at: float | None) -> None:
         """Records that this instance was level with the store at a time in seconds.
 
-        Unlike on_complete(), this relies on a store that doesn't forget its watches.
+        Unlike on_complete(), this relies on a store that doesn't forget its watches. None stands
+        for a relay that doesn't tell, behind which hundreds of instances would ask the store.
         """
-        self._level_at = at if self._level_at is None else max(self._level_at, at)
+        if at is not None and self._level_at is not None:
+            at = max(at, self._level_at)
+        self._level_at = at
 
     def require_catch_up(self) -> None:
         """Schedules a call to the store for the changes until now."""
--- a/pearwell/affinity/sync.py
+++ b/pearwell/affinity/sync.py
@@ -69,7 +69,8 @@
         callers: Number of instances that call the relay; None if it does not tell.
         complete_s: Time in seconds after which the relay received the call, up to which the
             response is complete; negative before it, None if the relay does not tell.
-        level_s: The same for the time at which the relay was level with the store.
+        level_s: The same for the time at which the relay was level with the store; None from the
+            store itself and from relays of earlier releases.
     """
 
     __slots__ = (
@@ -280,8 +281,8 @@
         self._apply_events(response, now)
         complete_s = -MAX_AGE_S if response.complete_s is None else response.complete_s
         self._scheduler.on_complete(called_at + complete_s)
-        if response.level_s is not None:
-            self._scheduler.on_level(called_at + response.level_s)
+        level_s = response.level_s
+        self._scheduler.on_level(None if level_s is None else called_at + level_s)
 
     def _apply_events(self, response: StoreResponse, now: float, from_store: bool = False) -> None:
         # Events before the position may be among them, so that only the latest states hold.
