--- a/review/lab3.py
+++ b/review/lab3.py
@@ -298,11 +298,10 @@
         finally:
             writer.close()
 
-    def write_entry(self) -> None:
-        """Writes its entry in the store."""
-        self._sequence += 1
+    def spec(self) -> dict[str, object]:
+        """Returns its entry in the store."""
         left_ms = max(0, round(1000 * (self.cold_since + self.cold_s - now())))
-        spec: dict[str, object] = {
+        return {
             "Service": self.service,
             "Address": f"{self.ip}:{self.lab.host_port}",
             "Zone": self.zone,
@@ -313,7 +312,12 @@
             "Sequence": self._sequence,
             "born": self._born,
         }
-        if self.lab.store.put("servers", self.name, spec) and self._sequence == 1:
+
+    def write_entry(self) -> None:
+        """Writes its entry in the store."""
+        self._sequence += 1
+        written = self.lab.store.put("servers", self.name, self.spec())
+        if written and self._sequence == 1:
             self.lab.record.line(f"store: entry of {self.name} written, born {self._born}")
 
     async def _register(self) -> None:
