--- a/review/lab3.py
+++ b/review/lab3.py
@@ -31,6 +31,8 @@
 SYN_TIMEOUT_S = 1.4
 RETRANSMIT_S, MAX_RETRANSMIT_S, HOST_RETRANSMISSIONS = 0.2, 1.6, 8
 PROBE_INTERVAL_S, MISSES = 0.5, 2
+# PROTOCOL.md: size of a page of a list.
+PAGE_BYTES = 1_000_000
 
 Address = tuple[str, int]
 
@@ -122,6 +124,10 @@
         self.down = False
         self.revision = 100
         self._objects: dict[str, dict[str, dict[str, object]]] = {}
+        # Contents that are handed out as they were written, by the text that stands for them.
+        self._raw: dict[bytes, bytes] = {}
+        # Sizes of large objects in bytes, by name.
+        self._sizes: dict[str, int] = {}
         self._events: list[tuple[int, str, dict[str, object]]] = []
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -152,6 +158,13 @@
         self._record(kind, name, spec, deleted=False)
         return True
 
+    def put_raw(self, kind: str, name: str, content: bytes) -> None:
+        """Writes an object whose content is bytes that needn't be JSON."""
+        mark = f"raw-{len(self._raw):03}"
+        self._sizes[name] = len(content)
+        self._raw[json.dumps(mark).encode()] = content
+        self._record(kind, name, mark, deleted=False)
+
     def delete(self, kind: str, name: str) -> None:
         if name in self._objects.get(kind, {}):
             self._record(kind, name, self._objects[kind][name]["spec"], deleted=True)
@@ -169,7 +182,7 @@
         if deleted:
             del self._objects[kind][name]
         else:
-            self._objects[kind][name] = item
+            self._objects.setdefault(kind, {})[name] = item
         self._events.append((self.revision, kind, {"Deleted": deleted, "Object": dict(item)}))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -181,6 +194,8 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 path = head.split(b" ", 2)[1].decode()
                 body = json.dumps(await self._answer(path)).encode()
+                for mark, content in self._raw.items():
+                    body = body.replace(mark, content)
                 if self.down:
                     break
                 await asyncio.sleep(0.004)
@@ -195,14 +210,25 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    def _page(self, kind: str, after: str) -> dict[str, object]:
+        """Returns a page of a list: 500 items or 1 MB at most, but at least one item."""
+        objects = self._objects.get(kind, {})
+        names = [name for name in sorted(objects) if name > after]
+        items: list[object] = []
+        size = 0
+        for name in names[:500]:
+            size += self._sizes.get(name, 300)
+            if items and size > PAGE_BYTES:
+                break
+            items.append(objects[name])
+        return {"items": items, "HasMore": len(items) < len(names), "AsOf": self.revision}
+
     async def _answer(self, path: str) -> dict[str, object]:
         parts = urlsplit(path)
         kind = unquote(parts.path.removeprefix("/objects/"))
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         if "Watch" not in query:
-            objects = self._objects.get(kind, {})
-            items = [objects[name] for name in sorted(objects) if name > query.get("after", "")]
-            return {"items": items, "HasMore": False, "AsOf": self.revision}
+            return self._page(kind, query.get("after", ""))
         end, since = now() + int(query.get("WaitMs", "0")) / 1000, int(query["Watch"])
         while True:
             events = [event for at, of, event in self._events if at > since and of == kind]
@@ -238,6 +264,7 @@
 
     Attributes:
         slow: Factor by which its work takes longer.
+        cold_per_s: Requests a second that it bears while it is cold; 0 for as many as ever.
         disrupted_at: Time of the latest moment at which it was disrupted.
         opened: Flows that opened here, with the time.
         starts: Times at which opening packets arrived, since its latest start.
@@ -256,6 +283,7 @@
         self.started_at = self.cold_since = 0.0
         self.running = False
         self.state = "ready"
+        self.cold_per_s = 0.0
         self._born = 0
         self._sequence = 0
         self._queue: asyncio.Queue[Callable[[], float]] = asyncio.Queue()
@@ -393,6 +421,9 @@
 
     def _run(self, key: bytes, packet: Packet) -> float:
         work_s = self.work_s * random.uniform(0.7, 1.3)
+        if self.cold_per_s and now() < self.cold_since + self.cold_s:
+            # It bears WarmupPerS requests a second while it is cold.
+            work_s = self.slots / self.cold_per_s
         asyncio.get_running_loop().create_task(self._respond(key, packet, work_s * self.slow))
         return work_s
 
@@ -554,7 +585,12 @@
 
 @dataclass(slots=True)
 class Edge:
-    """A machine of the system with its process. `touched_at`: latest start, stop or signal."""
+    """A machine of the system with its process.
+
+    Attributes:
+        touched_at: Time of its latest start, stop or signal.
+        over_memory: How often its process was killed as it exceeded its memory.
+    """
 
     name: str
     ip: str
@@ -562,6 +598,7 @@
     process: asyncio.subprocess.Process | None = None
     touched_at: float = 0.0
     in_rotation: bool = False
+    over_memory: int = 0
 
 
 class Lab:
@@ -722,6 +759,29 @@
         await asyncio.sleep(0.3)
         await self.start_edge(edge)
 
+    async def enforce_memory(self, edge: Edge, limit_mb: int) -> None:
+        """Kills a process that exceeds its memory, as the platform does, and starts it again."""
+        while True:
+            await asyncio.sleep(0.01)
+            peak_mb = _peak_mb(edge)
+            if peak_mb <= limit_mb or edge.process is None:
+                continue
+            edge.process.kill()
+            await edge.process.wait()
+            edge.over_memory += 1
+            self.record.line(f"{edge.name}: {peak_mb:.0f} MB, killed for its memory")
+            await asyncio.sleep(0.5)
+            await self.start_edge(edge)
+
+    async def kill_edge(self, edge: Edge, down_s: float) -> None:
+        """Kills a process, which is started again after a while."""
+        assert edge.process is not None
+        self.record.line(f"{edge.name}: SIGKILL")
+        edge.process.kill()
+        await edge.process.wait()
+        await asyncio.sleep(down_s)
+        await self.start_edge(edge)
+
     async def _probe(self, edge: Edge) -> None:
         misses = 0
         while True:
@@ -770,6 +830,18 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def _peak_mb(edge: Edge) -> float:
+    """Returns the largest resident memory of a process so far, in MB; 0 if it has ended."""
+    if edge.process is None or edge.process.returncode is not None:
+        return 0.0
+    try:
+        status = Path(f"/proc/{edge.process.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    _, found, rest = status.partition("VmHWM:")
+    return int(rest.split()[0]) / 1024 if found else 0.0
+
+
 def _free_ports(net: int) -> list[int]:
     """Returns ports that are free on all loopback addresses, below the range of clients'."""
     ports: list[int] = []
